core: the decisions, sans-IO, one part a module

Cause: the product is its decisions, so they come first and alone: events and a time go in, actions come out. No sockets, clocks or threads in this crate.

Not measured yet: any figure under load, and no proof by fuzzing yet.

--- /dev/null
+++ b/crates/walnutmoor-core/src/node/control.rs
@@ -0,0 +1,648 @@
+//! Agreement: packets, the platform, configuration, contacts.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Action, AskId, Core, Note, OpId};
+use crate::{
+    config::{Author, Config, Entry, Op, Proposal, Step, Table},
+    digest::{self, Map},
+    directory::Status,
+    gossip::{Body, Packet},
+    id::{NodeId, Revision, Zone},
+    member,
+    platform::{Key, Object, Reply, Request, Version},
+    time::Millis,
+};
+
+/// What a request to the platform was for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Purpose {
+    Boot,
+    Contacts,
+    Watch,
+    Propose,
+    Repair,
+    ReadContacts,
+    WriteContacts,
+}
+
+/// The state of this node's dealings with the platform.
+#[derive(Debug)]
+pub(super) struct Control {
+    ops: Map<OpId, Purpose>,
+    next_op: u64,
+    booted: bool,
+    platform_read: bool,
+    watched: Option<Version>,
+    watching: bool,
+    resume: Millis,
+    backoff: Millis,
+    platform_up: bool,
+    contacts: Vec<NodeId>,
+    joined: Option<Millis>,
+    check_at: Option<Millis>,
+    gossiped: Millis,
+    farewell: bool,
+}
+
+/// The contacts of one zone, as kept on the platform.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Contacts {
+    nodes: Vec<NodeId>,
+}
+
+/// The most contacts of a zone.
+const CONTACTS: usize = 5;
+
+/// How many nodes of each zone hold a watch and keep the contacts. Two, so
+/// that one may be down; their share of the platform's rates does not grow
+/// with the fleet.
+const KEEPERS: usize = 2;
+
+/// How many peers a new configuration is pushed to at once. With four, news
+/// reaches all but 2% of any fleet in a handful of rounds; probes mend the
+/// rest within seconds.
+const FANOUT: usize = 4;
+
+/// The first pause after the platform failed; it doubles up to the longest.
+const BACKOFF: Millis = Millis(250);
+
+/// The longest pause, short enough to see the platform return.
+const BACKOFF_MAX: Millis = Millis(4_000);
+
+/// How often keepers check the contacts.
+const CHECK: Millis = Millis(10_000);
+
+/// How long a fresh node waits, on average, before it first checks them.
+const FIRST_CHECK: Millis = Millis(1_000);
+
+/// How often a node that found no contact tries again.
+const REJOIN: Millis = Millis(2_000);
+
+/// How long a change of configuration is tried.
+const PROPOSE_FOR: Millis = Millis(10_000);
+
+/// How often the gossip's own clock is looked at.
+const GOSSIP: Millis = Millis(50);
+
+impl Control {
+    pub(super) fn new() -> Control {
+        Control {
+            ops: Map::default(),
+            next_op: 0,
+            booted: false,
+            platform_read: false,
+            watched: None,
+            watching: false,
+            resume: Millis(0),
+            backoff: BACKOFF,
+            platform_up: true,
+            contacts: Vec::new(),
+            joined: None,
+            check_at: None,
+            gossiped: Millis(0),
+            farewell: false,
+        }
+    }
+}
+
+impl Core {
+    /// Sends a packet.
+    pub(super) fn post(
+        &mut self,
+        to: NodeId,
+        body: Body,
+        out: &mut Vec<Action>,
+    ) {
+        let revision = self.configuration.revision;
+        let packet = Box::new(self.gossip.seal(revision, body));
+        out.push(Action::Send { to, packet });
+    }
+
+    fn post_all(
+        &mut self,
+        bodies: Vec<(NodeId, Body)>,
+        out: &mut Vec<Action>,
+    ) {
+        for (to, body) in bodies {
+            self.post(to, body, out);
+        }
+    }
+
+    fn ask(
+        &mut self,
+        purpose: Purpose,
+        request: Request,
+        out: &mut Vec<Action>,
+    ) {
+        self.control.next_op += 1;
+        let op = OpId(self.control.next_op);
+        self.control.ops.insert(op, purpose);
+        self.stats.platform_calls += 1;
+        out.push(Action::Platform { op, request });
+    }
+
+    pub(super) fn next_control_wake(&self) -> Millis {
+        let gossip = self.gossip.members().next_wake();
+        let proposer = self.proposer.next_wake().unwrap_or(Millis::NEVER);
+        let steady = self.control.gossiped + member::PERIOD;
+        gossip.min(proposer).min(steady)
+    }
+
+    pub(super) fn tick_control(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if !self.control.booted {
+            self.control.booted = true;
+            self.boot(out);
+        }
+        if now.since(self.control.gossiped) >= GOSSIP {
+            self.control.gossiped = now;
+            let mut sent = Vec::new();
+            self.gossip.tick(now, &mut self.rng, &mut sent);
+            self.post_all(sent, out);
+            self.note_members(out);
+        }
+        let mut steps = Vec::new();
+        self.proposer.tick(now, &mut steps);
+        self.take_steps(now, steps, out);
+        self.server_is_gone(out);
+        self.rejoin(now, out);
+        if now >= self.control.resume {
+            self.keep(now, out);
+        }
+    }
+
+    fn boot(&mut self, out: &mut Vec<Action>) {
+        let key = Key::config();
+        self.ask(Purpose::Boot, Request::Get { key }, out);
+        let prefix = Key("contacts/".to_string());
+        self.ask(Purpose::Contacts, Request::List { prefix }, out);
+    }
+
+    fn note_members(&mut self, out: &mut Vec<Action>) {
+        for event in self.gossip.members_mut().take_events() {
+            let note = match event {
+                member::Event::Up(node) => Note::Up(node),
+                member::Event::Down(node) => Note::Down(node),
+                member::Event::Reborn(node) => {
+                    self.router.reborn(node);
+                    continue;
+                }
+            };
+            out.push(Action::Note(note));
+        }
+    }
+
+    /// A node that knows nobody asks its contacts, and if there are none
+    /// becomes one.
+    fn rejoin(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let alone = self.gossip.members().directory().live() <= 1;
+        let due = |at: Millis| now.since(at) >= REJOIN;
+        if !alone || !self.control.joined.is_some_and(due) {
+            return;
+        }
+        self.control.joined = Some(now);
+        let prefix = Key("contacts/".to_string());
+        self.ask(Purpose::Contacts, Request::List { prefix }, out);
+    }
+
+    fn join(
+        &mut self,
+        now: Millis,
+        contacts: Vec<NodeId>,
+        out: &mut Vec<Action>,
+    ) {
+        let me = self.me.node;
+        let others = contacts.into_iter().filter(|c| *c != me);
+        self.control.contacts = others.collect();
+        self.control.joined = Some(now);
+        let mut sent = Vec::new();
+        for contact in &self.control.contacts {
+            self.gossip.join(*contact, &mut sent);
+        }
+        if sent.is_empty() {
+            self.gossip.alone();
+        }
+        self.post_all(sent, out);
+    }
+
+    /// True if this node is one of the few of its zone that hold a watch
+    /// and keep the contacts: the highest by a hash of zone and node.
+    fn is_keeper(&self) -> bool {
+        let members = self.gossip.members();
+        let zone = &self.config.zone;
+        let weight = |n: &NodeId| digest::of(&(zone.as_str(), n));
+        let own = weight(&self.me.node);
+        let zone = members.directory().in_zone(zone);
+        let above = zone.iter().filter(|n| weight(n) > own);
+        above.take(KEEPERS).count() < KEEPERS
+    }
+
+    fn keep(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if !self.control.platform_read {
+            if !self.op_open(&Purpose::Boot) {
+                let key = Key::config();
+                self.ask(Purpose::Boot, Request::Get { key }, out);
+            }
+            return;
+        }
+        if self.draining {
+            return;
+        }
+        let due = self.check_due(now);
+        let idle = !self.control.watching;
+        if !(due || idle) || !self.is_keeper() {
+            return;
+        }
+        if idle {
+            self.control.watching = true;
+            let (key, known) = (Key::config(), self.control.watched);
+            self.ask(Purpose::Watch, Request::Watch { key, known }, out);
+        }
+        if due && !self.op_open(&Purpose::ReadContacts) {
+            let key = contacts_key(&self.config.zone);
+            self.ask(Purpose::ReadContacts, Request::Get { key }, out);
+        }
+    }
+
+    /// True if the contacts are to be checked now. The first check comes
+    /// after a random wait, so that a fleet that starts at once does not
+    /// write at once.
+    fn check_due(&mut self, now: Millis) -> bool {
+        let Some(at) = self.control.check_at else {
+            let first = now + self.spread(FIRST_CHECK);
+            self.control.check_at = Some(first);
+            return false;
+        };
+        if now < at {
+            return false;
+        }
+        let next = now + self.spread(CHECK);
+        self.control.check_at = Some(next);
+        true
+    }
+
+    fn op_open(&self, purpose: &Purpose) -> bool {
+        self.control.ops.values().any(|p| p == purpose)
+    }
+
+    /// The platform answered.
+    pub(super) fn platform(
+        &mut self,
+        now: Millis,
+        op: OpId,
+        reply: Reply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(purpose) = self.control.ops.remove(&op) else { return };
+        self.note_platform(now, reply != Reply::Down, out);
+        match purpose {
+            Purpose::Boot => self.booted(now, reply, out),
+            Purpose::Watch => self.watched(now, reply, out),
+            Purpose::Repair => {}
+            Purpose::Contacts => self.listed(now, reply, out),
+            Purpose::ReadContacts => self.contacts_read(now, reply, out),
+            Purpose::WriteContacts => {}
+            Purpose::Propose => {
+                let mut steps = Vec::new();
+                let in_force = &self.configuration;
+                self.proposer.reply(now, reply, in_force, &mut steps);
+                self.take_steps(now, steps, out);
+            }
+        }
+    }
+
+    fn note_platform(&mut self, now: Millis, up: bool, out: &mut Vec<Action>) {
+        if up {
+            self.control.backoff = BACKOFF;
+        } else {
+            let pause = self.control.backoff;
+            let longer = Millis(pause.0 * 2).min(BACKOFF_MAX);
+            self.control.backoff = longer;
+            self.control.resume = now + self.spread(pause);
+        }
+        if std::mem::replace(&mut self.control.platform_up, up) != up {
+            out.push(Action::Note(Note::Platform(up)));
+        }
+    }
+
+    fn booted(&mut self, now: Millis, reply: Reply, out: &mut Vec<Action>) {
+        match reply {
+            Reply::Found(object) => {
+                self.control.platform_read = true;
+                self.offered(now, object, out);
+            }
+            Reply::Absent => {
+                self.control.platform_read = true;
+                self.adopt(now, Config::default(), out);
+            }
+            _ => {}
+        }
+    }
+
+    fn watched(&mut self, now: Millis, reply: Reply, out: &mut Vec<Action>) {
+        self.control.watching = false;
+        if let Reply::Found(object) = reply {
+            self.offered(now, object, out);
+        }
+        if now >= self.control.resume {
+            self.keep(now, out);
+        }
+    }
+
+    /// The platform offers a configuration. An older one than is in force
+    /// means that the store came back with an older state: it is not
+    /// adopted, and the one in force is written over it.
+    fn offered(&mut self, now: Millis, object: Object, out: &mut Vec<Action>) {
+        self.control.watched = Some(object.version);
+        let Ok(config) = Config::from_json(&object.value) else { return };
+        if config.revision >= self.configuration.revision {
+            self.adopt(now, config, out);
+            return;
+        }
+        self.stats.reverts_refused += 1;
+        out.push(Action::Note(Note::StoreBehind(config.revision)));
+        let value = serde_json::to_string(&self.configuration);
+        let request = Request::Put {
+            key: Key::config(),
+            base: Some(object.version),
+            value: value.expect("plain data serializes"),
+        };
+        self.ask(Purpose::Repair, request, out);
+    }
+
+    /// Takes a configuration if it is newer, and passes it on.
+    fn adopt(&mut self, now: Millis, config: Config, out: &mut Vec<Action>) {
+        if !self.is_newer(&config) {
+            self.try_force(out);
+            return;
+        }
+        let before = self.configuration.revision;
+        self.configuration = config;
+        self.refresh(before, out);
+        self.push_configuration(now, before, out);
+    }
+
+    fn refresh(&mut self, before: Revision, out: &mut Vec<Action>) {
+        self.table = Table::new(&self.configuration);
+        let revision = self.configuration.revision;
+        self.stats.changes += revision.0.saturating_sub(before.0);
+        let was = self.in_force;
+        self.try_force(out);
+        if was {
+            out.push(Action::Note(Note::InForce(revision)));
+        }
+    }
+
+    /// A fresh node serves once the platform spoke or, in an outage, peers
+    /// of more than one zone did: one peer alone may be stale itself.
+    fn try_force(&mut self, out: &mut Vec<Action>) {
+        let zones = self.heard_zones.len();
+        let ready = self.control.platform_read || zones > 1;
+        if self.in_force || !ready {
+            return;
+        }
+        self.in_force = true;
+        self.table = Table::new(&self.configuration);
+        let revision = self.configuration.revision;
+        out.push(Action::Note(Note::InForce(revision)));
+    }
+
+    fn push_configuration(
+        &mut self,
+        now: Millis,
+        before: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        let _ = now;
+        for _ in 0..FANOUT {
+            let peer = self.gossip.members().any(&mut self.rng);
+            let Some(peer) = peer else { return };
+            self.give_configuration(peer, before, out);
+        }
+    }
+
+    /// Gives a peer what comes after a revision: the entries, or all.
+    fn give_configuration(
+        &mut self,
+        to: NodeId,
+        known: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        let body = match self.configuration.since(known) {
+            Some(entries) => Body::Entries(entries.to_vec()),
+            None => Body::Whole(Box::new(self.configuration.clone())),
+        };
+        self.post(to, body, out);
+    }
+
+    /// A packet came from a peer.
+    pub(super) fn packet(
+        &mut self,
+        now: Millis,
+        packet: Packet,
+        out: &mut Vec<Action>,
+    ) {
+        self.stats.packets += 1;
+        let (from, theirs) = (packet.from, packet.revision);
+        let mut sent = Vec::new();
+        let rng = &mut self.rng;
+        let rest = self.gossip.receive(now, packet, rng, &mut sent);
+        self.post_all(sent, out);
+        self.note_members(out);
+        self.hear_zone(from, theirs, out);
+        if let Some(body) = rest {
+            self.body(now, from, body, out);
+        }
+    }
+
+    fn hear_zone(
+        &mut self,
+        from: NodeId,
+        theirs: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        let own = self.configuration.revision;
+        if theirs > own {
+            self.post(from, Body::Pull(own), out);
+            return;
+        }
+        if self.in_force {
+            return;
+        }
+        // A zone counts once this node is at least as new as its peer.
+        let directory = self.gossip.members().directory();
+        let zone = directory.get(from).map(|r| r.zone.clone());
+        if let Some(zone) = zone.filter(|_| theirs == own && own.0 > 0) {
+            self.heard_zones.insert(zone);
+            self.try_force(out);
+        }
+    }
+
+    fn body(
+        &mut self,
+        now: Millis,
+        from: NodeId,
+        body: Body,
+        out: &mut Vec<Action>,
+    ) {
+        match body {
+            Body::Pull(known) if known < self.configuration.revision => {
+                self.give_configuration(from, known, out)
+            }
+            Body::Entries(entries) => self.follow(now, from, &entries, out),
+            Body::Whole(config) => self.adopt(now, *config, out),
+            Body::Marked(ticket, verdict) => {
+                self.marked(now, ticket, verdict, out)
+            }
+            Body::Told(ticket, verdict) => {
+                self.told(now, ticket, verdict, out)
+            }
+            Body::Outcome(ticket, outcome) => {
+                self.outcome(ticket, outcome, out)
+            }
+            other => self.answer_about(now, from, other, out),
+        }
+    }
+
+    fn follow(
+        &mut self,
+        now: Millis,
+        from: NodeId,
+        entries: &[Entry],
+        out: &mut Vec<Action>,
+    ) {
+        let before = self.configuration.revision;
+        for entry in entries {
+            self.configuration.follow(entry);
+        }
+        let after = self.configuration.revision;
+        if after > before {
+            self.refresh(before, out);
+            self.push_configuration(now, before, out);
+        }
+        let last = entries.last().map_or(after, |e| e.revision);
+        if last > after {
+            self.post(from, Body::Pull(after), out);
+        }
+    }
+
+    /// An operator proposes a change.
+    pub(super) fn propose(
+        &mut self,
+        now: Millis,
+        ask: AskId,
+        author: Author,
+        op: Op,
+        base: Option<Revision>,
+        out: &mut Vec<Action>,
+    ) {
+        let deadline = now + PROPOSE_FOR;
+        let new = Proposal { ask, author, op, base, deadline };
+        let mut steps = Vec::new();
+        self.proposer.propose(new, &mut steps);
+        self.take_steps(now, steps, out);
+    }
+
+    fn take_steps(
+        &mut self,
+        now: Millis,
+        steps: Vec<Step<AskId>>,
+        out: &mut Vec<Action>,
+    ) {
+        for step in steps {
+            match step {
+                Step::Ask(request) => self.ask(Purpose::Propose, request, out),
+                Step::Tell(ask, result) => {
+                    out.push(Action::Decided { ask, result })
+                }
+                Step::Adopt(config, version) => {
+                    self.control.platform_read = true;
+                    self.control.watched = Some(version);
+                    self.adopt(now, config, out);
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, now: Millis, reply: Reply, out: &mut Vec<Action>) {
+        let objects = match reply {
+            Reply::Listed(objects) => objects,
+            Reply::Absent => Vec::new(),
+            _ => {
+                self.control.joined = Some(now);
+                return;
+            }
+        };
+        let parse = |(_, object): &(Key, Object)| {
+            serde_json::from_str::<Contacts>(&object.value).ok()
+        };
+        let all = objects.iter().filter_map(parse);
+        let nodes = all.flat_map(|c| c.nodes).collect();
+        self.join(now, nodes, out);
+    }
+
+    /// Writes the contacts of this zone if too few of them are alive.
+    fn contacts_read(
+        &mut self,
+        now: Millis,
+        reply: Reply,
+        out: &mut Vec<Action>,
+    ) {
+        let (base, old) = match reply {
+            Reply::Found(object) => {
+                let old = serde_json::from_str(&object.value);
+                let old: Contacts = old.unwrap_or_default();
+                (Some(object.version), old)
+            }
+            Reply::Absent => (None, Contacts::default()),
+            _ => return,
+        };
+        let directory = self.gossip.members().directory();
+        let tried = &self.control.contacts;
+        let fresh =
+            |n: &&NodeId| directory.get(**n).is_none() && !tried.contains(n);
+        if old.nodes.iter().any(|n| fresh(&n)) {
+            // Somebody wrote after this node had read: ask them first.
+            self.join(now, old.nodes, out);
+            return;
+        }
+        let zone = directory.in_zone(&self.config.zone);
+        let alive = old.nodes.iter().filter(|n| zone.contains(n)).count();
+        if alive >= CONTACTS.min(zone.len()) {
+            return;
+        }
+        let mut nodes = zone.to_vec();
+        nodes.sort_by_key(|n| std::cmp::Reverse(digest::of(n)));
+        nodes.truncate(CONTACTS);
+        let contacts = Contacts { nodes };
+        let value = serde_json::to_string(&contacts);
+        let value = value.expect("plain data serializes");
+        let key = contacts_key(&self.config.zone);
+        let request = Request::Put { key, base, value };
+        self.ask(Purpose::WriteContacts, request, out);
+    }
+
+    /// Tells some peers at once of a change that must not wait for the
+    /// next probe.
+    pub(super) fn push_news(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let _ = now;
+        for _ in 0..FANOUT {
+            let peer = self.gossip.members().any(&mut self.rng);
+            let Some(peer) = peer else { return };
+            let message = member::Message::Ack { seq: 0 };
+            self.post(peer, Body::Member(message), out);
+        }
+    }
+
+    pub(super) fn say_left(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if std::mem::replace(&mut self.control.farewell, true) {
+            return;
+        }
+        self.gossip.members_mut().say(now, Status::Left, None);
+        self.push_news(now, out);
+    }
+}
+
+fn contacts_key(zone: &Zone) -> Key {
+    Key(format!("contacts/{zone}"))
+}
--- /dev/null
+++ b/crates/walnutmoor-core/src/node/entry.rs
@@ -0,0 +1,630 @@
+//! Calls on their way out: admission, routing, retries, answers.
+
+use super::{Action, Core};
+use crate::{
+    call::{Arrival, DEPTH_MAX, Envelope, Leg, Reply, Trailer, is_error},
+    class::{self, Class, Key},
+    digest::Set,
+    error::{Kind, Ran, Refusal},
+    gossip::Body,
+    id::{CallId, NodeId, Request, Service},
+    retry::Budget,
+    ticket::Ticket,
+    time::Millis,
+};
+
+/// Where an outbound call is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// Its owner, this node, waits for the witness's mark.
+    Marking,
+    /// It was sent to a peer.
+    Sent,
+    /// Its owner is silent; the witness was asked.
+    Asking,
+}
+
+/// A call that this node sends on.
+#[derive(Debug)]
+pub(super) struct Outbound {
+    pub(super) envelope: Envelope,
+    pub(super) deadline: Millis,
+    pub(super) stage: Stage,
+    pub(super) parent: Option<CallId>,
+    pub(super) to: Option<NodeId>,
+    // What is kept here; the envelope names what was handed to the peer.
+    budget: Budget,
+    tried: Vec<NodeId>,
+    moved: bool,
+    late: bool,
+}
+
+impl Outbound {
+    pub(super) fn new(
+        envelope: Envelope,
+        deadline: Millis,
+        parent: Option<CallId>,
+    ) -> Outbound {
+        Outbound {
+            budget: envelope.budget,
+            envelope,
+            deadline,
+            stage: Stage::Marking,
+            parent,
+            to: None,
+            tried: Vec::new(),
+            moved: false,
+            late: false,
+        }
+    }
+
+    /// True if this node runs the call as the owner of its ticket.
+    pub(super) fn owned(&self) -> Option<Ticket> {
+        let server = self.envelope.leg == Leg::Server;
+        self.envelope.ticket.filter(|_| server)
+    }
+}
+
+/// The most servers tried for one call.
+const TRIES_MAX: usize = 4;
+
+/// A peer is told a little less time than is left, so that its answer comes
+/// before this node gives up: one way between zones, rounded up.
+const MARGIN: Millis = Millis(5);
+
+impl Core {
+    pub(super) fn arrive(
+        &mut self,
+        now: Millis,
+        arrival: Arrival,
+        out: &mut Vec<Action>,
+    ) {
+        self.stats.arrived += 1;
+        let (call, ticket) = (arrival.call, arrival.ticket);
+        if let Err(refusal) = self.try_arrive(now, arrival, out) {
+            let refusal = self.honest(now, ticket, refusal);
+            self.refuse(call, refusal, out);
+            out.push(Action::Release { call });
+        }
+    }
+
+    fn try_arrive(
+        &mut self,
+        now: Millis,
+        arrival: Arrival,
+        out: &mut Vec<Action>,
+    ) -> Result<(), Refusal> {
+        self.check_ready(&arrival)?;
+        let (envelope, deadline) = match arrival.parent {
+            Some(parent) => self.deeper(now, parent, &arrival)?,
+            None => self.root(now, &arrival)?,
+        };
+        match envelope.ticket {
+            Some(ticket) => self
+                .arrive_once(now, &arrival, ticket, envelope, deadline, out),
+            None => {
+                self.admit(now, &arrival, &envelope)?;
+                let call = arrival.call;
+                let new = Outbound::new(envelope, deadline, arrival.parent);
+                self.begin(now, call, new);
+                self.send(now, call, out);
+                Ok(())
+            }
+        }
+    }
+
+    /// A refusal of this attempt says nothing of attempts before it: with a
+    /// ticket, *not run* is only said if the ledger says so too.
+    pub(super) fn honest(
+        &self,
+        now: Millis,
+        ticket: Option<Ticket>,
+        mut refusal: Refusal,
+    ) -> Refusal {
+        let foreign =
+            matches!(refusal.kind, Kind::TicketForged | Kind::TicketReused);
+        let Some(ticket) = ticket.filter(|_| !foreign) else {
+            return refusal;
+        };
+        if refusal.ran == Ran::No {
+            let outcome = self.ledger.outcome(now, ticket.nonce);
+            let outcome = outcome.filter(|_| ticket.owner == self.me);
+            refusal.ran = outcome.map_or(Ran::Unknown, |o| o.ran);
+        }
+        refusal
+    }
+
+    pub(super) fn check_ready(
+        &mut self,
+        arrival: &Arrival,
+    ) -> Result<(), Refusal> {
+        if !self.in_force {
+            let wait = self.spread(Millis(1_000));
+            let starting = Refusal::new(Kind::Starting, Ran::No);
+            return Err(starting.retry_after(wait));
+        }
+        if self.draining && arrival.parent.is_none() {
+            let wait = self.spread(Millis(200));
+            let leaving = Refusal::new(Kind::Leaving, Ran::No);
+            return Err(leaving.retry_after(wait));
+        }
+        if self.calls() >= self.config.calls_max {
+            let wait = self.spread(Millis(1_000));
+            let full = Refusal::new(Kind::Full, Ran::No);
+            return Err(full.retry_after(wait));
+        }
+        Ok(())
+    }
+
+    /// A call that begins a whole request. What it leaves out gets the
+    /// least: the lowest class, no time beyond the class's, no rank.
+    fn root(
+        &mut self,
+        now: Millis,
+        arrival: &Arrival,
+    ) -> Result<(Envelope, Millis), Refusal> {
+        let own = Class::internal().name;
+        let name = arrival.class.as_ref().unwrap_or(&own);
+        let found = self.table.get(name);
+        let unknown = Refusal::new(Kind::UnknownClass, Ran::No);
+        let (class, rank) = found.cloned().ok_or(unknown)?;
+        if class.kind == class::Kind::Once && arrival.ticket.is_none() {
+            return Err(Refusal::new(Kind::TicketRequired, Ran::No));
+        }
+        let tries = u32::from(self.config.retries) + 1;
+        if arrival.attempt > tries && !self.observes() {
+            return Err(Refusal::new(Kind::Budget, Ran::No));
+        }
+        let left = arrival.left.unwrap_or(class.target.within);
+        let left = left.min(self.config.deadline_max);
+        if left <= MARGIN {
+            return Err(Refusal::new(Kind::Deadline, Ran::No));
+        }
+        let request = arrival.request.clone();
+        let request = request.unwrap_or_else(|| self.draw_request());
+        let once = class.kind == class::Kind::Once;
+        let envelope = Envelope {
+            leg: Leg::Server,
+            service: arrival.service.clone(),
+            from: None,
+            class: class.name,
+            kind: class.kind,
+            key: Key::of(rank, &request),
+            request,
+            left,
+            budget: Budget::of_attempt(arrival.attempt, self.config.retries),
+            ticket: arrival.ticket.filter(|_| once),
+            revision: self.configuration.revision,
+            depth: 0,
+            fingerprint: arrival.fingerprint,
+        };
+        Ok((envelope, now + left))
+    }
+
+    fn draw_request(&mut self) -> Request {
+        use rand_chacha::rand_core::Rng;
+        let text = format!("{:016x}", self.rng.next_u64());
+        text.parse().expect("hexadecimal is a legal id")
+    }
+
+    /// A call that the backend server makes for one that it runs. It
+    /// inherits all: the class, the key, the time and the retries left.
+    fn deeper(
+        &mut self,
+        now: Millis,
+        parent: CallId,
+        arrival: &Arrival,
+    ) -> Result<(Envelope, Millis), Refusal> {
+        let gone = Refusal::new(Kind::Canceled, Ran::No);
+        let from = self.own_service().cloned();
+        let above = self.inbound.get_mut(&parent).ok_or(gone)?;
+        let deadline = above.deadline;
+        let left = deadline.since(now);
+        if left <= MARGIN || above.envelope.depth + 1 >= DEPTH_MAX {
+            return Err(Refusal::new(Kind::Deadline, Ran::No));
+        }
+        let enforce = self.config.mode == super::Mode::Enforce;
+        if above.failed.contains(&arrival.fingerprint) {
+            let to = &arrival.service;
+            let fits = above.budget.spend()
+                && self.share.try_retry(from.as_ref(), to);
+            if !fits && enforce {
+                return Err(Refusal::new(Kind::Budget, Ran::No));
+            }
+            self.stats.retried += 1;
+        }
+        let budget = above.budget.split();
+        let ticket = match (arrival.step, above.envelope.ticket) {
+            (Some(step), Some(t)) => {
+                Some(self.ledger.open_step(now, t.nonce, step)?)
+            }
+            _ => None,
+        };
+        let envelope = Envelope {
+            leg: Leg::Server,
+            service: arrival.service.clone(),
+            from,
+            left,
+            budget,
+            ticket,
+            depth: above.envelope.depth + 1,
+            fingerprint: arrival.fingerprint,
+            ..above.envelope.clone()
+        };
+        Ok((envelope, deadline))
+    }
+
+    /// Admission, decided once for the whole request at its way in.
+    pub(super) fn admit(
+        &mut self,
+        now: Millis,
+        arrival: &Arrival,
+        envelope: &Envelope,
+    ) -> Result<(), Refusal> {
+        if arrival.parent.is_some() {
+            return Ok(());
+        }
+        let (class, service) = (&envelope.class, &envelope.service);
+        let level = self.view.strictest(now, class, service);
+        if level.admits(envelope.key) {
+            self.stats.admitted += 1;
+            return Ok(());
+        }
+        if self.observes() {
+            self.stats.observed += 1;
+            return Ok(());
+        }
+        let wait = self.view.distance(level, envelope.key);
+        let wait = self.spread(wait);
+        let refusal = Refusal::new(Kind::Overloaded, Ran::No);
+        Err(refusal.retry_after(wait))
+    }
+
+    /// Takes a call into the table of outbound calls.
+    pub(super) fn begin(&mut self, now: Millis, call: CallId, new: Outbound) {
+        self.timers.insert((new.deadline, call));
+        if let Some(above) = new.parent.and_then(|p| self.inbound.get_mut(&p))
+        {
+            above.child_begins(now, call);
+        }
+        self.outbound.insert(call, new);
+    }
+
+    /// Sends an outbound call to a server that it chooses.
+    pub(super) fn send(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.outbound.get(&call) else { return };
+        let service = o.envelope.service.clone();
+        let directory = self.gossip.members().directory();
+        let servers = directory.servers(&service);
+        let to = servers.and_then(|servers| {
+            self.router.pick(now, servers, &o.tried, &mut self.rng)
+        });
+        let Some(to) = to else {
+            let refusal = self.nowhere(&service, out);
+            self.give_up(now, call, refusal, out);
+            return;
+        };
+        self.forward(now, call, to, out);
+    }
+
+    fn nowhere(
+        &mut self,
+        service: &Service,
+        out: &mut Vec<Action>,
+    ) -> Refusal {
+        let directory = self.gossip.members().directory();
+        let known = directory.servers(service).is_some();
+        if known {
+            let wait = self.spread(Millis(500));
+            let refusal = Refusal::new(Kind::Unreachable, Ran::No);
+            return refusal.retry_after(wait);
+        }
+        if self.gossip.is_complete() {
+            return Refusal::new(Kind::UnknownService, Ran::No);
+        }
+        if let Some(peer) = self.gossip.members().any(&mut self.rng) {
+            self.post(peer, Body::Lookup(service.clone()), out);
+        }
+        let wait = self.spread(Millis(500));
+        Refusal::new(Kind::Starting, Ran::No).retry_after(wait)
+    }
+
+    pub(super) fn forward(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        to: NodeId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.outbound.get_mut(&call) else { return };
+        let first = o.tried.is_empty();
+        o.tried.push(to);
+        o.to = Some(to);
+        o.stage = Stage::Sent;
+        let left = o.deadline.since(now);
+        o.envelope.left = left.since(MARGIN);
+        // Part stays here: what a peer was given is lost if it breaks off.
+        o.envelope.budget = o.budget.split();
+        let envelope = o.envelope.clone();
+        if first {
+            let from = envelope.from.as_ref();
+            self.share.first(from, &envelope.service);
+        }
+        self.router.sent(to);
+        self.stats.forwarded += 1;
+        out.push(Action::Forward { call, to, envelope });
+    }
+
+    /// An outbound call came back.
+    pub(super) fn returned(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        reply: Reply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.outbound.get_mut(&call) else { return };
+        let Some(to) = o.to.take() else { return };
+        let relayed = o.envelope.leg == Leg::Owner;
+        match reply {
+            Reply::Whole { status, size, trailer } => {
+                let good = !is_error(status);
+                self.router.answered(now, to, trailer.load, good);
+                self.absorb(now, call, &trailer);
+                self.complete(now, call, good, size, out);
+            }
+            Reply::Refused { refusal, trailer } => {
+                self.router.answered(now, to, trailer.load, true);
+                if refusal.kind == Kind::Leaving {
+                    self.router.failed(now, to);
+                }
+                self.absorb(now, call, &trailer);
+                match refusal.is_free_to_move() && !relayed {
+                    true => self.elsewhere(now, call, refusal, out),
+                    false => self.give_up(now, call, refusal, out),
+                }
+            }
+            Reply::Unreachable if relayed => {
+                self.router.failed(now, to);
+                self.ask_witness(now, call, out);
+            }
+            Reply::Unreachable => {
+                o.budget.give_back(o.envelope.budget.left());
+                self.router.failed(now, to);
+                let refusal = Refusal::new(Kind::Unreachable, Ran::No);
+                let wait = self.spread(Millis(500));
+                let refusal = refusal.retry_after(wait);
+                self.elsewhere(now, call, refusal, out);
+            }
+            Reply::Broken => {
+                self.router.failed(now, to);
+                self.broken(now, call, relayed, out);
+            }
+        }
+    }
+
+    fn broken(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        relayed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if relayed {
+            self.ask_witness(now, call, out);
+            return;
+        }
+        let refusal = Refusal::new(Kind::Broken, Ran::Unknown);
+        let once = self.outbound[&call].envelope.ticket.is_some();
+        if once || !self.may_retry(call) {
+            self.give_up(now, call, refusal, out);
+            return;
+        }
+        self.stats.retried += 1;
+        self.send(now, call, out);
+    }
+
+    /// The call was proved not run: the first move is free, others count
+    /// as retries.
+    fn elsewhere(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        refusal: Refusal,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.outbound.get_mut(&call) else { return };
+        let free = !std::mem::replace(&mut o.moved, true);
+        let late = o.deadline.since(now) <= MARGIN;
+        if late || o.tried.len() >= TRIES_MAX {
+            self.give_up(now, call, refusal, out);
+        } else if free {
+            self.stats.moved += 1;
+            self.send(now, call, out);
+        } else if self.may_retry(call) {
+            self.stats.retried += 1;
+            self.send(now, call, out);
+        } else {
+            self.give_up(now, call, refusal, out);
+        }
+    }
+
+    fn may_retry(&mut self, call: CallId) -> bool {
+        let Some(o) = self.outbound.get_mut(&call) else { return false };
+        if o.tried.len() >= TRIES_MAX {
+            return false;
+        }
+        let (from, to) = (o.envelope.from.clone(), &o.envelope.service);
+        let share = self.share.try_retry(from.as_ref(), to);
+        share && o.budget.spend()
+    }
+
+    /// Takes in what came back beside the answer.
+    fn absorb(&mut self, now: Millis, call: CallId, trailer: &Trailer) {
+        for report in &trailer.reports {
+            self.view.hear(now, report);
+        }
+        let Some(o) = self.outbound.get_mut(&call) else { return };
+        // Less may come back than was given, never more.
+        let given = o.envelope.budget.left();
+        o.budget.give_back(trailer.unspent.min(given));
+        let own = o.envelope.service.clone();
+        let below = trailer.reports.iter().map(|r| &r.service);
+        match o.parent {
+            Some(parent) => {
+                let Some(above) = self.inbound.get_mut(&parent) else {
+                    return;
+                };
+                above.pass(&own);
+                below.for_each(|service| above.pass(service));
+            }
+            None => {
+                let class = o.envelope.class.clone();
+                for service in below {
+                    self.view.pass(now, &class, &own, service);
+                }
+            }
+        }
+    }
+
+    /// A whole answer came.
+    fn complete(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        good: bool,
+        size: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.end(now, call, good) else { return };
+        match o.owned() {
+            Some(ticket) => {
+                let nonce = ticket.nonce;
+                let kept = size <= self.config.answer_max;
+                if kept {
+                    out.push(Action::Keep { nonce });
+                }
+                let waiters = self.ledger.answered(nonce, kept);
+                let answers = waiters.into_iter();
+                out.extend(answers.map(answer));
+            }
+            None => out.push(answer(call)),
+        }
+        out.push(Action::Release { call });
+    }
+
+    /// Refuses an outbound call for good.
+    pub(super) fn give_up(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        refusal: Refusal,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.end(now, call, false) else { return };
+        out.push(Action::Release { call });
+        let waiters = match o.owned() {
+            Some(ticket) => self.settle(ticket, o.stage, refusal.ran),
+            None => vec![call],
+        };
+        for waiter in waiters {
+            self.refuse(waiter, refusal.clone(), out);
+        }
+    }
+
+    fn settle(
+        &mut self,
+        ticket: Ticket,
+        stage: Stage,
+        ran: Ran,
+    ) -> Vec<CallId> {
+        self.marks.remove(&ticket.nonce);
+        match (stage, ran) {
+            (Stage::Marking, _) => self.ledger.withdraw(ticket.nonce),
+            (_, Ran::No) => self.ledger.not_run(ticket.nonce),
+            _ => self.ledger.lost(ticket.nonce),
+        }
+    }
+
+    /// Takes an outbound call out of the table.
+    pub(super) fn end(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        good: bool,
+    ) -> Option<Outbound> {
+        let o = self.outbound.remove(&call)?;
+        self.timers.remove(&(o.deadline, call));
+        self.asks.remove(&call);
+        if let Some(above) = o.parent.and_then(|p| self.inbound.get_mut(&p)) {
+            let unspent = o.budget.left();
+            let failed = (!good).then_some(o.envelope.fingerprint);
+            above.child_ends(now, call, unspent, failed);
+        }
+        Some(o)
+    }
+
+    pub(super) fn cancel_outbound(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        out: &mut Vec<Action>,
+    ) {
+        let o = &self.outbound[&call];
+        if let Some(ticket) = o.owned() {
+            // Work that must run once and has begun goes on.
+            self.ledger.leave(ticket.nonce, call);
+            return;
+        }
+        if let Some(to) = o.to {
+            self.router.gave_up(to);
+            out.push(Action::Abort { call });
+        }
+        let refusal = Refusal::new(Kind::Canceled, Ran::Unknown);
+        self.give_up(now, call, refusal, out);
+    }
+
+    /// The time is up: the final answer goes out at once.
+    pub(super) fn outbound_late(
+        &mut self,
+        now: Millis,
+        call: CallId,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.outbound.get_mut(&call) else { return };
+        let sent = o.stage != Stage::Marking;
+        let ran = if sent { Ran::Unknown } else { Ran::No };
+        let refusal = Refusal::new(Kind::Deadline, ran);
+        let owned = o.owned().filter(|_| sent && !o.late);
+        if let Some(ticket) = owned {
+            // Those who wait are told; the run goes on, so that its outcome
+            // can still be told to those who ask for it.
+            o.late = true;
+            o.deadline = now + self.config.ticket_span;
+            self.timers.insert((o.deadline, call));
+            let waiters = self.ledger.waiters(ticket.nonce).to_vec();
+            for waiter in waiters {
+                self.ledger.leave(ticket.nonce, waiter);
+                self.refuse(waiter, refusal.clone(), out);
+            }
+            return;
+        }
+        if let Some(to) = o.to {
+            self.router.gave_up(to);
+            out.push(Action::Abort { call });
+        }
+        self.give_up(now, call, refusal, out);
+    }
+}
+
+pub(super) fn answer(call: CallId) -> Action {
+    Action::Answer { call, trailer: None }
+}
+
+/// Failed calls of one parent, by fingerprint.
+pub(super) type Failed = Set<u64>;
--- /dev/null
+++ b/crates/walnutmoor-core/src/queue.rs
@@ -0,0 +1,131 @@
+/*!
+A short queue in front of a backend server, ordered by key, then deadline.
+
+The queue is bounded in entries and in time. A full queue gives up its
+lowest-ranked entry, which may be the newcomer. An entry whose give-up
+instant has passed leaves at once, whatever its rank: no backlog is worth
+serving past its deadline.
+
+The crate's front page has an example.
+*/
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{class::Key, digest::Map, id::CallId, time::Millis};
+
+/// A call that waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Which call.
+    pub call: CallId,
+    /// Its place in the order of refusal.
+    pub key: Key,
+    /// When its answer is due.
+    pub deadline: Millis,
+    /// When it leaves the queue unserved.
+    pub give_up: Millis,
+    /// When it came.
+    pub since: Millis,
+}
+
+type Place = (Key, Millis, CallId);
+
+impl Entry {
+    fn place(&self) -> Place {
+        (self.key, self.deadline, self.call)
+    }
+}
+
+/// The queue.
+#[derive(Debug)]
+pub struct Queue {
+    capacity: usize,
+    order: BTreeMap<Place, Entry>,
+    expiry: BTreeSet<(Millis, CallId)>,
+    places: Map<CallId, Place>,
+}
+
+impl Queue {
+    /// A queue for at most `capacity` entries.
+    pub fn new(capacity: usize) -> Queue {
+        Queue {
+            capacity,
+            order: BTreeMap::new(),
+            expiry: BTreeSet::new(),
+            places: Map::default(),
+        }
+    }
+
+    /// How many entries wait.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// True if nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Changes the bound. Entries above a smaller bound stay until they
+    /// leave by themselves or are pushed out.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
+    /// Adds an entry. A full queue gives up its lowest entry: either one
+    /// inside, which is returned, or the newcomer.
+    ///
+    /// # Errors
+    ///
+    /// The newcomer, if nothing inside ranks below it.
+    pub fn push(&mut self, entry: Entry) -> Result<Option<Entry>, Entry> {
+        let mut evicted = None;
+        if self.order.len() >= self.capacity {
+            let lowest = self.order.last_key_value().map(|(_, e)| *e);
+            match lowest {
+                Some(last) if last.place() > entry.place() => {
+                    evicted = self.remove(last.call);
+                }
+                _ => return Err(entry),
+            }
+        }
+        self.order.insert(entry.place(), entry);
+        self.expiry.insert((entry.give_up, entry.call));
+        self.places.insert(entry.call, entry.place());
+        Ok(evicted)
+    }
+
+    /// Takes out the most important entry.
+    pub fn pop(&mut self) -> Option<Entry> {
+        let (_, entry) = self.order.first_key_value()?;
+        let call = entry.call;
+        self.remove(call)
+    }
+
+    /// Takes out one entry.
+    pub fn remove(&mut self, call: CallId) -> Option<Entry> {
+        let place = self.places.remove(&call)?;
+        let entry = self.order.remove(&place)?;
+        self.expiry.remove(&(entry.give_up, call));
+        Some(entry)
+    }
+
+    /// Takes out one entry whose give-up instant has come.
+    pub fn expire(&mut self, now: Millis) -> Option<Entry> {
+        let (give_up, call) = *self.expiry.first()?;
+        if give_up > now {
+            return None;
+        }
+        self.remove(call)
+    }
+
+    /// The next give-up instant.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.expiry.first().map(|(give_up, _)| *give_up)
+    }
+
+    /// When the entry came that waits longest.
+    pub fn oldest(&self) -> Option<Millis> {
+        self.order.values().map(|entry| entry.since).min()
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
