--- /dev/null
+++ b/crates/walnutmoor/src/settings.rs
@@ -0,0 +1,477 @@
+/*!
+Settings of one node, in YAML, checked whole before anything starts.
+
+Spans are written with their unit (`200ms`, `2s`, `1m`), sizes with theirs
+(`64KB`, `1MB`). An unknown key, a wrong unit or a value out of bounds is an
+error that names the line. `docs/SETTINGS.md` lists every key with its
+default.
+
+# Example
+
+```
+use walnutmoor::settings::Settings;
+
+let wrong = "node: { address: 127.0.0.1:7402, zoen: portland }";
+let error = Settings::parse(wrong).unwrap_err();
+assert!(error.to_string().contains("zoen"));
+```
+*/
+
+use std::{fmt, net::SocketAddr, path::Path, str::FromStr, sync::Arc};
+
+use miette::{NamedSource, SourceSpan};
+use serde::{Deserialize, Serialize};
+use walnutmoor_core::{class::Class, id::ParseError, node::Mode, server};
+
+use crate::prelude::*;
+
+/// A span as settings write it: a number and a unit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Span(pub Millis);
+
+impl TryFrom<String> for Span {
+    type Error = walnutmoor_core::time::ParseError;
+
+    fn try_from(text: String) -> Result<Span, Self::Error> {
+        text.parse().map(Span)
+    }
+}
+
+impl From<Span> for String {
+    fn from(span: Span) -> String {
+        span.0.to_string()
+    }
+}
+
+/// A size in bytes: a number and `B`, `KB` or `MB` (of 1,024).
+#[derive(
+    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Size(pub usize);
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}B", self.0)
+    }
+}
+
+/// A size that was not written as a number and a unit.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{0}` is not a size: write a number and a unit, as in 64KB or 1MB")]
+pub struct SizeError(String);
+
+impl FromStr for Size {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Size, SizeError> {
+        let fail = || SizeError(text.to_string());
+        let end = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(fail)?;
+        let (number, unit) = text.split_at(end);
+        let number: usize = number.parse().map_err(|_| fail())?;
+        let factor = match unit {
+            "B" => 1,
+            "KB" => 1 << 10,
+            "MB" => 1 << 20,
+            _ => return Err(fail()),
+        };
+        number.checked_mul(factor).map(Size).ok_or_else(fail)
+    }
+}
+
+impl TryFrom<String> for Size {
+    type Error = SizeError;
+
+    fn try_from(text: String) -> Result<Size, SizeError> {
+        text.parse()
+    }
+}
+
+impl From<Size> for String {
+    fn from(size: Size) -> String {
+        size.to_string()
+    }
+}
+
+/// All settings of one node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who this node is.
+    pub node: Node,
+    /// Where callers come in.
+    #[serde(default = "Listener::caller")]
+    pub caller: Listener,
+    /// Where operators come in.
+    #[serde(default = "Listener::operator")]
+    pub operator: Listener,
+    /// The platform's object API.
+    #[serde(default)]
+    pub platform: Platform,
+    /// The backend server beside this node, unless it announces itself.
+    #[serde(default)]
+    pub server: Option<Server>,
+    /// Bounds.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+    /// Classes to begin with; only on the in-memory platform.
+    #[serde(default)]
+    pub classes: Vec<Seed>,
+}
+
+/// Who a node is.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Node {
+    /// Where peers reach it, by TCP and UDP. The port above it takes long
+    /// control messages.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Whether it refuses for load, or only observes.
+    #[serde(default)]
+    pub mode: Mode,
+}
+
+/// Where a node listens.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listener {
+    /// The address and port.
+    pub address: SocketAddr,
+}
+
+impl Listener {
+    fn caller() -> Listener {
+        Listener { address: ([127, 0, 0, 1], 7400).into() }
+    }
+
+    fn operator() -> Listener {
+        Listener { address: ([127, 0, 0, 1], 7401).into() }
+    }
+}
+
+/// Which platform.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(tag = "kind", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Platform {
+    /// One inside this process, gone with it: the embedded default.
+    #[default]
+    Memory,
+    /// An object API over HTTP.
+    Http {
+        /// Where, as in `http://10.0.0.9:8080`.
+        url: String,
+    },
+}
+
+/// The backend server beside a node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// The service that it offers.
+    pub service: Service,
+    /// Where it listens; left out, a built-in one answers with an echo.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
+    /// How many calls it runs at a time.
+    pub slots: u32,
+    /// How many connections it accepts.
+    pub connections: u32,
+    /// How long its cold start takes.
+    #[serde(default = "Server::warmup")]
+    pub warmup: Span,
+}
+
+impl Server {
+    fn warmup() -> Span {
+        Span(Millis(0))
+    }
+
+    /// What the server says of itself.
+    pub fn announcement(&self) -> server::Announcement {
+        server::Announcement {
+            service: self.service.clone(),
+            slots: self.slots,
+            connections: self.connections,
+            warmup: self.warmup.0,
+        }
+    }
+}
+
+/// Bounds of one node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Retries of one whole request.
+    pub retries: u8,
+    /// Calls in the node at a time.
+    pub calls: usize,
+    /// Tickets remembered as owner.
+    pub tickets: usize,
+    /// Marks and tombstones kept as witness.
+    pub marks: usize,
+    /// Messages in each ring.
+    pub ring: usize,
+    /// Bytes of one body.
+    pub body: Size,
+    /// Bytes of one kept answer.
+    pub kept_answer: Size,
+    /// The longest time that a caller may ask for.
+    pub deadline: Span,
+    /// How long a ticket is honoured.
+    pub ticket: Span,
+    /// How long a call waits in the queue.
+    pub patience: Span,
+    /// How long a canceled call still counts.
+    pub linger: Span,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            retries: 3,
+            calls: 16_384,
+            tickets: 16_384,
+            marks: 65_536,
+            ring: 4_096,
+            body: Size(1 << 20),
+            kept_answer: Size(64 << 10),
+            deadline: Span(Millis(30_000)),
+            ticket: Span(Millis(60_000)),
+            patience: Span(Millis(200)),
+            linger: Span(Millis(20)),
+        }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// The least level that is written.
+    pub level: Level,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { level: Level::Info }
+    }
+}
+
+/// A level of the log.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum Level {
+    Off,
+    Error,
+    Warn,
+    Info,
+    Debug,
+}
+
+impl From<Level> for log::LevelFilter {
+    fn from(level: Level) -> log::LevelFilter {
+        match level {
+            Level::Off => log::LevelFilter::Off,
+            Level::Error => log::LevelFilter::Error,
+            Level::Warn => log::LevelFilter::Warn,
+            Level::Info => log::LevelFilter::Info,
+            Level::Debug => log::LevelFilter::Debug,
+        }
+    }
+}
+
+/// A class as settings and operators write it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seed {
+    /// Its name.
+    pub name: walnutmoor_core::id::Class,
+    /// What sort of work it is.
+    pub kind: walnutmoor_core::class::Kind,
+    /// The share to complete, as in `99.5%`.
+    pub share: walnutmoor_core::class::Share,
+    /// Within how long, as in `2s`.
+    pub within: Span,
+}
+
+impl From<Seed> for Class {
+    fn from(seed: Seed) -> Class {
+        let target = walnutmoor_core::class::Target {
+            share: seed.share,
+            within: seed.within.0,
+        };
+        Class { name: seed.name, kind: seed.kind, target }
+    }
+}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// If the file cannot be read, or [`Settings::parse`] fails.
+    pub fn read(path: &Path) -> Result<Settings, Failure> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| Failure::File { path: name.clone(), cause })?;
+        Settings::named(&name, &text)
+    }
+
+    /// Reads settings from text.
+    ///
+    /// # Errors
+    ///
+    /// If the YAML is malformed, a key is unknown, or a value is out of
+    /// bounds; the error names the place.
+    pub fn parse(text: &str) -> Result<Settings, Failure> {
+        Settings::named("settings", text)
+    }
+
+    fn named(name: &str, text: &str) -> Result<Settings, Failure> {
+        let settings: Settings =
+            serde_saphyr::from_str(text).map_err(|error| {
+                let at = error.location().map(|l| {
+                    let (line, column) = (l.line(), l.column());
+                    offset(text, line as usize, column as usize)
+                });
+                wrong(name, text, plain(&error.to_string()), at)
+            })?;
+        match settings.check() {
+            Ok(()) => Ok(settings),
+            Err(broken) => {
+                let at = text.find(broken.key).unwrap_or(0);
+                Err(wrong(name, text, broken.message, Some(at)))
+            }
+        }
+    }
+
+    /// Checks what single values cannot tell.
+    fn check(&self) -> Result<(), Broken> {
+        let limits = &self.limits;
+        let seeds = !self.classes.is_empty();
+        let ports = [self.caller.address, self.operator.address];
+        let own = self.node.address;
+        let next = SocketAddr::new(own.ip(), own.port().wrapping_add(1));
+        let clash = ports.contains(&own)
+            || ports.contains(&next)
+            || ports[0] == ports[1];
+        let rules = [
+            (
+                own.port() == u16::MAX,
+                "address",
+                "the port must leave room for the one above it",
+            ),
+            (
+                own.ip().is_unspecified(),
+                "address",
+                "node.address must be the IP that peers use",
+            ),
+            (
+                clash,
+                "address",
+                "two listeners share an address (node.address also takes the port above it)",
+            ),
+            (limits.ring == 0, "ring", "limits.ring must be at least 1"),
+            (limits.calls == 0, "calls", "limits.calls must be at least 1"),
+            (
+                limits.body > Size(16 << 20),
+                "body",
+                "limits.body is at most 16MB",
+            ),
+            (
+                limits.ticket.0 > Millis(60_000),
+                "ticket",
+                "limits.ticket is at most 60s, for which witnesses keep marks",
+            ),
+            (
+                limits.deadline.0 == Millis(0),
+                "deadline",
+                "limits.deadline must be above 0ms",
+            ),
+            (
+                self.server.as_ref().is_some_and(|s| s.slots == 0),
+                "slots",
+                "server.slots must be at least 1",
+            ),
+            (
+                self.server.as_ref().is_some_and(|s| s.connections == 0),
+                "connections",
+                "server.connections must be at least 1",
+            ),
+            (
+                seeds && !matches!(self.platform, Platform::Memory),
+                "classes",
+                "classes in settings are for the in-memory platform only; use `walnutmoor class set`",
+            ),
+        ];
+        match rules.into_iter().find(|(broken, ..)| *broken) {
+            None => Ok(()),
+            Some((_, key, message)) => {
+                Err(Broken { key, message: message.to_string() })
+            }
+        }
+    }
+
+    /// The settings of the core, with the given seed and first version.
+    pub fn core(
+        &self,
+        seed: u64,
+        version: u64,
+    ) -> walnutmoor_core::node::Config {
+        let limits = &self.limits;
+        walnutmoor_core::node::Config::new(NodeId(self.node.address))
+            .zone(self.node.zone.clone())
+            .mode(self.node.mode)
+            .seed(seed)
+            .version(version)
+            .retries(limits.retries)
+            .calls_max(limits.calls)
+            .tickets_max(limits.tickets)
+            .marks_max(limits.marks)
+            .deadline_max(limits.deadline.0)
+            .ticket_span(limits.ticket.0)
+            .answer_max(limits.kept_answer.0)
+            .patience(limits.patience.0)
+            .linger(limits.linger.0)
+    }
+}
+
+struct Broken {
+    key: &'static str,
+    message: String,
+}
+
+fn wrong(
+    name: &str,
+    text: &str,
+    message: String,
+    at: Option<usize>,
+) -> Failure {
+    let source_code = NamedSource::new(name, text.to_string());
+    let span = at.map(|at| SourceSpan::new(at.into(), 1));
+    Failure::Settings { message, source_code: Arc::new(source_code), span }
+}
+
+/// The first line of a message: the parser draws its own picture below it.
+fn plain(message: &str) -> String {
+    message.lines().next().unwrap_or(message).to_string()
+}
+
+fn offset(text: &str, line: usize, column: usize) -> usize {
+    let before = text.split_inclusive('\n').take(line.saturating_sub(1));
+    let start: usize = before.map(str::len).sum();
+    (start + column.saturating_sub(1)).min(text.len())
+}
+
+impl From<ParseError> for Failure {
+    fn from(error: ParseError) -> Failure {
+        Failure::usage(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -0,0 +1,92 @@
+/*!
+Metrics and the log.
+
+Counters come first: whatever happens often is counted and shown at
+`/metrics`. The log gets a line only when a state changes.
+*/
+
+use std::sync::OnceLock;
+
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use walnutmoor_core::{
+    error::Kind,
+    node::{Stats, Status},
+};
+
+use crate::{prelude::*, settings};
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder of metrics for this process.
+///
+/// # Errors
+///
+/// If another recorder is there.
+pub fn install_metrics() -> Result<(), Failure> {
+    let handle = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| Failure::Internal(error.to_string()))?;
+    let _ = HANDLE.set(handle);
+    Ok(())
+}
+
+/// Writes the log to standard error.
+pub fn install_log(level: settings::Level) {
+    let config = simplelog::ConfigBuilder::new()
+        .add_filter_allow_str("walnutmoor")
+        .build();
+    // A second logger in one process is a matter for tests only.
+    let _ = simplelog::TermLogger::init(
+        level.into(),
+        config,
+        simplelog::TerminalMode::Stderr,
+        simplelog::ColorChoice::Never,
+    );
+}
+
+/// All metrics as text.
+pub fn render() -> String {
+    HANDLE.get().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Takes the core's counters over into the metrics.
+pub fn publish(status: &Status, stats: &Stats) {
+    let counters = [
+        ("walnutmoor_arrived_total", stats.arrived),
+        ("walnutmoor_admitted_total", stats.admitted),
+        ("walnutmoor_observed_total", stats.observed),
+        ("walnutmoor_hops_total", stats.hops),
+        ("walnutmoor_started_total", stats.started),
+        ("walnutmoor_answered_total", stats.answered),
+        ("walnutmoor_forwarded_total", stats.forwarded),
+        ("walnutmoor_retried_total", stats.retried),
+        ("walnutmoor_moved_total", stats.moved),
+        ("walnutmoor_tickets_total", stats.tickets),
+        ("walnutmoor_marks_total", stats.marks),
+        ("walnutmoor_tombstones_total", stats.tombstones),
+        ("walnutmoor_packets_total", stats.packets),
+        ("walnutmoor_changes_total", stats.changes),
+        ("walnutmoor_reverts_refused_total", stats.reverts_refused),
+        ("walnutmoor_platform_calls_total", stats.platform_calls),
+    ];
+    for (name, value) in counters {
+        counter!(name).absolute(value);
+    }
+    for kind in Kind::ALL {
+        counter!("walnutmoor_refused_total", "kind" => kind.as_str())
+            .absolute(stats.refusals_of(*kind));
+    }
+    let gauges = [
+        ("walnutmoor_running", status.running),
+        ("walnutmoor_queued", status.queued),
+        ("walnutmoor_allowed", status.allowed as usize),
+        ("walnutmoor_outbound", status.outbound),
+        ("walnutmoor_members", status.members),
+        ("walnutmoor_ledger", status.tickets),
+        ("walnutmoor_revision", status.revision.0 as usize),
+    ];
+    for (name, value) in gauges {
+        gauge!(name).set(value as f64);
+    }
+}
