--- a/crates/walnutmoor-core/src/node/control.rs
+++ b/crates/walnutmoor-core/src/node/control.rs
@@ -174,7 +174,7 @@
     fn boot(&mut self, out: &mut Vec<Action>) {
         let key = Key::config();
         self.ask(Purpose::Boot, Request::Get { key }, out);
-        let prefix = Key("contacts/".to_string());
+        let prefix = contacts_prefix();
         self.ask(Purpose::Contacts, Request::List { prefix }, out);
     }
 
@@ -201,7 +201,7 @@
             return;
         }
         self.control.joined = Some(now);
-        let prefix = Key("contacts/".to_string());
+        let prefix = contacts_prefix();
         self.ask(Purpose::Contacts, Request::List { prefix }, out);
     }
 
@@ -219,7 +219,8 @@
         for contact in &self.control.contacts {
             self.gossip.join(*contact, &mut sent);
         }
-        if sent.is_empty() {
+        let live = self.gossip.members().directory().live();
+        if sent.is_empty() && live <= 1 {
             self.gossip.alone();
         }
         self.post_all(sent, out);
@@ -259,8 +260,8 @@
             self.ask(Purpose::Watch, Request::Watch { key, known }, out);
         }
         if due && !self.op_open(&Purpose::ReadContacts) {
-            let key = contacts_key(&self.config.zone);
-            self.ask(Purpose::ReadContacts, Request::Get { key }, out);
+            let prefix = contacts_prefix();
+            self.ask(Purpose::ReadContacts, Request::List { prefix }, out);
         }
     }
 
@@ -573,39 +574,62 @@
                 return;
             }
         };
-        let parse = |(_, object): &(Key, Object)| {
-            serde_json::from_str::<Contacts>(&object.value).ok()
-        };
-        let all = objects.iter().filter_map(parse);
+        let all = objects.iter().filter_map(|(_, o)| read_contacts(o));
         let nodes = all.flat_map(|c| c.nodes).collect();
         self.join(now, nodes, out);
     }
 
-    /// Writes the contacts of this zone if too few of them are alive.
+    /// Looks at the contacts of all zones: introduces this node to those
+    /// that it does not know, so that zones find each other, and writes
+    /// those of its own zone anew if too few of them are alive.
     fn contacts_read(
         &mut self,
         now: Millis,
         reply: Reply,
         out: &mut Vec<Action>,
     ) {
-        let (base, old) = match reply {
-            Reply::Found(object) => {
-                let old = serde_json::from_str(&object.value);
-                let old: Contacts = old.unwrap_or_default();
-                (Some(object.version), old)
-            }
-            Reply::Absent => (None, Contacts::default()),
+        let objects = match reply {
+            Reply::Listed(objects) => objects,
+            Reply::Absent => Vec::new(),
             _ => return,
         };
-        let directory = self.gossip.members().directory();
-        let tried = &self.control.contacts;
-        let fresh =
-            |n: &&NodeId| directory.get(**n).is_none() && !tried.contains(n);
-        if old.nodes.iter().any(|n| fresh(&n)) {
-            // Somebody wrote after this node had read: ask them first.
-            self.join(now, old.nodes, out);
+        let tried = self.control.contacts.clone();
+        let strangers = self.strangers(&objects);
+        let key = contacts_key(&self.config.zone);
+        let own = objects.iter().find(|(k, _)| *k == key);
+        let old = own.and_then(|(_, object)| read_contacts(object));
+        let old = old.unwrap_or_default();
+        let untried = |n: &NodeId| strangers.contains(n) && !tried.contains(n);
+        let wait = old.nodes.iter().any(untried);
+        if !strangers.is_empty() {
+            self.join(now, strangers, out);
+        }
+        if wait {
+            // Somebody wrote since this node asked the contacts of its
+            // zone: their answer comes first.
             return;
         }
+        let base = own.map(|(_, object)| object.version);
+        self.write_contacts(base, &old, out);
+    }
+
+    /// Contacts that are not known to be alive.
+    fn strangers(&self, objects: &[(Key, Object)]) -> Vec<NodeId> {
+        let directory = self.gossip.members().directory();
+        let known =
+            |n: &NodeId| directory.get(*n).is_some_and(|r| r.is_live());
+        let all = objects.iter().filter_map(|(_, o)| read_contacts(o));
+        let nodes = all.flat_map(|c| c.nodes);
+        nodes.filter(|n| !known(n)).collect()
+    }
+
+    fn write_contacts(
+        &mut self,
+        base: Option<Version>,
+        old: &Contacts,
+        out: &mut Vec<Action>,
+    ) {
+        let directory = self.gossip.members().directory();
         let zone = directory.in_zone(&self.config.zone);
         let alive = old.nodes.iter().filter(|n| zone.contains(n)).count();
         if alive >= CONTACTS.min(zone.len()) {
@@ -643,6 +667,14 @@
     }
 }
 
+fn contacts_prefix() -> Key {
+    Key("contacts/".to_string())
+}
+
+fn read_contacts(object: &Object) -> Option<Contacts> {
+    serde_json::from_str(&object.value).ok()
+}
+
 fn contacts_key(zone: &Zone) -> Key {
     Key(format!("contacts/{zone}"))
 }
--- a/crates/walnutmoor-core/src/node/entry.rs
+++ b/crates/walnutmoor-core/src/node/entry.rs
@@ -513,7 +513,10 @@
                 let answers = waiters.into_iter();
                 out.extend(answers.map(answer));
             }
-            None => out.push(answer(call)),
+            None => {
+                let trailer = Some(rest(o.budget));
+                out.push(Action::Answer { call, trailer });
+            }
         }
         out.push(Action::Release { call });
     }
@@ -532,8 +535,11 @@
             Some(ticket) => self.settle(ticket, o.stage, refusal.ran),
             None => vec![call],
         };
-        for waiter in waiters {
-            self.refuse(waiter, refusal.clone(), out);
+        for call in waiters {
+            self.stats.refused(refusal.kind);
+            let (refusal, trailer) = (refusal.clone(), rest(o.budget));
+            let trailer = Some(trailer);
+            out.push(Action::Refuse { call, refusal, trailer });
         }
     }
 
@@ -622,9 +628,14 @@
     }
 }
 
-pub(super) fn answer(call: CallId) -> Action {
+fn answer(call: CallId) -> Action {
     Action::Answer { call, trailer: None }
 }
 
+/// Tells whoever waits how many retries are left.
+fn rest(budget: Budget) -> Trailer {
+    Trailer { unspent: budget.left(), ..Trailer::default() }
+}
+
 /// Failed calls of one parent, by fingerprint.
 pub(super) type Failed = Set<u64>;
--- a/crates/walnutmoor-core/src/retry.rs
+++ b/crates/walnutmoor-core/src/retry.rs
@@ -44,6 +44,12 @@
         Budget(retries.saturating_sub(spent))
     }
 
+    /// The number that a caller's next attempt should name, if this is
+    /// what is left: whatever nodes spent is spent for the caller too.
+    pub fn next_attempt(left: u8, retries: u8) -> u32 {
+        u32::from(retries.saturating_sub(left)) + 2
+    }
+
     /// How many retries are left.
     pub fn left(self) -> u8 {
         self.0
--- a/crates/walnutmoor/src/command/node.rs
+++ b/crates/walnutmoor/src/command/node.rs
@@ -34,6 +34,7 @@
     calls: Arc<AtomicU64>,
     tokens: Arc<Tokens>,
     body_max: usize,
+    retries: u8,
 }
 
 impl Shared {
@@ -43,6 +44,7 @@
             calls: self.calls.clone(),
             tokens: self.tokens.clone(),
             body_max: self.body_max,
+            retries: self.retries,
         }
     }
 }
@@ -58,6 +60,7 @@
         calls: Arc::new(AtomicU64::new(1)),
         tokens: Arc::default(),
         body_max: settings.limits.body.0,
+        retries: settings.limits.retries,
     };
     let backend = start_echo(&settings)?;
     let outlets = start_outlets(&settings, &shared, &platform, backend)?;
--- a/crates/walnutmoor/src/duty/caller.rs
+++ b/crates/walnutmoor/src/duty/caller.rs
@@ -12,8 +12,8 @@
 use http::{HeaderMap, Response, StatusCode};
 use serde::Serialize;
 use walnutmoor_core::{
-    call::Arrival, digest, error::Kind, node::Event, server::Announcement,
-    ticket::Ticket,
+    call::Arrival, digest, error::Kind, node::Event, retry::Budget,
+    server::Announcement, ticket::Ticket,
 };
 
 use super::{
@@ -55,10 +55,10 @@
 macro_rules! call_endpoint {
     ($name:ident, $method:ident) => {
         #[endpoint {
-                    method = $method,
-                    path = "/v1/call/{path:.*}",
-                    unpublished = true,
-                }]
+                                            method = $method,
+                                            path = "/v1/call/{path:.*}",
+                                            unpublished = true,
+                                        }]
         async fn $name(
             context: RequestContext<Context>,
             _rest: Path<Rest>,
@@ -97,14 +97,21 @@
         load,
         reply,
     });
-    listen::response(finish(done.await))
+    listen::response(finish(done.await, context.retries))
 }
 
-fn finish(done: Done) -> Answer {
-    match done.result {
+/// Names the number that the caller's next attempt should have, so that
+/// what nodes spent of the budget is spent for the caller too.
+fn finish(done: Done, retries: u8) -> Answer {
+    let mut answer = match done.result {
         Ok(answer) => answer,
         Err(refusal) => wire::refusal(&refusal, None),
+    };
+    if let Some(trailer) = done.trailer {
+        let next = Budget::next_attempt(trailer.unspent, retries);
+        answer.headers.insert(wire::ATTEMPT, next.into());
     }
+    answer
 }
 
 fn refused(kind: Kind) -> Response<Body> {
--- a/crates/walnutmoor/src/duty/listen.rs
+++ b/crates/walnutmoor/src/duty/listen.rs
@@ -40,6 +40,8 @@
     pub tokens: Arc<Tokens>,
     /// The longest body, in bytes.
     pub body_max: usize,
+    /// The retries of one whole request.
+    pub retries: u8,
 }
 
 impl Context {
