admit: integrate the level; reports keep their origin and age

(1) The median over views that passed on their own medians kept old levels alive between nodes: servers were open and idle while the ways in refused for 5 s and more. (2) Setting the level from capacity and demand alone, each window, followed the noise of four calls a window. (3) Capacity counted from completions fell to nothing while a server that had turned slow gave none.

Ruled out: other services' levels (none closed in the trace), limits.

Conclusion: reports travel with origin and age; capacity is Little's law; the level is an integrator with a jump for floods.

--- a/crates/walnutmoor-core/src/admit.rs
+++ b/crates/walnutmoor-core/src/admit.rs
@@ -3,9 +3,10 @@
 applies it.
 
 A [`Level`] admits the keys below it. The node in front of a backend server
-runs a [`Controller`]: it measures how long calls wait in its queue, how many
-it completes, and how much demand each class brings, and once a window sets
-the level that lets in just what it can complete. Levels travel back on the
+runs a [`Controller`]: it is told how many calls a second the server can
+complete, how many wait and how busy the places are; it measures how much
+demand each class brings, and once a window moves the level towards letting
+in just what can be completed. Levels travel back on the
 answers. Each way in keeps a [`View`] of them: what each service last said,
 and which services each class was seen to pass. It admits a request only if
 its key is below the strictest level on that path.
@@ -28,12 +29,13 @@
 for window in 1..=20 {
     // Twice as much demand as the server can complete.
     for i in 0..64 {
-        controller.arrived(Key::new(Rank(0), i));
+        controller.arrived(Key::new(Rank(0), i), Level::OPEN);
     }
     controller.tick(Millis(window * 100), Sample {
-        completed: 32,
-        delay: Some(Millis(80)),
-        saturated: true,
+        capacity: 320.0,
+        hold: 0.1,
+        standing: 30,
+        busy: 1.0,
     });
 }
 assert!(controller.level() < Level::OPEN);
@@ -102,60 +104,101 @@
 /// clear within it are bursts, not overload.
 pub const WINDOW: Millis = Millis(100);
 
-/// The shortest wait in a window that counts as overload. CoDel's guidance
-/// is 5% to 20% of the interval; the upper end leaves room for a
-/// scheduler's noise on small VMs.
-const DELAY_MAX: Millis = Millis(20);
+/// The least work standing in the queue throughout a window, in seconds of
+/// the server's capacity, that counts as overload. CoDel's guidance is 5% to
+/// 20% of the interval; the upper end leaves room for a scheduler's noise on
+/// small VMs.
+const STANDING: f64 = 0.02;
 
-/// The weight of a new window in the running means.
-const WEIGHT: f64 = 0.3;
+/// The weight of a window that shows more demand than was known.
+const RISE: f64 = 0.5;
 
-/// With fewer open steps the demand of a class is kept from before.
-const SAMPLE_MIN: usize = 4;
+/// The weight of a window that shows less. It is smaller because a level
+/// that was just raised is not yet known to all ways in: what arrives at
+/// first is less than what will.
+const FALL: f64 = 0.15;
 
-/// What a window leaves of a demand that could not be measured; it halves
-/// in 2.3 s, so that a closed class is tried again in the end.
+/// Calls in a window that halve its weight: few calls are mostly noise. At
+/// the brief's rates the once classes bring two or three a window, and one
+/// that brings five by chance must not look like twice the demand.
+const NOISE: f64 = 10.0;
+
+/// What a window leaves of the demand of a closed class; it halves in 2.3 s,
+/// so that the class is tried again in the end.
 const FADE: f64 = 0.97;
 
-/// The most that one window may take off the admitted rate.
-const CUT_MAX: f64 = 0.3;
+/// The demand of a class that was never seen open, in times of the capacity.
+/// A guess on the high side costs some windows; one on the low side floods
+/// the server.
+const UNKNOWN: f64 = 4.0;
+
+/// The part of the places that is to be taken: the rest absorbs the noise of
+/// arrivals.
+const FILL: f64 = 0.95;
+
+/// What a window of overload takes off the capacity, so that the queue
+/// drains. Queues are short and give up from the bottom, so little is
+/// enough; up to 0.3 was tried and cut into classes that fitted.
+const CUT: f64 = 0.1;
 
-/// The least that one window of overload takes off.
-const CUT_MIN: f64 = 0.02;
+/// How long it takes until a change of the level shows in what arrives: an
+/// answer must carry it back and new calls must come. Changes are spread
+/// over this time, or over a call's own time if that is longer.
+const LAG: f64 = 0.3;
 
-/// What a window without waiting adds while places are still taken.
-const GROW_BUSY: f64 = 1.05;
+/// How many windows tell a flood from chance, and by how many standard
+/// deviations of a Poisson count.
+const FLOOD_WINDOWS: usize = 3;
+const FLOOD: f64 = 3.0;
 
-/// What a window adds while places are free.
-const GROW_IDLE: f64 = 1.25;
+/// The part of the difference to the level that callers apply that a window
+/// takes back, and the most steps of it.
+const ALIGN: f64 = 0.1;
+const ALIGN_MAX: f64 = 8.0;
 
-/// The admitted rate is at most this many times the rate that arrives, so
-/// that it does not run ahead of what the ways in have heard.
-const LEAD: f64 = 2.0;
+/// Below this part of taken places the known demand is evidently too high.
+const IDLE: f64 = 0.6;
 
-/// The most steps by which one window raises the level.
-const RAISE_MAX: u16 = 16;
+/// The most steps by which a window then raises the level: with all places
+/// empty a class opens in two windows.
+const BET: f64 = 32.0;
+
+/// Less demand than this, in calls a second, is none.
+const MEASURABLE: f64 = 0.5;
 
-/// What a controller measured in one window.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// What a controller is told of one window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Sample {
-    /// Calls that finished at the backend server.
-    pub completed: u32,
-    /// The shortest wait of a call that left the queue, or the age of the
-    /// oldest that did not; `None` if no call came.
-    pub delay: Option<Millis>,
-    /// True if all places were taken at some time in the window.
-    pub saturated: bool,
+    /// Calls a second that the server can complete.
+    pub capacity: f64,
+    /// How long a call holds its place, in seconds.
+    pub hold: f64,
+    /// The fewest calls that waited at any time in the window.
+    pub standing: usize,
+    /// The part of the places that was taken on average, from 0 to 1.
+    pub busy: f64,
 }
 
 /// Finds the level in front of one backend server.
+///
+/// Three cases, judged once a window:
+///
+/// - *flood*: work stands in the queue and far more arrives than can be
+///   completed. The level jumps to where the known demand fits.
+/// - *overload*: work stands in the queue. The level gives a little.
+/// - otherwise the level rises by what the free places are worth.
+///
+/// Setting the level anew in each window from capacity and demand alone was
+/// tried: at some four calls a window both are so noisy that the level cut
+/// into classes that fitted, and stayed below what the server could do.
 #[derive(Debug)]
 pub struct Controller {
     arrivals: Vec<u32>,
-    demand: [f64; RANKS],
-    level: Level,
-    rate: f64,
-    capacity: f64,
+    recent: [f64; FLOOD_WINDOWS],
+    demand: [Option<f64>; RANKS],
+    level: f64,
+    applied: f64,
+    heard: u32,
     window: Millis,
 }
 
@@ -170,27 +213,26 @@
     pub fn new() -> Controller {
         Controller {
             arrivals: vec![0; Key::COUNT],
-            demand: [0.0; RANKS],
-            level: Level::OPEN,
-            rate: 0.0,
-            capacity: 0.0,
+            recent: [0.0; FLOOD_WINDOWS],
+            demand: [None; RANKS],
+            level: Key::COUNT as f64,
+            applied: 0.0,
+            heard: 0,
             window: Millis(0),
         }
     }
 
-    /// Counts a call that arrived, whatever becomes of it.
-    pub fn arrived(&mut self, key: Key) {
+    /// Counts a call that arrived, whatever becomes of it. `applied` is the
+    /// level of this service that its sender knows.
+    pub fn arrived(&mut self, key: Key, applied: Level) {
         self.arrivals[key.index()] += 1;
+        self.applied += f64::from(applied.0);
+        self.heard += 1;
     }
 
     /// The level in force.
     pub fn level(&self) -> Level {
-        self.level
-    }
-
-    /// Calls a second that the server completes when saturated.
-    pub fn capacity(&self) -> f64 {
-        self.capacity
+        Level(self.level as u16)
     }
 
     /// When the window ends.
@@ -202,118 +244,174 @@
     pub fn tick(&mut self, now: Millis, sample: Sample) -> bool {
         let span = now.since(self.window).secs().max(0.001);
         self.window = now;
-        let arrived = self.measure(span);
-        let completed = f64::from(sample.completed) / span;
-        if sample.saturated {
-            self.capacity = mean(self.capacity, completed);
-        }
-        let before = self.level;
-        let delay = sample.delay.unwrap_or_default();
-        if sample.saturated && delay > DELAY_MAX {
-            self.lower(delay);
-        } else if self.level < Level::OPEN {
-            self.raise(arrived, sample.saturated);
+        self.measure(span);
+        let before = self.level();
+        let standing = sample.standing as f64 / sample.capacity.max(1.0);
+        if standing > STANDING && self.floods(sample.capacity * span) {
+            let fits = self.fit(sample.capacity * (1.0 - CUT));
+            self.level = self.level.min(fits);
+        } else if standing > STANDING {
+            self.shift(-CUT * sample.capacity, &sample);
+        } else if before < Level::OPEN {
+            self.align();
+            let spare = (FILL - sample.busy) * sample.capacity;
+            self.shift(spare, &sample);
+            self.level += bet(sample.busy);
         }
-        self.level != before
+        self.bound();
+        self.level() != before
     }
 
-    /// Takes the window's arrivals into the demand of each rank. Returns
-    /// the arrivals a second.
-    fn measure(&mut self, span: f64) -> f64 {
-        let mut total = 0;
+    /// True if the last windows brought more than chance explains.
+    fn floods(&self, expected: f64) -> bool {
+        let expected = expected * FLOOD_WINDOWS as f64;
+        let came: f64 = self.recent.iter().sum();
+        came > expected + FLOOD * expected.sqrt()
+    }
+
+    /// Takes the window's arrivals into the demand of each rank.
+    fn measure(&mut self, span: f64) {
+        let level = self.level;
+        let mut total = 0.0;
         for rank in 0..RANKS {
             let first = rank * STEPS;
             let arrived = &mut self.arrivals[first..first + STEPS];
-            let open =
-                usize::from(self.level.0).saturating_sub(first).min(STEPS);
+            total += f64::from(arrived.iter().sum::<u32>());
+            let open = (level - first as f64).clamp(0.0, STEPS as f64);
+            let open = open as usize;
             let count: u32 = arrived[..open].iter().sum();
-            total += arrived.iter().sum::<u32>();
             arrived.fill(0);
-            if open >= SAMPLE_MIN {
-                let whole = f64::from(count) / span * STEPS as f64;
-                let whole = whole / open as f64;
-                self.demand[rank] = mean(self.demand[rank], whole);
-            } else {
-                self.demand[rank] *= FADE;
-            }
+            let part = open as f64 / STEPS as f64;
+            let known = self.demand[rank];
+            self.demand[rank] = learn(known, count, part, span);
         }
-        f64::from(total) / span
+        self.recent.rotate_right(1);
+        self.recent[0] = total;
     }
 
-    fn lower(&mut self, delay: Millis) {
-        if self.level == Level::OPEN {
-            self.rate = self.capacity;
+    /// Moves towards the level that callers apply. The servers of a service
+    /// each find their own level, and callers apply the median: without this
+    /// one that is not heeded would run away from it.
+    fn align(&mut self) {
+        if self.heard == 0 {
+            return;
         }
-        let cut = delay.secs().clamp(CUT_MIN, CUT_MAX);
-        self.rate = self.rate.min(self.capacity) * (1.0 - cut);
-        self.level = self.fit(self.rate).min(self.level);
+        let applied = self.applied / f64::from(self.heard);
+        let pull = (applied - self.level) * ALIGN;
+        self.level += pull.clamp(-ALIGN_MAX, ALIGN_MAX);
     }
 
-    fn raise(&mut self, arrived: f64, saturated: bool) {
-        let grow = if saturated { GROW_BUSY } else { GROW_IDLE };
-        let floor = self.capacity * 0.1;
-        let lead = (arrived * LEAD).max(floor);
-        self.rate = (self.rate * grow).min(lead).max(floor);
-        let ceiling = self.level.raised(RAISE_MAX);
-        let ceiling = self.skip_empty(ceiling);
-        let next = self.fit(self.rate).min(ceiling);
-        self.level = next.max(self.level);
+    /// Moves the level by a rate of calls, spread over the time in which
+    /// the change will show.
+    fn shift(&mut self, rate: f64, sample: &Sample) {
+        let response = sample.hold.max(LAG);
+        let mut left = rate.abs() * WINDOW.secs() / response;
+        let up = rate > 0.0;
+        while left > 0.0 && self.level > 0.0 && self.level < FULL {
+            let room = self.room(up);
+            let rank = self.rank(up);
+            let known = self.demand[rank];
+            let demand = known.unwrap_or(sample.capacity * UNKNOWN);
+            let worth = demand.max(MEASURABLE) * room / STEPS as f64;
+            let moved = room * (left / worth).min(1.0);
+            self.level += if up { moved } else { -moved };
+            left -= worth;
+        }
     }
 
-    /// Ranks without demand cost nothing, so a level never rests in one.
-    fn skip_empty(&self, level: Level) -> Level {
-        let rank = usize::from(level.0) / STEPS;
-        let busy = (rank..RANKS).find(|r| self.demand[*r] >= MEASURABLE);
-        match busy {
-            None => Level::OPEN,
-            Some(found) if found > rank => {
-                Level((found * STEPS) as u16).raised(RAISE_MAX)
-            }
-            Some(_) => level,
+    /// The rank that the level would move through.
+    fn rank(&self, up: bool) -> usize {
+        let steps = STEPS as f64;
+        let at = self.level / steps;
+        let rank = if up { at.floor() } else { at.ceil() - 1.0 };
+        (rank.max(0.0) as usize).min(RANKS - 1)
+    }
+
+    /// The steps that are left in that rank.
+    fn room(&self, up: bool) -> f64 {
+        let first = (self.rank(up) * STEPS) as f64;
+        let room = match up {
+            true => first + STEPS as f64 - self.level,
+            false => self.level - first,
+        };
+        room.max(f64::EPSILON)
+    }
+
+    /// Keeps the level between the first step of the first busy rank, or
+    /// nobody would hear of a level that reopens, and open.
+    fn bound(&mut self) {
+        let busy = |d: &Option<f64>| d.is_some_and(|d| d >= MEASURABLE);
+        let first = self.demand.iter().position(busy).unwrap_or(0);
+        let least = (first * STEPS + 1) as f64;
+        self.level = self.level.clamp(least, FULL);
+        let above = self.level as usize / STEPS;
+        let empty = |d: &Option<f64>| d.is_some_and(|d| d < MEASURABLE);
+        if self.demand[above.min(RANKS - 1)..].iter().all(empty) {
+            // Nothing is refused any more that anybody asks for.
+            self.level = FULL;
         }
     }
 
-    /// The highest level whose demand is at most `rate`. It is never so low
-    /// that nothing comes: the first step of the first busy rank stays open,
-    /// or nobody would hear of a level that reopens.
-    fn fit(&self, rate: f64) -> Level {
+    /// The highest level whose demand is at most this rate.
+    fn fit(&self, rate: f64) -> f64 {
         let mut left = rate;
-        let mut first = None;
         for (rank, demand) in self.demand.iter().enumerate() {
-            if *demand < MEASURABLE {
-                continue;
-            }
-            let base = (rank * STEPS) as u16;
-            let least = *first.get_or_insert(base + 1);
-            if *demand > left {
-                let steps = (left / demand * STEPS as f64).floor();
-                return Level(base + steps as u16).max(Level(least));
+            let demand = demand.unwrap_or(0.0);
+            if demand > left {
+                let steps = left.max(0.0) / demand * STEPS as f64;
+                return (rank * STEPS) as f64 + steps;
             }
             left -= demand;
         }
-        Level::OPEN
+        FULL
     }
 }
 
-/// Less demand than this, in calls a second, is none.
-const MEASURABLE: f64 = 0.5;
+/// The level that admits everything.
+const FULL: f64 = Key::COUNT as f64;
 
-fn mean(old: f64, new: f64) -> f64 {
-    if old == 0.0 {
-        return new;
+/// What a window tells of a rank's demand, in calls a second, if `part` of
+/// its steps was open.
+fn learn(known: Option<f64>, count: u32, part: f64, span: f64) -> Option<f64> {
+    if part == 0.0 {
+        return known.map(|demand| demand * FADE);
     }
-    old + (new - old) * WEIGHT
+    let fresh = f64::from(count) / span / part;
+    let Some(old) = known else {
+        // A class that is just opening shows too little at first.
+        return (part >= 1.0 || count > 0).then_some(fresh);
+    };
+    let weight = if fresh > old { RISE } else { FALL };
+    let seen = fresh.max(old) * span * part;
+    let weight = weight * seen / (seen + NOISE);
+    let next = old + (fresh - old) * weight;
+    // What is hardly there would otherwise take forever to be gone.
+    Some(if next < MEASURABLE { next * FADE } else { next })
+}
+
+/// Steps that idle places are worth, whatever demand is known: a bet that
+/// only empty places can cover.
+fn bet(busy: f64) -> f64 {
+    let idle = (1.0 - busy / IDLE).max(0.0);
+    BET * idle * idle
 }
 
-/// A level that one node reports for one service.
+/// A level that one server's node reports.
+///
+/// A report is passed on with its origin and its age, never as a word of
+/// whoever passes it on. Views that passed on their own medians were tried:
+/// nodes that call each other kept an old level alive between them long
+/// after every server had opened.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Report {
-    /// Who says so: the server's own node, or one that calls the service.
+    /// The node beside the server.
     pub origin: NodeId,
     /// Of which service.
     pub service: Service,
-    /// The level.
-    pub level: Level,
+    /// The level; `None` if the path passes there but nothing was heard.
+    pub level: Option<Level>,
+    /// How long ago the origin said so.
+    pub age: Millis,
 }
 
 /// A report older than this is no longer trusted as it stands.
@@ -323,6 +421,9 @@
 /// class in about a second, a ramp and not a jump.
 const REOPEN: u64 = 64;
 
+/// How many reports of one service are passed on.
+const PASSED_ON: usize = 3;
+
 /// The most origins kept for a service; the freshest stay.
 const ORIGINS_MAX: usize = 8;
 
@@ -345,6 +446,17 @@
     at: Millis,
 }
 
+/// What a class meets that enters at a service, as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Way {
+    /// The class.
+    pub class: id::Class,
+    /// Where it enters.
+    pub entry: Service,
+    /// The strictest level on its path.
+    pub level: String,
+}
+
 /// A way in's knowledge of levels and paths.
 #[derive(Debug, Default)]
 pub struct View {
@@ -360,16 +472,20 @@
 
     /// Takes a report.
     pub fn hear(&mut self, now: Millis, report: &Report) {
+        let Some(level) = report.level else { return };
         let known = self.levels.len();
         if known >= SERVICES_MAX && !self.levels.contains_key(&report.service)
         {
             return;
         }
         let list = self.levels.entry(report.service.clone()).or_default();
-        let (origin, level) = (report.origin, report.level);
-        let heard = Heard { origin, level, at: now };
+        let origin = report.origin;
+        let at = Millis(now.0.saturating_sub(report.age.0));
+        let heard = Heard { origin, level, at };
         if let Some(old) = list.iter_mut().find(|h| h.origin == origin) {
-            *old = heard;
+            if old.at <= at {
+                *old = heard;
+            }
         } else if list.len() < ORIGINS_MAX {
             list.push(heard);
         } else if let Some(old) = list.iter_mut().min_by_key(|h| h.at) {
@@ -377,15 +493,21 @@
         }
     }
 
-    /// The level of one service: the mean of what its servers say, for a
-    /// request may reach any of them.
+    /// The level of one service: the median of what its servers say, for a
+    /// request may reach any of them and one that stands apart must not
+    /// decide. Silence reopens it on a ramp.
     pub fn level(&self, now: Millis, service: &Service) -> Level {
         let Some(list) = self.levels.get(service) else {
             return Level::OPEN;
         };
-        let sum: u64 = list.iter().map(|h| aged(h, now)).sum();
-        let mean = sum / list.len().max(1) as u64;
-        Level(mean as u16).min(Level::OPEN)
+        let fresh = list.iter().filter(|h| now.since(h.at) < FRESH);
+        let mut fresh: Vec<Level> = fresh.map(|h| h.level).collect();
+        if fresh.is_empty() {
+            let last = list.iter().max_by_key(|h| h.at);
+            return last.map_or(Level::OPEN, |h| aged(h, now));
+        }
+        fresh.sort();
+        fresh[(fresh.len() - 1) / 2]
     }
 
     /// Notes that a class entering at one service also passed another.
@@ -428,18 +550,36 @@
             .fold(own, Level::min)
     }
 
-    /// What this node would report of a service that it calls, or `None` if
-    /// it heard nothing lately.
-    pub fn report(
-        &self,
-        now: Millis,
-        origin: NodeId,
-        service: &Service,
-    ) -> Option<Report> {
-        let list = self.levels.get(service)?;
-        list.iter().find(|h| now.since(h.at) < FRESH)?;
-        let level = self.level(now, service);
-        Some(Report { origin, service: service.clone(), level })
+    /// The freshest reports of a service that this node calls, to be passed
+    /// on: enough for a median.
+    pub fn reports(&self, now: Millis, service: &Service) -> Vec<Report> {
+        let list = self.levels.get(service).map_or(&[][..], |list| list);
+        let fresh = list.iter().filter(|h| now.since(h.at) < FRESH);
+        let mut fresh: Vec<&Heard> = fresh.collect();
+        fresh.sort_by_key(|h| std::cmp::Reverse(h.at));
+        fresh.truncate(PASSED_ON);
+        let report = |heard: &&Heard| Report {
+            origin: heard.origin,
+            service: service.clone(),
+            level: Some(heard.level),
+            age: now.since(heard.at),
+        };
+        fresh.iter().map(report).collect()
+    }
+
+    /// The level of each path that was seen lately, in order.
+    pub fn ways(&self, now: Millis) -> Vec<Way> {
+        let mut ways: Vec<Way> = self
+            .paths
+            .keys()
+            .map(|(class, entry)| Way {
+                class: class.clone(),
+                entry: entry.clone(),
+                level: self.strictest(now, class, entry).to_string(),
+            })
+            .collect();
+        ways.sort_by(|a, b| (&a.class, &a.entry).cmp(&(&b.class, &b.entry)));
+        ways
     }
 
     /// How long a refused request should stay away: until the level would
@@ -451,7 +591,8 @@
     }
 }
 
-fn aged(heard: &Heard, now: Millis) -> u64 {
+fn aged(heard: &Heard, now: Millis) -> Level {
     let stale = now.since(heard.at).since(FRESH);
-    u64::from(heard.level.0) + stale.0 * REOPEN / 1_000
+    let steps = stale.0 * REOPEN / 1_000;
+    heard.level.raised(steps.min(u64::from(u16::MAX)) as u16)
 }
--- a/crates/walnutmoor-core/src/call.rs
+++ b/crates/walnutmoor-core/src/call.rs
@@ -103,6 +103,8 @@
     pub ticket: Option<Ticket>,
     /// The configuration that the call was admitted under.
     pub revision: Revision,
+    /// The level of the service called that the sender knows.
+    pub applied: admit::Level,
     /// How many calls deep this one is, from 0.
     pub depth: u8,
     /// Tells calls apart.
--- a/crates/walnutmoor-core/src/gate.rs
+++ b/crates/walnutmoor-core/src/gate.rs
@@ -10,12 +10,15 @@
 # Example
 
 ```
-use walnutmoor_core::{gate::{Config, Gate, Offer, Verdict}, prelude::*};
+use walnutmoor_core::{
+    admit::Level, gate::{Config, Gate, Offer, Verdict}, prelude::*,
+};
 
 let mut gate = Gate::new(Config::default(), 1);
 let offer = |id| Offer {
     call: CallId(id),
     key: Key::new(Rank(0), 0),
+    applied: Level::OPEN,
     deadline: Millis(1_000),
 };
 assert_eq!(gate.offer(Millis(0), offer(1), 1.0), Verdict::Start);
@@ -24,7 +27,7 @@
 */
 
 use crate::{
-    admit::{Controller, Level, Sample},
+    admit::{Controller, Level, Sample, WINDOW},
     class::Key,
     digest::Map,
     error::Kind,
@@ -49,8 +52,9 @@
 }
 
 impl Config {
-    /// How long a call waits at most. Two windows of the level controller:
-    /// long enough to outlast a burst that the level will cut, no longer.
+    /// How long a call waits at most, or as long as a call holds its place
+    /// if that is longer. Two windows of the level controller: long enough
+    /// to outlast a burst that the level will cut, no longer.
     pub fn patience(mut self, span: Millis) -> Config {
         self.patience = span;
         self
@@ -77,6 +81,8 @@
     pub call: CallId,
     /// Its place in the order of refusal.
     pub key: Key,
+    /// The level of this service that its sender knows.
+    pub applied: Level,
     /// When its answer is due.
     pub deadline: Millis,
 }
@@ -129,9 +135,8 @@
     controller: Controller,
     running: Map<CallId, Millis>,
     lingering: Vec<Millis>,
-    completed: u32,
-    delay: Option<Millis>,
-    saturated: bool,
+    usage: Usage,
+    hold: Hold,
     fastest: Fastest,
 }
 
@@ -145,9 +150,8 @@
             controller: Controller::new(),
             running: Map::default(),
             lingering: Vec::new(),
-            completed: 0,
-            delay: None,
-            saturated: false,
+            usage: Usage::default(),
+            hold: Hold::default(),
             fastest: Fastest::default(),
         }
     }
@@ -178,9 +182,11 @@
         self.controller.level()
     }
 
-    /// Calls a second that the server completes when saturated.
-    pub fn capacity(&self) -> f64 {
-        self.controller.capacity()
+    /// Calls a second that the server can complete, by Little's law: its
+    /// places over the time that a call holds one.
+    pub fn capacity(&self, warmth: f64) -> f64 {
+        let hold = self.hold.mean.max(1.0);
+        f64::from(self.allowed(warmth)) * 1000.0 / hold
     }
 
     fn has_room(&self, warmth: f64) -> bool {
@@ -194,20 +200,19 @@
         offer: Offer,
         warmth: f64,
     ) -> Verdict {
-        self.controller.arrived(offer.key);
+        self.controller.arrived(offer.key, offer.applied);
         if !self.config.enforce {
-            self.note_observed(warmth);
-            self.running.insert(offer.call, now);
+            self.start(now, offer.call);
             return Verdict::Start;
         }
         if self.is_doomed(now, offer.deadline) {
             return Verdict::Refuse(Kind::Deadline);
         }
         if self.queue.is_empty() && self.has_room(warmth) {
-            self.start(now, offer.call, Millis(0));
+            self.start(now, offer.call);
             return Verdict::Start;
         }
-        self.saturate();
+        self.limit.waited();
         let entry = queue::Entry {
             call: offer.call,
             key: offer.key,
@@ -221,31 +226,22 @@
         }
     }
 
-    fn note_observed(&mut self, warmth: f64) {
-        if !self.has_room(warmth) {
-            self.saturate();
-        }
-    }
-
-    fn saturate(&mut self) {
-        self.saturated = true;
-        self.limit.saturate();
-    }
-
     /// The latest instant at which a start still makes sense.
     fn give_up(&self, now: Millis, deadline: Millis) -> Millis {
         let latest = deadline.since(self.fastest.get(now));
-        (now + self.config.patience).min(latest)
+        // A server that is slow frees its places slowly: whoever is next in
+        // line must be let wait for one.
+        let hold = Millis(self.hold.mean as u64);
+        (now + self.config.patience.max(hold)).min(latest)
     }
 
     fn is_doomed(&self, now: Millis, deadline: Millis) -> bool {
         now + self.fastest.get(now) >= deadline
     }
 
-    fn start(&mut self, now: Millis, call: CallId, waited: Millis) {
+    fn start(&mut self, now: Millis, call: CallId) {
+        self.usage.note(now, self.in_flight(), self.queue.len());
         self.running.insert(call, now);
-        let delay = self.delay.map_or(waited, |d| d.min(waited));
-        self.delay = Some(delay);
     }
 
     /// A call left the backend server. `own` is the time it spent there
@@ -257,14 +253,16 @@
         end: End,
         own: Millis,
     ) -> bool {
+        self.usage.note(now, self.in_flight(), self.queue.len());
         let Some(started) = self.running.remove(&call) else {
             return false;
         };
         match end {
             End::Answered => {
-                self.completed += 1;
+                let held = now.since(started);
                 self.limit.finished(own);
-                self.fastest.add(now, now.since(started));
+                self.fastest.add(now, held);
+                self.hold.add(held);
             }
             End::Overloaded => self.limit.overloaded(now),
             End::Failed => {}
@@ -286,28 +284,44 @@
             let kind = if doomed { Kind::Deadline } else { Kind::Queued };
             out.push(Step::Refuse(entry.call, kind));
         }
+        self.usage.note(now, self.in_flight(), self.queue.len());
         while !self.queue.is_empty() && self.has_room(warmth) {
             let Some(entry) = self.queue.pop() else { break };
-            self.start(now, entry.call, now.since(entry.since));
+            self.start(now, entry.call);
             out.push(Step::Start(entry.call));
         }
         if self.controller.next_wake() <= now {
-            self.end_window(now);
+            self.end_window(now, warmth);
         }
         self.limit.tick(now);
     }
 
-    fn end_window(&mut self, now: Millis) {
-        let waiting = self.queue.oldest().map(|since| now.since(since));
+    fn end_window(&mut self, now: Millis, warmth: f64) {
+        let allowed = f64::from(self.limit.allowed(warmth));
+        let (taken, standing) =
+            self.usage.end_window(now, self.in_flight(), self.queue.len());
+        let busy = (taken / allowed).min(1.0);
+        let expected = self.capacity(warmth) * WINDOW.secs() * busy;
+        let age = self.age(now);
+        self.hold.end_window(expected, age);
         let sample = Sample {
-            completed: self.completed,
-            delay: self.delay.or(waiting),
-            saturated: self.saturated,
+            capacity: self.capacity(warmth),
+            hold: self.hold.mean / 1_000.0,
+            standing,
+            busy,
         };
         self.controller.tick(now, sample);
-        self.completed = 0;
-        self.delay = None;
-        self.saturated = !self.queue.is_empty();
+    }
+
+    /// The age that nine in ten of the running calls do not exceed.
+    fn age(&self, now: Millis) -> f64 {
+        let ages = self.running.values().map(|at| now.since(*at).0);
+        let mut ages: Vec<u64> = ages.collect();
+        if ages.is_empty() {
+            return 0.0;
+        }
+        let at = (ages.len() - 1) * 9 / 10;
+        *ages.select_nth_unstable(at).1 as f64
     }
 
     /// When [`Gate::advance`] has something to do, at the latest.
@@ -323,6 +337,79 @@
     (places as usize).max(QUEUE_MIN)
 }
 
+/// How many places were taken on average in a window, and how many calls
+/// waited at the least.
+#[derive(Debug, Default)]
+struct Usage {
+    since: Millis,
+    began: Millis,
+    taken: f64,
+    standing: Option<usize>,
+}
+
+impl Usage {
+    /// So many calls have run since the last note, and so many wait now.
+    fn note(&mut self, now: Millis, running: usize, waiting: usize) {
+        self.taken += running as f64 * now.since(self.since).0 as f64;
+        self.since = now;
+        let least = self.standing.map_or(waiting, |s| s.min(waiting));
+        self.standing = Some(least);
+    }
+
+    fn end_window(
+        &mut self,
+        now: Millis,
+        running: usize,
+        waiting: usize,
+    ) -> (f64, usize) {
+        self.note(now, running, waiting);
+        let span = now.since(self.began).0.max(1) as f64;
+        let taken = self.taken / span;
+        let standing = self.standing.unwrap_or(0);
+        let (since, began) = (now, now);
+        *self = Usage { since, began, taken: 0.0, standing: None };
+        (taken, standing)
+    }
+}
+
+/// How long a call holds its place, in milliseconds.
+///
+/// Answers tell it, but a server that turns slow gives none for a while. If
+/// a window brought less than half of the answers that were to be expected,
+/// the calls that still run tell more: they hold at least as long as they
+/// have held by now. Twice their mean age was tried and is wrong by a factor
+/// of two when calls run in step, as after a burst.
+#[derive(Debug, Default)]
+struct Hold {
+    mean: f64,
+    sum: f64,
+    count: u32,
+}
+
+impl Hold {
+    fn add(&mut self, held: Millis) {
+        self.sum += held.0 as f64;
+        self.count += 1;
+    }
+
+    fn end_window(&mut self, expected: f64, age: f64) {
+        let count = f64::from(self.count);
+        if count >= (expected / 2.0).max(1.0) {
+            let fresh = self.sum / count;
+            let weight = if self.mean == 0.0 { 1.0 } else { HOLD_WEIGHT };
+            self.mean += (fresh - self.mean) * weight;
+        } else if expected >= 1.0 {
+            self.mean = self.mean.max(age);
+        }
+        self.sum = 0.0;
+        self.count = 0;
+    }
+}
+
+/// The weight of a window's answers: half, so that a tenfold change is taken
+/// over in some three windows and one odd answer does not decide.
+const HOLD_WEIGHT: f64 = 0.5;
+
 /// The fastest answer of this span and the one before.
 #[derive(Debug, Default)]
 struct Fastest {
--- a/crates/walnutmoor-core/src/limit.rs
+++ b/crates/walnutmoor-core/src/limit.rs
@@ -38,6 +38,9 @@
 /// tenth stands out of the noise of their count.
 const WINDOW: Millis = Millis(500);
 
+/// The least length of a measurement, in times of a call's own time.
+const SPAN: f64 = 4.0;
+
 /// What an overload answer leaves of the limit.
 const CUT: f64 = 0.9;
 
@@ -70,7 +73,7 @@
     phase: Phase,
     window: Millis,
     finished: u32,
-    saturated: bool,
+    waits: u32,
     last_rate: f64,
     own: f64,
     own_min: f64,
@@ -90,7 +93,7 @@
             phase: Phase::Steady,
             window: Millis(0),
             finished: 0,
-            saturated: false,
+            waits: 0,
             last_rate: 0.0,
             own: 0.0,
             own_min: f64::INFINITY,
@@ -140,15 +143,27 @@
         self.own += (sample - self.own) * WEIGHT;
     }
 
-    /// All places are taken.
-    pub fn saturate(&mut self) {
-        self.saturated = true;
+    /// A call had to wait for a place.
+    pub fn waited(&mut self) {
+        self.waits += 1;
+    }
+
+    /// True if throughput was the server's doing: most calls had to wait.
+    /// Otherwise it tells of the demand, and a trial would prove nothing.
+    fn saturated(&self) -> bool {
+        self.waits * 2 > self.finished
+    }
+
+    /// How long a measurement takes: some times a call's own time, or calls
+    /// that end in step would make throughput look uneven.
+    fn span(&self) -> Millis {
+        WINDOW.max(Millis((self.own * SPAN) as u64))
     }
 
     /// Ends a window when its time has come.
     pub fn tick(&mut self, now: Millis) {
         let span = now.since(self.window);
-        if span < WINDOW {
+        if span < self.span() {
             return;
         }
         let rate = f64::from(self.finished) / span.secs();
@@ -159,7 +174,7 @@
         self.last_rate = rate;
         self.window = now;
         self.finished = 0;
-        self.saturated = false;
+        self.waits = 0;
     }
 
     fn judge(&mut self, now: Millis, rate: f64) {
@@ -167,23 +182,26 @@
             Phase::Trial { ceiling, rate: before } => {
                 self.end_trial(now, rate >= before * KEPT, ceiling)
             }
-            Phase::Steady if !self.saturated || now < self.rest => {}
+            Phase::Steady if now < self.rest => {}
+            Phase::Steady if !self.saturated() => self.grow(),
             Phase::Steady if self.crowded() && now >= self.next_trial => {
                 let ceiling = self.ceiling;
                 let before = rate.max(self.last_rate);
                 self.phase = Phase::Trial { ceiling, rate: before };
                 self.ceiling = (ceiling * CUT).max(1.0);
             }
-            Phase::Steady => {
-                let places = f64::from(self.places);
-                self.ceiling = (self.ceiling + 1.0).min(places);
-            }
+            Phase::Steady => self.grow(),
         }
     }
 
+    fn grow(&mut self) {
+        let places = f64::from(self.places);
+        self.ceiling = (self.ceiling + 1.0).min(places);
+    }
+
     fn end_trial(&mut self, now: Millis, kept: bool, ceiling: f64) {
         self.phase = Phase::Steady;
-        if kept && self.saturated {
+        if kept && self.saturated() {
             self.pause = REST;
             self.rest = now + PAUSE_MAX;
         } else {
--- a/crates/walnutmoor-core/src/node/entry.rs
+++ b/crates/walnutmoor-core/src/node/entry.rs
@@ -2,6 +2,7 @@
 
 use super::{Action, Core};
 use crate::{
+    admit::Level,
     call::{Arrival, DEPTH_MAX, Envelope, Leg, Reply, Trailer, is_error},
     class::{self, Class, Key},
     digest::Set,
@@ -195,6 +196,7 @@
             budget: Budget::of_attempt(arrival.attempt, self.config.retries),
             ticket: arrival.ticket.filter(|_| once),
             revision: self.configuration.revision,
+            applied: Level::OPEN,
             depth: 0,
             fingerprint: arrival.fingerprint,
         };
@@ -350,6 +352,7 @@
         o.envelope.left = left.since(MARGIN);
         // Part stays here: what a peer was given is lost if it breaks off.
         o.envelope.budget = o.budget.split();
+        o.envelope.applied = self.view.level(now, &o.envelope.service);
         let envelope = o.envelope.clone();
         if first {
             let from = envelope.from.as_ref();
--- a/crates/walnutmoor-core/src/node/serve.rs
+++ b/crates/walnutmoor-core/src/node/serve.rs
@@ -91,6 +91,9 @@
 /// first attempts.
 const FAILED_MAX: usize = 64;
 
+/// The most reports on one answer: a header of some 2 KB.
+const REPORTS_MAX: usize = 2 * PATH_MAX;
+
 impl Core {
     /// A peer passes a call on.
     pub(super) fn hop(
@@ -111,7 +114,8 @@
             return;
         }
         let deadline = now + envelope.left;
-        let offer = Offer { call, key: envelope.key, deadline };
+        let (key, applied) = (envelope.key, envelope.applied);
+        let offer = Offer { call, key, applied, deadline };
         let warmth = self.server.warmth(now);
         let Some(gate) = &mut self.gate else { return };
         let verdict = gate.offer(now, offer, warmth);
@@ -206,21 +210,25 @@
         let origin = self.me.node;
         let mut reports = Vec::new();
         let gate = self.gate.as_ref();
+        let age = Millis(0);
         if let Some(gate) = gate
             && let Some(service) = self.own_service().cloned()
         {
-            let level = gate.level();
-            reports.push(Report { origin, service, level });
+            let level = Some(gate.level());
+            reports.push(Report { origin, service, level, age });
         }
         let below = passed.iter().filter(|s| Some(*s) != self.own_service());
-        let known = |s| match self.view.report(now, origin, s) {
-            Some(report) => report,
-            // Nothing was heard lately, but the way in must still learn
-            // that the path passes here.
-            None => Report { origin, service: s.clone(), level: Level::OPEN },
-        };
-        reports.extend(below.map(known));
-        reports.truncate(PATH_MAX);
+        for service in below {
+            let known = self.view.reports(now, service);
+            if known.is_empty() {
+                // Nothing was heard lately, but the way in must still learn
+                // that the path passes here.
+                let (service, level) = (service.clone(), None);
+                reports.push(Report { origin, service, level, age });
+            }
+            reports.extend(known);
+        }
+        reports.truncate(REPORTS_MAX);
         let warmth = self.server.warmth(now);
         let load = gate.map(|gate| Load {
             busy: (gate.in_flight() + gate.queued()) as u32,
--- a/crates/walnutmoor-core/src/node/stat.rs
+++ b/crates/walnutmoor-core/src/node/stat.rs
@@ -4,6 +4,7 @@
 
 use super::Core;
 use crate::{
+    admit::Way,
     config,
     error::Kind,
     id::{NodeId, Revision},
@@ -83,6 +84,8 @@
     pub announced: Option<Announcement>,
     /// The admission level in front of it.
     pub level: String,
+    /// What each class meets that enters at this node.
+    pub ways: Vec<Way>,
     /// Calls that run there.
     pub running: usize,
     /// Calls that wait.
@@ -116,6 +119,7 @@
             server: crate::chart::Symbol::name(self.server.state()),
             announced: self.server.announced().cloned(),
             level: level.to_string(),
+            ways: self.view.ways(now),
             running: gate.map_or(0, |g| g.in_flight()),
             queued: gate.map_or(0, |g| g.queued()),
             allowed: gate.map_or(0, |g| g.allowed(warmth)),
--- a/crates/walnutmoor-standin/src/load.rs
+++ b/crates/walnutmoor-standin/src/load.rs
@@ -43,6 +43,10 @@
 /// How long a polite caller waits if it was not told.
 const POLITE: Duration = Duration::from_millis(500);
 
+/// The timer's step. Sleeping for less would last as long as this, and cap
+/// the rate at one request a step.
+const TIMER: Duration = Duration::from_millis(1);
+
 /// What became of one whole request.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -62,6 +66,8 @@
     pub broken: bool,
     /// The last refusal, if there was one.
     pub refusal: Option<String>,
+    /// All refusals and errors of its attempts.
+    pub refusals: Vec<String>,
     /// What the nodes added, in microseconds, if it completed at once.
     pub added_us: Option<u64>,
 }
@@ -128,7 +134,9 @@
             end += phase.span;
             while next < end {
                 let wait = next.saturating_sub(self.elapsed());
-                tokio::time::sleep(wait).await;
+                if wait >= TIMER {
+                    tokio::time::sleep(wait).await;
+                }
                 let draw: f64 = rng.random();
                 let class = self.draw_class(draw);
                 let (load, seed) = (self.clone(), rng.random());
@@ -185,6 +193,7 @@
             wrong: false,
             broken: false,
             refusal: None,
+            refusals: Vec::new(),
             added_us: None,
         };
         for attempt in 0..ATTEMPTS_MAX {
@@ -193,6 +202,7 @@
                 break;
             }
             let again = caller.attempt(attempt, left, &mut record).await;
+            record.refusals.extend(record.refusal.clone());
             let Some(pause) = again else { break };
             let pause = match manner {
                 Manner::Hard => HARD,
--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -14,7 +14,7 @@
 walnutmoor-standin: stand-ins and measuring runs for walnutmoor
 
   measure SCENARIO --topology association|division
-      [--mode enforce|observe] [--seed N] [--seconds N]
+      [--mode enforce|observe] [--seed N] [--seconds N] [--trace]
       SCENARIO: steady, slow, surge, storm, outage, churn, rollout
   measure slopes     figures for the capacity page, as JSON lines
   drive              events as JSON lines in, actions as JSON lines out
@@ -51,6 +51,7 @@
     options.optopt("", "mode", "enforce or observe", "MODE");
     options.optopt("", "seed", "of the load", "N");
     options.optopt("", "seconds", "of pressure", "N");
+    options.optflag("", "trace", "print the bottleneck's state");
     let wrong = |e: getopts::Fail| Failure::usage(e.to_string());
     let matches = options.parse(words).map_err(wrong)?;
     let none = || Failure::usage("measure: name a scenario");
@@ -69,6 +70,7 @@
         mode: matches.opt_str("mode").unwrap_or("enforce".into()),
         seed: number("seed", 1)?,
         seconds: number("seconds", 10)?,
+        trace: matches.opt_present("trace"),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/walnutmoor-standin/src/measure.rs
+++ b/crates/walnutmoor-standin/src/measure.rs
@@ -95,6 +95,8 @@
     pub seed: u64,
     /// How long the pressure lasts.
     pub seconds: u64,
+    /// Whether to print the bottleneck's state every quarter of a second.
+    pub trace: bool,
 }
 
 /// How many times slower the bottleneck gets.
@@ -197,10 +199,46 @@
         tokio::time::sleep(BEFORE).await;
         press(plan, world, load, report).await;
     };
-    tokio::join!(load.run(&phases), faults);
+    let trace = async {
+        match plan.trace {
+            true => trace(plan, world, load).await,
+            false => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _ = async { tokio::join!(load.run(&phases), faults) } => {}
+        () = trace => {}
+    }
     window
 }
 
+/// Prints the state of the bottleneck's nodes, one line a look.
+async fn trace(plan: &Plan, world: &World, load: &Arc<Load>) {
+    let name = plan.topology.bottleneck().name.to_string();
+    loop {
+        let mut line = format!("{:6}ms", load.elapsed().as_millis());
+        for node in world.operators().await {
+            let Some(status) = world.status(node).await else { continue };
+            let s = &status["status"];
+            if s["announced"]["service"] != name.as_str() {
+                if s["level"] != "open" {
+                    let service = &s["announced"]["service"];
+                    let part = format!(" ({service} {})", s["level"]);
+                    line.push_str(&part);
+                }
+                continue;
+            }
+            let part = format!(
+                " | level {} run {} wait {}",
+                s["level"], s["running"], s["queued"]
+            );
+            line.push_str(&part);
+        }
+        eprintln!("{line}");
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
 async fn press(
     plan: &Plan,
     world: &World,
--- a/crates/walnutmoor-standin/src/report.rs
+++ b/crates/walnutmoor-standin/src/report.rs
@@ -55,6 +55,10 @@
     pub platform_calls_per_s: Option<f64>,
     /// How often each kind of failure was the last of its request.
     pub failures: std::collections::BTreeMap<String, u64>,
+    /// Refusals and errors of all attempts under pressure, by kind of work.
+    pub refusals: std::collections::BTreeMap<String, u64>,
+    /// The same after the pressure.
+    pub refusals_after: std::collections::BTreeMap<String, u64>,
     /// Kills, freezes and drains that were done.
     pub disturbances: Option<u64>,
 }
@@ -100,6 +104,16 @@
             let kind = kind.unwrap_or_else(|| "late".to_string());
             *self.failures.entry(kind).or_default() += 1;
         }
+        for record in records.iter().filter(|r| r.at >= window.from) {
+            let map = match window.holds(record.at) {
+                true => &mut self.refusals,
+                false => &mut self.refusals_after,
+            };
+            for refusal in &record.refusals {
+                let name = format!("{}/{refusal}", record.kind);
+                *map.entry(name).or_default() += 1;
+            }
+        }
         self.latencies(records);
     }
 
--- a/crates/walnutmoor/src/duty/peer.rs
+++ b/crates/walnutmoor/src/duty/peer.rs
@@ -46,10 +46,10 @@
 macro_rules! hop_endpoint {
     ($name:ident, $method:ident) => {
         #[endpoint {
-                                            method = $method,
-                                            path = "/v1/hop/{path:.*}",
-                                            unpublished = true,
-                                        }]
+                                                    method = $method,
+                                                    path = "/v1/hop/{path:.*}",
+                                                    unpublished = true,
+                                                }]
         async fn $name(
             context: RequestContext<Context>,
             _rest: Path<Rest>,
