once: stamps, sends and lives close three ways to run twice

(1) A witness dropped a mark after 60 s, and a late question about that ticket then set a tombstone: told not run, though it ran. Tickets now carry a stamp of the witness's own clock; an entry goes and the witness stops telling at the same instant, and no clocks are compared. (2) A call doubled by the network ran twice if the first still waited in the queue, or had been moved: the server's node now follows sends, not only starts. (3) A double delivered to the next life of a server's node ran again: the envelope names the life.

Ruled out: keeping marks longer (unbounded, or wrong later); clocks agreed between nodes (the design has none).

Conclusion: the guard no longer rests on the owner's clock running.

--- a/crates/walnutmoor-core/src/call.rs
+++ b/crates/walnutmoor-core/src/call.rs
@@ -25,7 +25,7 @@
     admit,
     class::{Key, Kind},
     error::Refusal,
-    id::{self, CallId, Request, Revision, Service},
+    id::{self, CallId, Incarnation, Request, Revision, Service},
     retry::Budget,
     route::Load,
     ticket::Ticket,
@@ -101,6 +101,12 @@
     pub budget: Budget,
     /// The ticket, if the call runs at most once.
     pub ticket: Option<Ticket>,
+    /// The life of the node that it is sent to: what was sent to a former
+    /// life must not run in a later one.
+    pub target: Incarnation,
+    /// How often the owner has sent this ticket's call, from 1; tells a new
+    /// try from one that the network doubled.
+    pub send: u32,
     /// The configuration that the call was admitted under.
     pub revision: Revision,
     /// The level of the service called that the sender knows.
--- a/crates/walnutmoor-core/src/gossip.rs
+++ b/crates/walnutmoor-core/src/gossip.rs
@@ -46,7 +46,7 @@
     id::{Incarnation, NodeId, Revision, Service},
     member::{self, Members, NEWS_MAX},
     once::Outcome,
-    ticket::Ticket,
+    ticket::{Party, Ticket},
     time::Millis,
     witness::Verdict,
 };
@@ -74,6 +74,10 @@
     Entries(Vec<Entry>),
     /// The whole configuration.
     Whole(Box<Config>),
+    /// What does your clock say? An owner is about to issue tickets.
+    Stamp,
+    /// A witness's clock.
+    Stamped(Party, Millis),
     /// An owner asks for its mark.
     Mark(Ticket),
     /// The witness's answer to an owner.
--- a/crates/walnutmoor-core/src/node/control.rs
+++ b/crates/walnutmoor-core/src/node/control.rs
@@ -497,6 +497,9 @@
             }
             Body::Entries(entries) => self.follow(now, from, &entries, out),
             Body::Whole(config) => self.adopt(now, *config, out),
+            Body::Stamped(party, stamp) => {
+                self.stamped(now, party, stamp, out)
+            }
             Body::Marked(ticket, verdict) => {
                 self.marked(now, ticket, verdict, out)
             }
--- a/crates/walnutmoor-core/src/node/entry.rs
+++ b/crates/walnutmoor-core/src/node/entry.rs
@@ -8,7 +8,7 @@
     digest::Set,
     error::{Kind, Ran, Refusal},
     gossip::Body,
-    id::{CallId, NodeId, Request, Service},
+    id::{CallId, Incarnation, NodeId, Request, Service},
     retry::Budget,
     ticket::Ticket,
     time::Millis,
@@ -195,6 +195,8 @@
             left,
             budget: Budget::of_attempt(arrival.attempt, self.config.retries),
             ticket: arrival.ticket.filter(|_| once),
+            target: Incarnation(0),
+            send: 0,
             revision: self.configuration.revision,
             applied: Level::OPEN,
             depth: 0,
@@ -352,6 +354,12 @@
         o.envelope.left = left.since(MARGIN);
         // Part stays here: what a peer was given is lost if it breaks off.
         o.envelope.budget = o.budget.split();
+        if let Some(ticket) = o.owned() {
+            o.envelope.send = self.ledger.sent(ticket.nonce);
+        }
+        let directory = self.gossip.members().directory();
+        let record = directory.get(to);
+        o.envelope.target = record.map(|r| r.incarnation).unwrap_or_default();
         o.envelope.applied = self.view.level(now, &o.envelope.service);
         let envelope = o.envelope.clone();
         if first {
--- a/crates/walnutmoor-core/src/node/mod.rs
+++ b/crates/walnutmoor-core/src/node/mod.rs
@@ -519,6 +519,7 @@
     asks: Map<CallId, tickets::Asking>,
     inspections: Map<AskId, tickets::Inspecting>,
     ran: tickets::Ran,
+    stamps: tickets::Stamps,
     // Agreement.
     gossip: Gossip,
     configuration: config::Config,
@@ -563,6 +564,7 @@
             asks: Map::default(),
             inspections: Map::default(),
             ran: tickets::Ran::new(config.tickets_max),
+            stamps: tickets::Stamps::default(),
             gossip: Gossip::new(record, now),
             configuration: config::Config::default(),
             table: config::Table::default(),
--- a/crates/walnutmoor-core/src/node/serve.rs
+++ b/crates/walnutmoor-core/src/node/serve.rs
@@ -146,8 +146,12 @@
             let full = Refusal::new(Kind::Full, Ran::No);
             return Err(full.retry_after(wait));
         }
+        let former = envelope.target != self.me.incarnation;
+        if former && envelope.ticket.is_some() {
+            return Err(Refusal::new(Kind::Unreachable, Ran::No));
+        }
         match envelope.ticket {
-            Some(ticket) => self.check_ran(now, &ticket),
+            Some(ticket) => self.check_ran(now, &ticket, envelope.send),
             None => Ok(()),
         }
     }
@@ -158,7 +162,7 @@
         let mut envelope = inbound.envelope.clone();
         envelope.left = inbound.deadline.since(now);
         if let Some(ticket) = &envelope.ticket {
-            self.ran.add(now, ticket);
+            self.ran.start(ticket);
         }
         self.stats.started += 1;
         out.push(Action::Start { call, envelope });
--- a/crates/walnutmoor-core/src/node/tickets.rs
+++ b/crates/walnutmoor-core/src/node/tickets.rs
@@ -13,7 +13,7 @@
     gossip::Body,
     id::{CallId, Incarnation, NodeId},
     once::{Begin, Outcome},
-    ticket::{Nonce, Party, SPAN_MAX, Ticket},
+    ticket::{Nonce, Party, SPAN_MAX, STAMP_MAX, Ticket},
     time::Millis,
     witness::Verdict,
 };
@@ -34,6 +34,33 @@
     sends: u32,
 }
 
+/// A witness's clock, and when it came.
+#[derive(Clone, Copy, Debug)]
+struct Stamp {
+    party: Party,
+    stamp: Millis,
+    at: Millis,
+}
+
+/// The stamps that witnesses gave, and who waits for one.
+#[derive(Debug, Default)]
+pub(super) struct Stamps {
+    known: Vec<Stamp>,
+    asks: Vec<(Millis, AskId)>,
+}
+
+/// How many witnesses are asked for a stamp, and kept.
+const STAMPS: usize = 2;
+
+/// A stamp older than this is still used, and a newer one is fetched.
+const STAMP_STALE: Millis = Millis(5_000);
+
+/// How long to wait for a stamp.
+const STAMP_WAIT: Millis = Millis(300);
+
+/// The most asks that wait for a stamp.
+const ISSUES_MAX: usize = 1_024;
+
 /// A question to a witness about a silent owner.
 #[derive(Debug)]
 pub(super) struct Asking {
@@ -51,15 +78,22 @@
     of_witness: bool,
 }
 
-/// The tickets that this node's backend server has run: the last guard
-/// against a call that arrives twice.
+/// The tickets whose calls came to this node's backend server: the last
+/// guard against a call that arrives twice.
 #[derive(Debug)]
 pub(super) struct Ran {
     capacity: usize,
-    seen: Map<Id, ()>,
+    seen: Map<Id, Seen>,
     expiry: BTreeSet<(Millis, Id)>,
 }
 
+/// What came of one ticket here.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    send: u32,
+    started: bool,
+}
+
 type Id = (NodeId, Incarnation, Nonce);
 
 fn id(ticket: &Ticket) -> Id {
@@ -71,15 +105,24 @@
         Ran { capacity, seen: Map::default(), expiry: BTreeSet::new() }
     }
 
-    pub(super) fn add(&mut self, now: Millis, ticket: &Ticket) {
-        self.seen.insert(id(ticket), ());
-        self.expiry.insert((now + SPAN_MAX + SPAN_MAX, id(ticket)));
+    fn accept(&mut self, now: Millis, ticket: &Ticket, send: u32) {
+        let id = id(ticket);
+        let seen = self.seen.entry(id).or_default();
+        seen.send = send;
+        self.expiry.insert((now + SPAN_MAX + SPAN_MAX, id));
+    }
+
+    /// The call goes to the backend server.
+    pub(super) fn start(&mut self, ticket: &Ticket) {
+        self.seen.entry(id(ticket)).or_default().started = true;
     }
 
     /// The call never reached the backend server after all.
     pub(super) fn withdraw(&mut self, envelope: &Envelope) {
-        if let Some(ticket) = &envelope.ticket {
-            self.seen.remove(&id(ticket));
+        if let Some(ticket) = &envelope.ticket
+            && let Some(seen) = self.seen.get_mut(&id(ticket))
+        {
+            seen.started = false;
         }
     }
 
@@ -96,46 +139,121 @@
 
 impl Core {
     /// Issues a ticket that names this node as owner and a node of another
-    /// zone as witness, so that no one zone takes both.
+    /// zone as witness, so that no one zone takes both. If no witness gave a
+    /// stamp lately, the ask waits for one.
     pub(super) fn issue(
         &mut self,
         now: Millis,
         ask: AskId,
         out: &mut Vec<Action>,
     ) {
-        let result = self.try_issue(now);
-        if let Err(refusal) = &result {
-            self.stats.refused(refusal.kind);
+        if let Err(refusal) = self.check_issue() {
+            self.issued(ask, Err(refusal), out);
+            return;
+        }
+        let alone = self.gossip.members().directory().live() <= 1;
+        let stamp = match alone {
+            true => Some(Stamp { party: self.me, stamp: now, at: now }),
+            false => self.usable_stamp(now),
+        };
+        if stamp.is_none_or(|s| now.since(s.at) > STAMP_STALE) {
+            self.fetch_stamps(out);
+        }
+        match stamp {
+            Some(stamp) => self.issue_with(now, ask, stamp, out),
+            None if self.stamps.asks.len() >= ISSUES_MAX => {
+                let full = Refusal::new(Kind::Full, error::Ran::No);
+                let full = full.retry_after(Millis(500));
+                self.issued(ask, Err(full), out);
+            }
+            None => self.stamps.asks.push((now + STAMP_WAIT, ask)),
+        }
+    }
+
+    fn check_issue(&mut self) -> Result<(), Refusal> {
+        let kind = match (self.draining, self.in_force) {
+            (true, _) => Kind::Leaving,
+            (false, false) => Kind::Starting,
+            (false, true) => return Ok(()),
+        };
+        let wait = self.spread(Millis(500));
+        Err(Refusal::new(kind, error::Ran::No).retry_after(wait))
+    }
+
+    fn issue_with(
+        &mut self,
+        now: Millis,
+        ask: AskId,
+        stamp: Stamp,
+        out: &mut Vec<Action>,
+    ) {
+        let span = self.config.ticket_span;
+        let (witness, stamp) = (stamp.party, stamp.stamp);
+        let result = self.ledger.issue(now, witness, stamp, span);
+        self.issued(ask, result, out);
+    }
+
+    fn issued(
+        &mut self,
+        ask: AskId,
+        result: Result<Ticket, Refusal>,
+        out: &mut Vec<Action>,
+    ) {
+        match &result {
+            Ok(_) => self.stats.tickets += 1,
+            Err(refusal) => self.stats.refused(refusal.kind),
         }
         out.push(Action::Issued { ask, result });
     }
 
-    fn try_issue(&mut self, now: Millis) -> Result<Ticket, Refusal> {
-        if !self.in_force || self.draining {
-            let kind = match self.draining {
-                true => Kind::Leaving,
-                false => Kind::Starting,
-            };
-            let wait = self.spread(Millis(500));
-            let refusal = Refusal::new(kind, error::Ran::No);
-            return Err(refusal.retry_after(wait));
+    /// The freshest stamp of a witness that is alive.
+    fn usable_stamp(&self, now: Millis) -> Option<Stamp> {
+        let known = self.stamps.known.iter();
+        let fresh = known.filter(|s| now.since(s.at) <= STAMP_MAX);
+        let alive = fresh.filter(|s| self.is_living(s.party));
+        alive.max_by_key(|s| s.at).copied()
+    }
+
+    fn fetch_stamps(&mut self, out: &mut Vec<Action>) {
+        for _ in 0..STAMPS {
+            let members = self.gossip.members();
+            let far = members.abroad(&mut self.rng);
+            let node = far.or_else(|| members.any(&mut self.rng));
+            let Some(node) = node else { return };
+            self.post(node, Body::Stamp, out);
+        }
+    }
+
+    /// A witness told its clock.
+    pub(super) fn stamped(
+        &mut self,
+        now: Millis,
+        party: Party,
+        stamp: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let fresh = Stamp { party, stamp, at: now };
+        let known = &mut self.stamps.known;
+        known.retain(|s| s.party.node != party.node);
+        known.insert(0, fresh);
+        known.truncate(STAMPS);
+        for (_, ask) in std::mem::take(&mut self.stamps.asks) {
+            self.issue_with(now, ask, fresh, out);
         }
-        let witness = self.choose_witness();
-        let span = self.config.ticket_span;
-        let ticket = self.ledger.issue(now, witness, span)?;
-        self.stats.tickets += 1;
-        Ok(ticket)
     }
 
-    fn choose_witness(&mut self) -> Party {
-        let members = self.gossip.members();
-        let far = members.abroad(&mut self.rng);
-        let node = far.or_else(|| members.any(&mut self.rng));
-        let record = node.and_then(|n| members.directory().get(n));
-        record.map_or(self.me, |r| Party {
-            node: r.node,
-            incarnation: r.incarnation,
-        })
+    /// Refuses those who waited too long for a stamp.
+    fn expire_issues(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let late = |(until, _): &(Millis, AskId)| *until <= now;
+        let asks = std::mem::take(&mut self.stamps.asks);
+        let (gone, rest) = asks.into_iter().partition(late);
+        self.stamps.asks = rest;
+        let gone: Vec<(Millis, AskId)> = gone;
+        for (_, ask) in gone {
+            let wait = self.spread(Millis(500));
+            let silent = Refusal::new(Kind::WitnessSilent, error::Ran::No);
+            self.issued(ask, Err(silent.retry_after(wait)), out);
+        }
     }
 
     /// A call with a ticket came to this way in.
@@ -437,6 +555,7 @@
         out: &mut Vec<Action>,
     ) {
         let answer = match body {
+            Body::Stamp => Body::Stamped(self.me, now),
             Body::Mark(ticket) => {
                 let verdict = self.witness.mark(now, &ticket);
                 self.stats.marks += u64::from(verdict == Verdict::Mark);
@@ -458,20 +577,24 @@
         self.post(from, answer, out);
     }
 
-    /// Refuses a call whose ticket was run here before.
+    /// Refuses a call that was run here before, or came here before: of the
+    /// same send, it is a double.
     pub(super) fn check_ran(
         &mut self,
         now: Millis,
         ticket: &Ticket,
+        send: u32,
     ) -> Result<(), Refusal> {
         self.ran.expire(now);
-        if self.ran.seen.contains_key(&id(ticket)) {
+        let seen = self.ran.seen.get(&id(ticket)).copied();
+        if seen.is_some_and(|s| s.started || send <= s.send) {
             return Err(Refusal::new(Kind::Broken, error::Ran::Unknown));
         }
-        if self.ran.seen.len() >= self.ran.capacity {
+        if seen.is_none() && self.ran.seen.len() >= self.ran.capacity {
             let full = Refusal::new(Kind::Full, error::Ran::No);
             return Err(full.retry_after(Millis(1_000)));
         }
+        self.ran.accept(now, ticket, send);
         Ok(())
     }
 
@@ -479,7 +602,8 @@
         let marks = self.marks.values().map(|m| m.next);
         let asks = self.asks.values().map(|a| a.next);
         let others = self.inspections.values().map(|i| i.next);
-        marks.chain(asks).chain(others).min()
+        let issues = self.stamps.asks.iter().map(|(until, _)| *until);
+        marks.chain(asks).chain(others).chain(issues).min()
     }
 
     /// Sends again what was not answered, and gives up on the silent.
@@ -487,6 +611,7 @@
         while let Some(nonce) = self.ledger.expire(now) {
             out.push(Action::Forget { nonce });
         }
+        self.expire_issues(now, out);
         self.mark_again(now, out);
         self.ask_again(now, out);
         self.inspect_again(now, out);
--- a/crates/walnutmoor-core/src/once.rs
+++ b/crates/walnutmoor-core/src/once.rs
@@ -29,7 +29,7 @@
 let secret = 7;
 let mut ledger = Ledger::new(party(7402, 1), secret, 100);
 let ticket = ledger
-    .issue(Millis(0), party(7502, 2), Millis(60_000))
+    .issue(Millis(0), party(7502, 2), Millis(0), Millis(60_000))
     .unwrap();
 let begin = |ledger: &mut Ledger, call| {
     ledger.begin(Millis(5), &ticket, 0xfeed, CallId(call))
@@ -117,6 +117,7 @@
     fingerprint: Option<u64>,
     waiters: Vec<CallId>,
     kept: bool,
+    sends: u32,
 }
 
 /// The owner's ledger.
@@ -161,7 +162,7 @@
         self.lines.values().filter(|l| is_active(l.state)).count()
     }
 
-    /// Issues a ticket.
+    /// Issues a ticket, with the stamp that its witness gave.
     ///
     /// # Errors
     ///
@@ -170,13 +171,14 @@
         &mut self,
         now: Millis,
         witness: Party,
+        stamp: Millis,
         span: Millis,
     ) -> Result<Ticket, Refusal> {
         let span = span.min(SPAN_MAX);
         let nonce = self.nonce(self.issued.wrapping_add(1));
         self.insert(now, nonce, span)?;
         self.issued = self.issued.wrapping_add(1);
-        Ok(Ticket { owner: self.me, nonce, witness, span })
+        Ok(Ticket { owner: self.me, nonce, witness, stamp, span })
     }
 
     /// Opens the line of a step under a ticket that runs here. Opening it
@@ -196,7 +198,7 @@
             self.insert(now, nonce, SPAN_MAX)?;
         }
         let (owner, span) = (self.me, SPAN_MAX);
-        Ok(Ticket { owner, nonce, witness: owner, span })
+        Ok(Ticket { owner, nonce, witness: owner, stamp: now, span })
     }
 
     fn insert(
@@ -219,6 +221,7 @@
             fingerprint: None,
             waiters: Vec::new(),
             kept: false,
+            sends: 0,
         };
         self.lines.insert(nonce, line);
         self.expiry.insert((expiry, nonce));
@@ -302,6 +305,13 @@
         true
     }
 
+    /// The call is sent to a server. Returns how often, this time included.
+    pub fn sent(&mut self, nonce: Nonce) -> u32 {
+        let Some(line) = self.lines.get_mut(&nonce) else { return 0 };
+        line.sends += 1;
+        line.sends
+    }
+
     /// The call was not run and this ticket may be begun again, as after a
     /// refusal before the mark. Returns who waited.
     pub fn withdraw(&mut self, nonce: Nonce) -> Vec<CallId> {
--- a/crates/walnutmoor-core/src/ticket.rs
+++ b/crates/walnutmoor-core/src/ticket.rs
@@ -1,8 +1,10 @@
 /*!
 Tickets: the right to run one call at most once.
 
-A ticket names its owner and its witness, each with its incarnation, a random
-nonce, and the span for which the owner honours it. It is issued before
+A ticket names its owner and its witness, each with its incarnation, a nonce,
+a stamp of the witness's clock, and the span for which the owner honours it.
+The stamp tells the witness how old a ticket is at most, by its own clock:
+no two clocks are ever compared. It is issued before
 anything runs, so a lost ticket costs nothing.
 
 # Example
@@ -10,7 +12,7 @@
 ```
 use walnutmoor_core::ticket::Ticket;
 
-let text = "10.0.0.1:7402~1f~9c~10.0.1.1:7402~2e~60000";
+let text = "10.0.0.1:7402~1f~9c~10.0.1.1:7402~2e~5000~60000";
 let ticket: Ticket = text.parse().unwrap();
 assert_eq!(ticket.to_string(), text);
 assert!("10.0.0.1:7402~1f".parse::<Ticket>().is_err());
@@ -48,10 +50,16 @@
     }
 }
 
-/// The longest span for which an owner honours a ticket. A witness keeps
-/// its entries for so long, whatever span a ticket claims.
+/// The longest span for which an owner honours a ticket.
 pub const SPAN_MAX: Millis = Millis(60_000);
 
+/// How old a stamp may be when an owner puts it into a ticket.
+pub const STAMP_MAX: Millis = Millis(15_000);
+
+/// How long after its stamp a witness can tell of a ticket: the time until
+/// the ticket is issued, its span, and as much again for a late question.
+pub const TELLS: Millis = Millis(150_000);
+
 /// One life of one node.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub struct Party {
@@ -70,6 +78,8 @@
     pub nonce: Nonce,
     /// The node that settles what a silent owner did.
     pub witness: Party,
+    /// The witness's clock, shortly before the issue.
+    pub stamp: Millis,
     /// How long the owner honours the ticket, from its issue.
     pub span: Millis,
 }
@@ -78,12 +88,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{}~{:x}~{}~{}~{:x}~{}",
+            "{}~{:x}~{}~{}~{:x}~{}~{}",
             self.owner.node,
             self.owner.incarnation.0,
             self.nonce,
             self.witness.node,
             self.witness.incarnation.0,
+            self.stamp.0,
             self.span.0,
         )
     }
@@ -102,9 +113,10 @@
     let owner = party(&mut parts)?;
     let nonce = Nonce(hex(parts.next()?)?);
     let witness = party(&mut parts)?;
+    let stamp = Millis(parts.next()?.parse().ok()?);
     let span = Millis(parts.next()?.parse().ok()?);
     let whole = parts.next().is_none();
-    whole.then_some(Ticket { owner, nonce, witness, span })
+    whole.then_some(Ticket { owner, nonce, witness, stamp, span })
 }
 
 fn party<'a>(parts: &mut impl Iterator<Item = &'a str>) -> Option<Party> {
--- a/crates/walnutmoor-core/src/witness.rs
+++ b/crates/walnutmoor-core/src/witness.rs
@@ -8,9 +8,13 @@
 only paused. A witness that restarted refuses everything of its former life
 and says that it cannot tell.
 
-Entries are kept for the longest span of a ticket from the moment they are
-set. The ticket's span started before that, so no owner honours it any longer
-when its entry goes, provided that the owner's clock does not stop.
+A ticket carries a stamp of this witness's clock from shortly before its
+issue. An entry goes when the stamp is older than [`TELLS`], and from the same
+instant the witness says of that ticket that it cannot tell. So nothing that
+it once knew is ever taken for nothing, and an owner whose own clock stood
+still gets no mark for an old ticket. Keeping entries for a span from when
+they were set was tried first: fuzzing found a ticket that had run, and whose
+mark was forgotten, told as *not run*.
 
 # Example
 
@@ -18,7 +22,7 @@
 use walnutmoor_core::{prelude::*, ticket::Ticket, witness::*};
 
 let ticket: Ticket =
-    "10.0.0.1:7402~1f~9c~10.0.1.1:7402~2e~60000".parse().unwrap();
+    "10.0.0.1:7402~1f~9c~10.0.1.1:7402~2e~0~60000".parse().unwrap();
 let mut table = Table::new(ticket.witness, 100);
 assert_eq!(table.ask(Millis(0), &ticket), Verdict::Tombstone);
 assert_eq!(table.mark(Millis(9), &ticket), Verdict::Tombstone);
@@ -32,7 +36,7 @@
 use crate::{
     digest::Map,
     id::{Incarnation, NodeId},
-    ticket::{Nonce, Party, SPAN_MAX, Ticket},
+    ticket::{Nonce, Party, TELLS, Ticket},
     time::Millis,
 };
 
@@ -43,7 +47,8 @@
     Mark,
     /// The owner has no mark and will not get one: the call does not run.
     Tombstone,
-    /// The ticket names another life of this node: it cannot tell.
+    /// The ticket names another life of this node, or is too old: it cannot
+    /// tell.
     Stranger,
     /// The table is full: nothing was set.
     Full,
@@ -92,10 +97,12 @@
     }
 
     fn set(&mut self, now: Millis, ticket: &Ticket, new: Verdict) -> Verdict {
-        if ticket.witness != self.me {
+        self.expire(now);
+        let until = ticket.stamp + TELLS;
+        let ahead = ticket.stamp > now;
+        if ticket.witness != self.me || until <= now || ahead {
             return Verdict::Stranger;
         }
-        self.expire(now);
         let owner = ticket.owner;
         let id = (owner.node, owner.incarnation, ticket.nonce);
         if let Some(old) = self.entries.get(&id) {
@@ -105,7 +112,7 @@
             return Verdict::Full;
         }
         self.entries.insert(id, new);
-        self.expiry.insert((now + SPAN_MAX, id));
+        self.expiry.insert((until, id));
         new
     }
 
--- a/crates/walnutmoor-core/tests/cluster.rs
+++ b/crates/walnutmoor-core/tests/cluster.rs
@@ -7,7 +7,9 @@
 use proptest_state_machine::{
     ReferenceStateMachine, StateMachineTest, prop_state_machine,
 };
-use walnutmoor_core::{id::Revision, ticket::Ticket, time::Millis};
+use walnutmoor_core::{
+    id::Revision, node::AskId, ticket::Ticket, time::Millis,
+};
 
 use self::net::{Fault, Net, set};
 
@@ -85,8 +87,8 @@
 
 struct Cluster {
     net: Net,
-    tickets: Vec<Ticket>,
-    proposed: Vec<(usize, walnutmoor_core::node::AskId, String)>,
+    asked: Vec<(usize, AskId)>,
+    proposed: Vec<(usize, AskId, String)>,
 }
 
 impl StateMachineTest for Cluster {
@@ -96,7 +98,7 @@
     fn init_test(model: &Model) -> Cluster {
         let mut net = Net::new(NODES, model.seed);
         net.advance(Millis(8_000));
-        Cluster { net, tickets: Vec::new(), proposed: Vec::new() }
+        Cluster { net, asked: Vec::new(), proposed: Vec::new() }
     }
 
     fn apply(mut this: Cluster, model: &Model, step: Step) -> Cluster {
@@ -104,14 +106,15 @@
         match step {
             Step::Issue(node) => {
                 let ask = net.issue(node);
-                if let Some(Ok(ticket)) = net.issued.get(&(node, ask)) {
-                    this.tickets.push(*ticket);
-                }
+                this.asked.push((node, ask));
             }
             Step::Use(node, which) => {
-                let count = this.tickets.len();
-                if count > 0 {
-                    let ticket = this.tickets[which % count];
+                let issued = this.asked.iter().filter_map(|ask| {
+                    net.issued.get(ask)?.as_ref().ok().copied()
+                });
+                let tickets: Vec<Ticket> = issued.collect();
+                if !tickets.is_empty() {
+                    let ticket = tickets[which % tickets.len()];
                     net.call(node, Some(ticket));
                 }
             }
--- a/crates/walnutmoor-core/tests/net/mod.rs
+++ b/crates/walnutmoor-core/tests/net/mod.rs
@@ -135,7 +135,7 @@
             cut: HashSet::new(),
             loss: 0.0,
             double: 0.0,
-            service: Millis(20),
+            service: Millis(40),
             fates: HashMap::new(),
             callers: HashMap::new(),
             told: HashMap::new(),
@@ -179,7 +179,7 @@
         self.sites[index] = Some(site);
         let what = Announcement {
             service: "work".parse().unwrap(),
-            slots: 4,
+            slots: 1,
             connections: 16,
             warmup: Millis(0),
         };
