admit: higher of two levels, a smaller cut, less weight for few calls

Cause: in storm the once classes take three quarters of the capacity; the trace showed levels dipping into them for a second at a time. A way in that had heard two servers applied the stricter one; the cut left 90% of the capacity, and windows of two or three calls moved the known demand.

Ruled out: retries of layers (no once/502 any more), queue expiry.

--- a/crates/walnutmoor-core/src/admit.rs
+++ b/crates/walnutmoor-core/src/admit.rs
@@ -122,7 +122,7 @@
 /// Calls in a window that halve its weight: few calls are mostly noise. At
 /// the brief's rates the once classes bring two or three a window, and one
 /// that brings five by chance must not look like twice the demand.
-const NOISE: f64 = 10.0;
+const NOISE: f64 = 25.0;
 
 /// What a window leaves of the demand of a closed class; it halves in 2.3 s,
 /// so that the class is tried again in the end.
@@ -139,8 +139,8 @@
 
 /// What a window of overload takes off the capacity, so that the queue
 /// drains. Queues are short and give up from the bottom, so little is
-/// enough; up to 0.3 was tried and cut into classes that fitted.
-const CUT: f64 = 0.1;
+/// enough; 0.3 and 0.1 were tried and cut into classes that fitted.
+const CUT: f64 = 0.05;
 
 /// How long it takes until a change of the level shows in what arrives: an
 /// answer must carry it back and new calls must come. Changes are spread
@@ -579,7 +579,9 @@
             return last.map_or(Level::OPEN, |h| aged(h, now));
         }
         fresh.sort();
-        fresh[(fresh.len() - 1) / 2]
+        // Of two, the higher: a server that has room takes the call, and the
+        // queue of one that has not gives up from the bottom.
+        fresh[fresh.len() / 2]
     }
 
     /// Notes that a class entering at one service also passed another.
--- a/crates/walnutmoor-core/src/node/control.rs
+++ b/crates/walnutmoor-core/src/node/control.rs
@@ -298,7 +298,7 @@
         let Some(purpose) = self.control.ops.remove(&op) else { return };
         self.note_platform(now, reply != Reply::Down, out);
         match purpose {
-            Purpose::Boot => self.booted(now, reply, out),
+            Purpose::Boot => self.booted(reply, out),
             Purpose::Watch => self.watched(now, reply, out),
             Purpose::Repair => {}
             Purpose::Contacts => self.listed(now, reply, out),
@@ -327,7 +327,7 @@
         }
     }
 
-    fn booted(&mut self, now: Millis, reply: Reply, out: &mut Vec<Action>) {
+    fn booted(&mut self, reply: Reply, out: &mut Vec<Action>) {
         match reply {
             Reply::Found(object) => {
                 self.control.platform_read = true;
