--- a/crates/walnutmoor-core/src/admit.rs
+++ b/crates/walnutmoor-core/src/admit.rs
@@ -127,6 +127,14 @@
 /// 0.98 with 100.
 const NOISE: f64 = 100.0;
 
+/// A count that is off by more than so many standard deviations of a Poisson
+/// count is no noise and weighs in full: a flood must be known at once, for
+/// until then it is let in and is work begun for nothing.
+const CHANCE: f64 = 4.0;
+
+/// The part of a class's steps that must be open for that.
+const MUCH: f64 = 0.25;
+
 /// What a window leaves of the demand of a closed class; it halves in 2.3 s,
 /// so that the class is tried again in the end.
 const FADE: f64 = 0.97;
@@ -310,8 +318,9 @@
         let unknown = sample.capacity * UNKNOWN;
         let fits = self.fit(sample.capacity * FILL, unknown);
         if self.level < fits {
+            // And on: creeping towards a fit that is itself too low, because
+            // the demand is down, kept a class shut for seconds.
             self.level += (fits - self.level) * APPROACH;
-            return;
         }
         let spare = (FILL - sample.busy) * sample.capacity;
         self.shift(spare.max(0.0), sample);
@@ -453,8 +462,15 @@
         return (part >= 1.0 || count > 0).then_some(fresh);
     };
     let weight = if fresh > old { RISE } else { FALL };
+    let expected = old * span * part;
+    let off = (f64::from(count) - expected).abs();
+    let by_chance = off <= CHANCE * (expected.sqrt() + 1.0);
+    // A few open steps tell too little to be believed in full: a handful of
+    // calls there looked like a flood, and kept a class shut for seconds.
+    let by_chance = by_chance || part < MUCH;
     let seen = fresh.max(old) * span * part;
-    let weight = weight * seen / (seen + NOISE);
+    let trust = if by_chance { seen / (seen + NOISE) } else { 1.0 };
+    let weight = weight * trust;
     let next = old + (fresh - old) * weight;
     // What is hardly there would otherwise take forever to be gone.
     Some(if next < MEASURABLE { next * FADE } else { next })
