--- a/crates/walnutmoor/src/duty/decide.rs
+++ b/crates/walnutmoor/src/duty/decide.rs
@@ -420,7 +420,7 @@
         envelope: Envelope,
     ) {
         let Some(load) = self.loads.get(&call).cloned() else { return };
-        let envelope = Box::new(envelope);
+        let (envelope, load) = (Box::new(envelope), Box::new(load));
         let command = forward::Command::Send { call, to, envelope, load };
         if self.outlets.forward.try_send(command).is_err() {
             // The ring is full: nothing was sent, and that is certain.
--- a/crates/walnutmoor/src/duty/forward.rs
+++ b/crates/walnutmoor/src/duty/forward.rs
@@ -42,7 +42,7 @@
         /// What goes with it.
         envelope: Box<Envelope>,
         /// The request.
-        load: Load,
+        load: Box<Load>,
     },
     /// Break a call off.
     Abort {
@@ -94,7 +94,7 @@
     while let Some(command) = commands.recv().await {
         match command {
             Command::Send { call, to, envelope, load } => {
-                sender.send(call, to, &envelope, load)
+                sender.send(call, to, &envelope, *load)
             }
             Command::Abort { call } => {
                 let mut running = sender.running.lock().expect("no panic");
--- a/crates/walnutmoor/tests/process/changes.rs
+++ b/crates/walnutmoor/tests/process/changes.rs
@@ -89,7 +89,7 @@
         // The write took effect once, and the operator is told so.
         assert!(came.is_good(), "{came:?}");
         let stored = world.platform.read(&Key::config()).unwrap();
-        assert_eq!(stored.value.matches("\"changed\"").count() > 0, true);
+        assert!(stored.value.contains("\"changed\""));
         assert!(stored.value.starts_with("{\"revision\":3"));
         everywhere(&world, 3).await;
     });
