--- a/crates/walnutmoor-core/src/node/mod.rs
+++ b/crates/walnutmoor-core/src/node/mod.rs
@@ -32,354 +32,41 @@
 
 mod control;
 mod entry;
+mod event;
+mod options;
 mod serve;
 mod stat;
 mod tickets;
 
 use std::{collections::BTreeSet, marker::PhantomData};
 
-use rand_chacha::{
-    ChaCha8Rng,
-    rand_core::{Rng, SeedableRng},
+pub use self::{
+    event::{Action, AskId, Event, Note, OpId},
+    options::{Config, Mode},
+    stat::{Stats, Status},
 };
-use serde::{Deserialize, Serialize};
-
-pub use self::stat::{Stats, Status};
 use crate::{
     admit::View,
-    call::{Arrival, Envelope, Reply, Trailer},
-    config::{self, Author, Op, Proposer},
+    call::Reply,
+    config::{self, Proposer},
     digest::Map,
     directory::{self, Record},
     error::Refusal,
     gate::Gate,
-    gossip::{Gossip, Packet},
-    id::{CallId, Incarnation, NodeId, Revision, Service, Zone},
-    once::{Ledger, Outcome},
-    platform,
+    gossip::Gossip,
+    id::{CallId, Incarnation, Service, Zone},
+    once::Ledger,
     retry::Share,
     route::Router,
-    server::{Announcement, Server},
-    ticket::{Nonce, Party, Ticket},
+    server::Server,
+    ticket::{Nonce, Party},
     time::Millis,
     witness::Table,
 };
-
-/// Whether the node refuses for load, or only measures and counts.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Mode {
-    /// It refuses what does not fit.
-    #[default]
-    Enforce,
-    /// It decides and counts, and refuses nothing for load.
-    Observe,
-}
-
-/// How a node behaves. Only the address is required.
-#[derive(Clone, Debug)]
-pub struct Config {
-    node: NodeId,
-    zone: Zone,
-    seed: u64,
-    version: u64,
-    mode: Mode,
-    retries: u8,
-    calls_max: usize,
-    tickets_max: usize,
-    marks_max: usize,
-    deadline_max: Millis,
-    ticket_span: Millis,
-    answer_max: usize,
-    patience: Millis,
-    linger: Millis,
-}
-
-macro_rules! setters {
-    ($($(#[$doc:meta])* $name:ident: $type:ty,)*) => {
-        $($(#[$doc])*
-        pub fn $name(mut self, $name: $type) -> Config {
-            self.$name = $name;
-            self
-        })*
-    };
-}
-
-impl Config {
-    /// The settings of a node that peers reach at this address.
-    pub fn new(node: NodeId) -> Config {
-        Config {
-            node,
-            zone: "default".parse().expect("a legal name"),
-            seed: 0,
-            version: 1,
-            mode: Mode::Enforce,
-            retries: 3,
-            calls_max: 16_384,
-            tickets_max: 16_384,
-            marks_max: 65_536,
-            deadline_max: Millis(30_000),
-            ticket_span: Millis(60_000),
-            answer_max: 64 * 1024,
-            patience: Millis(200),
-            linger: Millis(20),
-        }
-    }
-
-    setters! {
-        /// The availability zone. Default: `default`.
-        zone: Zone,
-        /// The seed of all randomness; a live node draws it anew at each
-        /// start, for the incarnation comes from it. Default: 0.
-        seed: u64,
-        /// The version of the node's first word about itself; a live node
-        /// takes the wall clock, so that a restart outranks the life before
-        /// it. Default: 1.
-        version: u64,
-        /// Whether to refuse for load. Default: enforce.
-        mode: Mode,
-        /// The retries of one whole request. Default: 3.
-        retries: u8,
-        /// The most calls in the node at a time. Default: 16,384.
-        calls_max: usize,
-        /// The most tickets remembered as owner. Default: 16,384.
-        tickets_max: usize,
-        /// The most marks and tombstones kept as witness. Default: 65,536.
-        marks_max: usize,
-        /// The longest time that a caller may ask for. Default: 30 s.
-        deadline_max: Millis,
-        /// How long a ticket is honoured. Default: 60 s, which is the most.
-        ticket_span: Millis,
-        /// The longest answer kept for repeats, in bytes. Default: 64 KB.
-        answer_max: usize,
-        /// How long a call waits in the queue at most. Default: 200 ms.
-        patience: Millis,
-        /// How long a canceled call still counts. Default: 20 ms.
-        linger: Millis,
-    }
-}
-
-/// Whom to tell: an operator's or a caller's question, by number.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Deserialize,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct AskId(pub u64);
-
-/// A request to the platform, by number.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Deserialize,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct OpId(pub u64);
-
-/// What happens to a node.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Event {
-    /// Time passed.
-    Tick,
-    /// A caller, or the own backend server, calls.
-    Arrive(Arrival),
-    /// A peer passes a call on.
-    Hop {
-        /// Its number in this node.
-        call: CallId,
-        /// What travels with it.
-        envelope: Envelope,
-    },
-    /// A call that was forwarded or started came back.
-    Replied {
-        /// Which.
-        call: CallId,
-        /// How.
-        reply: Reply,
-    },
-    /// Whoever waited for a call went away.
-    Cancel {
-        /// Which.
-        call: CallId,
-    },
-    /// A caller wants a ticket.
-    Issue {
-        /// Whom to tell.
-        ask: AskId,
-    },
-    /// A caller wants to know what became of a ticket.
-    Inspect {
-        /// Whom to tell.
-        ask: AskId,
-        /// Which.
-        ticket: Ticket,
-    },
-    /// The backend server says what it is.
-    Announce(Announcement),
-    /// The backend server says that it is leaving.
-    Leave,
-    /// A packet came from a peer.
-    Packet(Box<Packet>),
-    /// The platform answered.
-    Platform {
-        /// To what.
-        op: OpId,
-        /// The answer.
-        reply: platform::Reply,
-    },
-    /// An operator proposes a change.
-    Propose {
-        /// Whom to tell.
-        ask: AskId,
-        /// Who and when.
-        author: Author,
-        /// What.
-        op: Op,
-        /// The revision that it is based on, if the operator named one.
-        base: Option<Revision>,
-    },
-}
-
-/// What a node wants done.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Action {
-    /// Refuse a call, as its final answer.
-    Refuse {
-        /// Which.
-        call: CallId,
-        /// The answer.
-        refusal: Refusal,
-        /// What travels back, if a peer waits.
-        trailer: Option<Trailer>,
-    },
-    /// Give the answer that just came to whoever waits for a call.
-    Answer {
-        /// Which.
-        call: CallId,
-        /// What travels back, if a peer waits.
-        trailer: Option<Trailer>,
-    },
-    /// Give a kept answer.
-    Replay {
-        /// To whom.
-        call: CallId,
-        /// Which.
-        nonce: Nonce,
-    },
-    /// Keep the answer that just came.
-    Keep {
-        /// Under this.
-        nonce: Nonce,
-    },
-    /// A kept answer is no longer needed.
-    Forget {
-        /// Which.
-        nonce: Nonce,
-    },
-    /// Send a call's request to a peer.
-    Forward {
-        /// Which.
-        call: CallId,
-        /// To whom.
-        to: NodeId,
-        /// What travels with it.
-        envelope: Envelope,
-    },
-    /// Send a call's request to the own backend server.
-    Start {
-        /// Which; deeper calls name it as their parent.
-        call: CallId,
-        /// What the server is told.
-        envelope: Envelope,
-    },
-    /// Break off what was forwarded or started.
-    Abort {
-        /// Which.
-        call: CallId,
-    },
-    /// A call's request is no longer needed.
-    Release {
-        /// Which.
-        call: CallId,
-    },
-    /// Send a packet.
-    Send {
-        /// To whom.
-        to: NodeId,
-        /// The packet.
-        packet: Box<Packet>,
-    },
-    /// Ask the platform.
-    Platform {
-        /// Its number.
-        op: OpId,
-        /// What.
-        request: platform::Request,
-    },
-    /// Tell whoever asked for a ticket.
-    Issued {
-        /// Whom.
-        ask: AskId,
-        /// The ticket, or why not.
-        result: Result<Ticket, Refusal>,
-    },
-    /// Tell whoever asked about a ticket.
-    Inspected {
-        /// Whom.
-        ask: AskId,
-        /// What became of it, or why nobody can tell.
-        #[serde(skip)]
-        result: Result<Outcome, Refusal>,
-    },
-    /// Tell an operator what became of a change.
-    Decided {
-        /// Whom.
-        ask: AskId,
-        /// The revision that it made, or why not.
-        result: Result<Revision, Refusal>,
-    },
-    /// Something changed that operators want to see in the log.
-    Note(Note),
-}
-
-/// A change of state worth a line in the log.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Note {
-    /// A configuration came into force.
-    InForce(Revision),
-    /// The store offers an older configuration than the one in force.
-    StoreBehind(Revision),
-    /// The backend server's state changed.
-    Server(String),
-    /// The level in front of the backend server began or ended to refuse.
-    Shedding(bool),
-    /// A node came up.
-    Up(NodeId),
-    /// A node went down.
-    Down(NodeId),
-    /// The platform stopped or began to answer.
-    Platform(bool),
-}
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
 
 /// A life stage of a node.
 pub trait Stage: sealed::Sealed {}
--- a/crates/walnutmoor-core/src/node/tickets.rs
+++ b/crates/walnutmoor-core/src/node/tickets.rs
@@ -502,6 +502,12 @@
             out.push(Action::Inspected { ask, result });
             return;
         }
+        if self.inspections.len() >= self.config.calls_max {
+            let full = Refusal::new(Kind::Full, error::Ran::Unknown);
+            let result = Err(full.retry_after(Millis(1_000)));
+            out.push(Action::Inspected { ask, result });
+            return;
+        }
         let of_witness = !self.is_living(ticket.owner);
         let next = now + AGAIN;
         let new = Inspecting { ticket, next, sends: 1, of_witness };
--- a/crates/walnutmoor/src/main.rs
+++ b/crates/walnutmoor/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use walnutmoor::{command, prelude::*};
+use walnutmoor::command;
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
@@ -15,7 +15,3 @@
         }
     }
 }
-
-// Keeps the prelude honest: the binary itself must need no more than it.
-#[allow(dead_code)]
-type Outcome = Result<(), Failure>;
