node: contacts and issuing in modules of their own

Cause: control.rs (685 lines) and tickets.rs (686) each held two jobs.

What was done: code moved, none changed: contacts.rs (contacts on the platform), issue.rs (issuing tickets, witnesses' stamps). They are now 544 and 541 lines.

Ruled out: merging the five endpoints that caller.rs and peer.rs each declare; the endpoint attribute wants its path as a plain literal, which a shared macro cannot hand it.

--- a/crates/walnutmoor-core/src/node/control.rs
+++ b/crates/walnutmoor-core/src/node/control.rs
@@ -1,14 +1,12 @@
-//! Agreement: packets, the platform, configuration, contacts.
+//! Agreement: packets, the platform, configuration.
 
-use serde::{Deserialize, Serialize};
-
-use super::{Action, AskId, Core, Note, OpId};
+use super::{Action, AskId, Core, Note, OpId, contacts::contacts_prefix};
 use crate::{
     config::{Author, Config, Entry, Op, Proposal, Step, Table},
     digest::{self, Map},
     directory::Status,
     gossip::{Body, Packet},
-    id::{NodeId, Revision, Zone},
+    id::{NodeId, Revision},
     member,
     platform::{Key, Object, Reply, Request, Version},
     time::Millis,
@@ -16,7 +14,7 @@
 
 /// What a request to the platform was for.
 #[derive(Clone, Debug, Eq, PartialEq)]
-enum Purpose {
+pub(super) enum Purpose {
     Boot,
     Contacts,
     Watch,
@@ -38,8 +36,8 @@
     resume: Millis,
     backoff: Millis,
     platform_up: bool,
-    contacts: Vec<NodeId>,
-    joined: Option<Millis>,
+    pub(super) contacts: Vec<NodeId>,
+    pub(super) joined: Option<Millis>,
     check_at: Option<Millis>,
     gossiped: Millis,
     // When this node last asked itself whether it is a keeper: that takes a
@@ -48,15 +46,6 @@
     farewell: bool,
 }
 
-/// The contacts of one zone, as kept on the platform.
-#[derive(Debug, Default, Deserialize, Serialize)]
-struct Contacts {
-    nodes: Vec<NodeId>,
-}
-
-/// The most contacts of a zone.
-const CONTACTS: usize = 5;
-
 /// How many nodes of each zone hold a watch and keep the contacts. Two, so
 /// that one may be down; their share of the platform's rates does not grow
 /// with the fleet.
@@ -79,9 +68,6 @@
 /// How long a fresh node waits, on average, before it first checks them.
 const FIRST_CHECK: Millis = Millis(1_000);
 
-/// How often a node that found no contact tries again.
-const REJOIN: Millis = Millis(2_000);
-
 /// How long a change of configuration is tried.
 const PROPOSE_FOR: Millis = Millis(10_000);
 
@@ -123,7 +109,7 @@
         out.push(Action::Send { to, packet });
     }
 
-    fn post_all(
+    pub(super) fn post_all(
         &mut self,
         bodies: Vec<(NodeId, Body)>,
         out: &mut Vec<Action>,
@@ -133,7 +119,7 @@
         }
     }
 
-    fn ask(
+    pub(super) fn ask(
         &mut self,
         purpose: Purpose,
         request: Request,
@@ -199,40 +185,6 @@
         }
     }
 
-    /// A node that knows nobody asks its contacts, and if there are none
-    /// becomes one.
-    fn rejoin(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let alone = self.gossip.members().directory().live() <= 1;
-        let due = |at: Millis| now.since(at) >= REJOIN;
-        if !alone || !self.control.joined.is_some_and(due) {
-            return;
-        }
-        self.control.joined = Some(now);
-        let prefix = contacts_prefix();
-        self.ask(Purpose::Contacts, Request::List { prefix }, out);
-    }
-
-    fn join(
-        &mut self,
-        now: Millis,
-        contacts: Vec<NodeId>,
-        out: &mut Vec<Action>,
-    ) {
-        let me = self.me.node;
-        let others = contacts.into_iter().filter(|c| *c != me);
-        self.control.contacts = others.collect();
-        self.control.joined = Some(now);
-        let mut sent = Vec::new();
-        for contact in &self.control.contacts {
-            self.gossip.join(*contact, &mut sent);
-        }
-        let live = self.gossip.members().directory().live();
-        if sent.is_empty() && live <= 1 {
-            self.gossip.alone();
-        }
-        self.post_all(sent, out);
-    }
-
     /// True if this node is one of the few of its zone that hold a watch
     /// and keep the contacts: the highest by a hash of zone and node.
     fn is_keeper(&self) -> bool {
@@ -573,87 +525,6 @@
         }
     }
 
-    fn listed(&mut self, now: Millis, reply: Reply, out: &mut Vec<Action>) {
-        let objects = match reply {
-            Reply::Listed(objects) => objects,
-            Reply::Absent => Vec::new(),
-            _ => {
-                self.control.joined = Some(now);
-                return;
-            }
-        };
-        let all = objects.iter().filter_map(|(_, o)| read_contacts(o));
-        let nodes = all.flat_map(|c| c.nodes).collect();
-        self.join(now, nodes, out);
-    }
-
-    /// Looks at the contacts of all zones: introduces this node to those
-    /// that it does not know, so that zones find each other, and writes
-    /// those of its own zone anew if too few of them are alive.
-    fn contacts_read(
-        &mut self,
-        now: Millis,
-        reply: Reply,
-        out: &mut Vec<Action>,
-    ) {
-        let objects = match reply {
-            Reply::Listed(objects) => objects,
-            Reply::Absent => Vec::new(),
-            _ => return,
-        };
-        let tried = self.control.contacts.clone();
-        let strangers = self.strangers(&objects);
-        let key = contacts_key(&self.config.zone);
-        let own = objects.iter().find(|(k, _)| *k == key);
-        let old = own.and_then(|(_, object)| read_contacts(object));
-        let old = old.unwrap_or_default();
-        let untried = |n: &NodeId| strangers.contains(n) && !tried.contains(n);
-        let wait = old.nodes.iter().any(untried);
-        if !strangers.is_empty() {
-            self.join(now, strangers, out);
-        }
-        if wait {
-            // Somebody wrote since this node asked the contacts of its
-            // zone: their answer comes first.
-            return;
-        }
-        let base = own.map(|(_, object)| object.version);
-        self.write_contacts(base, &old, out);
-    }
-
-    /// Contacts that are not known to be alive.
-    fn strangers(&self, objects: &[(Key, Object)]) -> Vec<NodeId> {
-        let directory = self.gossip.members().directory();
-        let known =
-            |n: &NodeId| directory.get(*n).is_some_and(|r| r.is_live());
-        let all = objects.iter().filter_map(|(_, o)| read_contacts(o));
-        let nodes = all.flat_map(|c| c.nodes);
-        nodes.filter(|n| !known(n)).collect()
-    }
-
-    fn write_contacts(
-        &mut self,
-        base: Option<Version>,
-        old: &Contacts,
-        out: &mut Vec<Action>,
-    ) {
-        let directory = self.gossip.members().directory();
-        let zone = directory.in_zone(&self.config.zone);
-        let alive = old.nodes.iter().filter(|n| zone.contains(n)).count();
-        if alive >= CONTACTS.min(zone.len()) {
-            return;
-        }
-        let mut nodes = zone.to_vec();
-        nodes.sort_by_key(|n| std::cmp::Reverse(digest::of(n)));
-        nodes.truncate(CONTACTS);
-        let contacts = Contacts { nodes };
-        let value = serde_json::to_string(&contacts);
-        let value = value.expect("plain data serializes");
-        let key = contacts_key(&self.config.zone);
-        let request = Request::Put { key, base, value };
-        self.ask(Purpose::WriteContacts, request, out);
-    }
-
     /// Tells some peers at once of a change that must not wait for the
     /// next probe.
     pub(super) fn push_news(&mut self, out: &mut Vec<Action>) {
@@ -671,15 +542,3 @@
         self.push_news(out);
     }
 }
-
-fn contacts_prefix() -> Key {
-    Key("contacts/".to_string())
-}
-
-fn read_contacts(object: &Object) -> Option<Contacts> {
-    serde_json::from_str(&object.value).ok()
-}
-
-fn contacts_key(zone: &Zone) -> Key {
-    Key(format!("contacts/{zone}"))
-}
--- a/crates/walnutmoor-core/src/node/mod.rs
+++ b/crates/walnutmoor-core/src/node/mod.rs
@@ -30,9 +30,11 @@
 ```
 */
 
+mod contacts;
 mod control;
 mod entry;
 mod event;
+mod issue;
 mod options;
 mod serve;
 mod stat;
@@ -206,7 +208,7 @@
     asks: Map<CallId, tickets::Asking>,
     inspections: Map<AskId, tickets::Inspecting>,
     ran: tickets::Ran,
-    stamps: tickets::Stamps,
+    stamps: issue::Stamps,
     // Agreement.
     gossip: Gossip,
     configuration: config::Config,
@@ -251,7 +253,7 @@
             asks: Map::default(),
             inspections: Map::default(),
             ran: tickets::Ran::new(config.tickets_max),
-            stamps: tickets::Stamps::default(),
+            stamps: issue::Stamps::default(),
             gossip: Gossip::new(record, now),
             configuration: config::Config::default(),
             table: config::Table::default(),
