--- /dev/null
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -0,0 +1,228 @@
+/*!
+The choice of the instance that gets a request.
+
+The load pattern: instances of one service differ in speed by three times,
+some turn slow or fail part of their requests while their health is good, and
+what is known of them is a few milliseconds old. The cheapest one is chosen:
+its wait for this rank, its run time, what this node has sent it since its
+last report, and what its recent failures make a request lose. One in the own
+zone is kept as long as it costs little more, since bytes between zones cost.
+
+# Example
+
+```
+use walnutmoor_core::{balance::*, bulkhead::Load, prelude::*};
+
+let id = |port| NodeId(([127, 0, 0, 1], port).into());
+let mut balance = Balance::new("a".parse().unwrap());
+let (service, zone) = ("desk".parse().unwrap(), "b".parse().unwrap());
+balance.join(id(1), &service, &zone);
+balance.report(id(1), Load { accepting: true, limit: 4, ..Load::default() });
+let want = Want { service: &service, priority: 0, target: Millis(100) };
+assert_eq!(balance.choose(Millis(0), want, &[]), Choice::Send(id(1)));
+assert_eq!(balance.choose(Millis(0), want, &[id(1)]), Choice::None);
+```
+*/
+
+use crate::{
+    bulkhead::{Load, RANKS},
+    digest::Map,
+    id::{NodeId, Service, Zone},
+    time::Millis,
+};
+
+/// The part of a request's target that staying in the own zone may cost.
+const STAY: f64 = 0.25;
+
+/// How fast the share of failures follows: half of it is forgotten after
+/// some 14 requests.
+const FAIL_STEP: f64 = 0.05;
+
+/// The share of failures that an instance keeps at most in this node's
+/// eyes, so that some requests go on to tell when it has recovered.
+const FAIL_MAX: f64 = 0.95;
+
+/// What a request wants.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// The rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The time within which its answer is worth most.
+    pub target: Millis,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// To this node's instance.
+    Send(NodeId),
+    /// Nowhere: no instance that takes work is known.
+    None,
+}
+
+#[derive(Debug)]
+struct Server {
+    zone: Zone,
+    load: Load,
+    reported: bool,
+    /// Requests that this node has under way there.
+    under_way: usize,
+    /// The same, when the last report came.
+    under_way_then: usize,
+    failing: f64,
+    down_until: Millis,
+}
+
+/// What a node knows of the instances of all services.
+#[derive(Debug)]
+pub struct Balance {
+    zone: Zone,
+    services: Map<Service, Vec<NodeId>>,
+    servers: Map<NodeId, (Service, Server)>,
+    turn: usize,
+}
+
+impl Balance {
+    /// A node in this zone that knows nobody.
+    pub fn new(zone: Zone) -> Balance {
+        Balance {
+            zone,
+            services: Map::default(),
+            servers: Map::default(),
+            turn: 0,
+        }
+    }
+
+    /// A node stands beside an instance of a service.
+    pub fn join(&mut self, id: NodeId, service: &Service, zone: &Zone) {
+        if let Some((known, _)) = self.servers.get(&id) {
+            if known == service {
+                return;
+            }
+            self.leave(id);
+        }
+        let server = Server {
+            zone: zone.clone(),
+            load: Load::default(),
+            reported: false,
+            under_way: 0,
+            under_way_then: 0,
+            failing: 0.0,
+            down_until: Millis(0),
+        };
+        self.servers.insert(id, (service.clone(), server));
+        self.services.entry(service.clone()).or_default().push(id);
+    }
+
+    /// A node is gone.
+    pub fn leave(&mut self, id: NodeId) {
+        let Some((service, _)) = self.servers.remove(&id) else {
+            return;
+        };
+        if let Some(ids) = self.services.get_mut(&service) {
+            ids.retain(|other| *other != id);
+        }
+    }
+
+    /// A node tells the load of its instance.
+    pub fn report(&mut self, id: NodeId, load: Load) {
+        if let Some((_, server)) = self.servers.get_mut(&id) {
+            server.load = load;
+            server.reported = true;
+            server.under_way_then = server.under_way;
+        }
+    }
+
+    /// A node can't be reached until then.
+    pub fn down(&mut self, id: NodeId, until: Millis) {
+        if let Some((_, server)) = self.servers.get_mut(&id) {
+            server.down_until = until;
+        }
+    }
+
+    /// A request was sent there.
+    pub fn sent(&mut self, id: NodeId) {
+        if let Some((_, server)) = self.servers.get_mut(&id) {
+            server.under_way += 1;
+        }
+    }
+
+    /// A request came back. `failed` tells whether the instance failed it;
+    /// `None` if it says nothing of the instance.
+    pub fn done(&mut self, id: NodeId, failed: Option<bool>) {
+        let Some((_, server)) = self.servers.get_mut(&id) else {
+            return;
+        };
+        server.under_way = server.under_way.saturating_sub(1);
+        server.under_way_then = server.under_way_then.min(server.under_way);
+        if let Some(failed) = failed {
+            let target = if failed { FAIL_MAX } else { 0.0 };
+            server.failing += (target - server.failing) * FAIL_STEP;
+        }
+    }
+
+    /// Chooses an instance that is not among `tried`.
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        want: Want<'_>,
+        tried: &[NodeId],
+    ) -> Choice {
+        let Some(ids) = self.services.get(want.service) else {
+            return Choice::None;
+        };
+        self.turn = self.turn.wrapping_add(1);
+        let rank = usize::from(want.priority).min(RANKS - 1);
+        let stay = want.target.0 as f64 * STAY;
+        let mut best: Option<(f64, NodeId)> = None;
+        for at in 0..ids.len() {
+            let id = ids[(at + self.turn) % ids.len()];
+            let Some((_, server)) = self.servers.get(&id) else {
+                continue;
+            };
+            let usable = server.reported && server.load.accepting;
+            if !usable || server.down_until > now || tried.contains(&id) {
+                continue;
+            }
+            let mut cost = server.cost(rank, want.target);
+            if server.zone != self.zone {
+                cost += stay;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        match best {
+            Some((_, id)) => Choice::Send(id),
+            None => Choice::None,
+        }
+    }
+
+    /// The load that a node's instance last reported.
+    pub fn load(&self, id: NodeId) -> Option<Load> {
+        self.servers.get(&id).map(|(_, server)| server.load)
+    }
+
+    /// Nodes with their services, in no order.
+    pub fn servers(&self) -> impl Iterator<Item = (NodeId, &Service)> {
+        self.servers.iter().map(|(id, (service, _))| (*id, service))
+    }
+}
+
+impl Server {
+    /// The milliseconds that a request of this rank is expected to take,
+    /// with those that its likely failure makes it lose.
+    fn cost(&self, rank: usize, target: Millis) -> f64 {
+        let load = &self.load;
+        let limit = f64::from(load.limit.max(1));
+        let takes = f64::from(load.takes[rank]);
+        let unseen = self.under_way.saturating_sub(self.under_way_then);
+        let held = f64::from(load.held) + unseen as f64;
+        let over = (held + 1.0 - limit).max(0.0).min(unseen as f64 + 1.0);
+        let wait = f64::from(load.waits[rank]) + over * takes / limit;
+        let lost = self.failing * target.0 as f64;
+        wait + takes + lost
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -0,0 +1,363 @@
+/*!
+The bulkhead in front of one instance: what runs, what waits, what is turned
+away.
+
+The load pattern: more work arrives than the instance has slots. Some
+instances never answer what they can't queue, and all of them slow down when
+their last slots fill, so no more is handed over than they run well. The rest
+waits here, the most urgent first and among equals the one whose time ends
+first, which is the one that has been refused before. A caller that
+would wait long is told so at once: a late refusal costs it the time
+in which it could have come back.
+
+# Example
+
+```
+use walnutmoor_core::{bulkhead::*, prelude::*};
+
+let mut bulkhead = Bulkhead::new();
+bulkhead.open(1);
+let work = |id| Work {
+    id: CallId(id),
+    priority: 0,
+    target: Millis(100),
+    deadline: Millis(1_000),
+};
+assert_eq!(bulkhead.offer(Millis(0), work(1)), Offer::Run);
+assert_eq!(bulkhead.offer(Millis(0), work(2)), Offer::Wait);
+bulkhead.finish(Millis(5), CallId(1), true);
+assert_eq!(bulkhead.next(Millis(5)), Some(Next::Run(CallId(2))));
+```
+*/
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{digest::Map, id::CallId, time::Millis};
+
+/// What an instance says of its load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Occupancy {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside the instance.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+}
+
+/// Ranks that are told apart; all that are less urgent count as the last.
+pub const RANKS: usize = 3;
+
+/// The part of an instance's slots that is used. Instances slow down by a
+/// third in their last twentieth, which costs more than the slots bring.
+const USED: f64 = 0.95;
+
+/// The part of the slots that each less urgent rank keeps while it has work
+/// waiting, so that no class starves behind another.
+const RESERVE: f64 = 0.12;
+
+/// What part of its target a request may wait, by rank. The least urgent is
+/// refused within an eighth, in time to come back; more urgent ones are worth a
+/// longer wait, as refusing an inner call wastes its parent's work.
+const PATIENCE: [f64; RANKS] = [0.25, 0.5, 0.125];
+
+/// How fast the mean of run times follows: half of it is forgotten after
+/// some 14 runs.
+const MEAN_STEP: f64 = 0.05;
+
+/// Work that asks for a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Work {
+    /// Its number.
+    pub id: CallId,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The time within which its answer is worth most.
+    pub target: Millis,
+    /// When nobody waits for it any more.
+    pub deadline: Millis,
+}
+
+/// What becomes of work that was offered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// Hand it to the instance now.
+    Run,
+    /// It waits.
+    Wait,
+    /// Turn it away: it would wait too long.
+    Full {
+        /// When there may be room.
+        retry: Millis,
+    },
+    /// Turn it away: the instance takes no work.
+    Closed,
+}
+
+/// What is to be done with waiting work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Hand it to the instance.
+    Run(CallId),
+    /// Turn it away.
+    Full(CallId, Millis),
+    /// Turn it away: the instance takes no work any more.
+    Closed(CallId),
+}
+
+/// What other nodes are told of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Load {
+    /// True if it takes new work.
+    pub accepting: bool,
+    /// The wait that new work of each rank would find.
+    pub waits: [u16; RANKS],
+    /// How long work of each rank takes, once it runs.
+    pub takes: [u16; RANKS],
+    /// Slots that are used.
+    pub limit: u16,
+    /// Work that runs or waits.
+    pub held: u16,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    id: CallId,
+    since: Millis,
+    target: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    rank: usize,
+    since: Millis,
+}
+
+type Place = (usize, Millis, u64);
+
+/// The state of the bulkhead.
+#[derive(Debug)]
+pub struct Bulkhead {
+    open: bool,
+    limit: usize,
+    running: Map<CallId, Running>,
+    per_rank: [usize; RANKS],
+    queue: BTreeMap<Place, Waiting>,
+    places: Map<CallId, Place>,
+    queued: [usize; RANKS],
+    takes: [f64; RANKS],
+    arrivals: u64,
+}
+
+impl Default for Bulkhead {
+    fn default() -> Bulkhead {
+        Bulkhead::new()
+    }
+}
+
+impl Bulkhead {
+    /// A bulkhead that takes nothing yet.
+    pub fn new() -> Bulkhead {
+        Bulkhead {
+            open: false,
+            limit: 0,
+            running: Map::default(),
+            per_rank: [0; RANKS],
+            queue: BTreeMap::new(),
+            places: Map::default(),
+            queued: [0; RANKS],
+            takes: [0.0; RANKS],
+            arrivals: 0,
+        }
+    }
+
+    /// The instance takes work, in this many slots.
+    pub fn open(&mut self, slots: u32) {
+        self.open = true;
+        self.limit = ((f64::from(slots) * USED) as usize).max(1);
+    }
+
+    /// The instance takes no new work; what runs is finished.
+    pub fn close(&mut self) {
+        self.open = false;
+    }
+
+    /// True if the instance takes work.
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+
+    /// Work that runs.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Work that waits.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes work, lets it wait or turns it away.
+    pub fn offer(&mut self, now: Millis, work: Work) -> Offer {
+        if !self.open {
+            return Offer::Closed;
+        }
+        let rank = rank(work.priority);
+        if self.queue.is_empty() && self.running.len() < self.limit {
+            self.start(now, work.id, rank);
+            return Offer::Run;
+        }
+        let wait = self.wait(rank);
+        let patience = patience(rank, work.target);
+        let left = work.deadline.since(now);
+        let takes = Millis(self.takes[rank] as u64);
+        if wait > patience || wait + takes > left {
+            return Offer::Full { retry: wait };
+        }
+        self.arrivals += 1;
+        let place = (rank, work.deadline, self.arrivals);
+        let waiting = Waiting { id: work.id, since: now, target: work.target };
+        self.queue.insert(place, waiting);
+        self.places.insert(work.id, place);
+        self.queued[rank] += 1;
+        Offer::Wait
+    }
+
+    /// Work has left the instance. Its run time counts only if the instance
+    /// answered.
+    pub fn finish(&mut self, now: Millis, id: CallId, answered: bool) {
+        let Some(run) = self.running.remove(&id) else {
+            return;
+        };
+        self.per_rank[run.rank] -= 1;
+        if !answered {
+            return;
+        }
+        let took = now.since(run.since).0 as f64;
+        let mean = &mut self.takes[run.rank];
+        *mean = match *mean == 0.0 {
+            true => took,
+            false => *mean + (took - *mean) * MEAN_STEP,
+        };
+    }
+
+    /// Work that waits is no longer wanted. False if it does not wait.
+    pub fn cancel(&mut self, id: CallId) -> bool {
+        let Some(place) = self.places.remove(&id) else {
+            return false;
+        };
+        self.queue.remove(&place);
+        self.queued[place.0] -= 1;
+        true
+    }
+
+    /// The next thing to do with waiting work, until there is none.
+    pub fn next(&mut self, now: Millis) -> Option<Next> {
+        if !self.open {
+            let (_, waiting) = self.queue.pop_first()?;
+            self.forget(waiting.id);
+            return Some(Next::Closed(waiting.id));
+        }
+        if let Some(next) = self.overdue(now) {
+            return Some(next);
+        }
+        if self.running.len() >= self.limit {
+            return None;
+        }
+        let rank = self.turn()?;
+        let from = (rank, Millis(0), 0);
+        let (_, waiting) = self.queue.range(from..).next()?;
+        let id = waiting.id;
+        self.cancel(id);
+        self.start(now, id, rank);
+        Some(Next::Run(id))
+    }
+
+    /// What other nodes are to know.
+    pub fn load(&self) -> Load {
+        let short = |value: f64| value.min(f64::from(u16::MAX)) as u16;
+        let mut load = Load {
+            accepting: self.open,
+            limit: short(self.limit as f64),
+            held: short((self.running.len() + self.queue.len()) as f64),
+            ..Load::default()
+        };
+        for rank in 0..RANKS {
+            load.waits[rank] = short(self.wait(rank).0 as f64);
+            load.takes[rank] = short(self.takes[rank]);
+        }
+        load
+    }
+
+    fn forget(&mut self, id: CallId) {
+        if let Some(place) = self.places.remove(&id) {
+            self.queued[place.0] -= 1;
+        }
+    }
+
+    fn start(&mut self, now: Millis, id: CallId, rank: usize) {
+        self.running.insert(id, Running { rank, since: now });
+        self.per_rank[rank] += 1;
+    }
+
+    /// The first entry of a rank that has waited longer than it may. Only
+    /// the first of each rank is looked at: it is the one with least time.
+    fn overdue(&mut self, now: Millis) -> Option<Next> {
+        for rank in 0..RANKS {
+            let from = (rank, Millis(0), 0);
+            let to = (rank + 1, Millis(0), 0);
+            let first = self.queue.range(from..to).next();
+            let Some((place, waiting)) = first else {
+                continue;
+            };
+            let waited = now.since(waiting.since);
+            let over = waited > patience(rank, waiting.target);
+            if over || place.1 <= now {
+                let id = waiting.id;
+                self.cancel(id);
+                return Some(Next::Full(id, self.wait(rank)));
+            }
+        }
+        None
+    }
+
+    /// The rank that is served next: the most urgent one, unless a less
+    /// urgent one that waits holds less than its reserve.
+    fn turn(&self) -> Option<usize> {
+        let reserve = (self.limit as f64 * RESERVE) as usize;
+        let urgent = self.queued.iter().position(|count| *count > 0)?;
+        let starved = (urgent + 1..RANKS)
+            .rev()
+            .find(|r| self.queued[*r] > 0 && self.per_rank[*r] < reserve);
+        Some(starved.unwrap_or(urgent))
+    }
+
+    /// How long new work of a rank would wait: the work ahead of it, over
+    /// the slots that its rank gets.
+    fn wait(&self, rank: usize) -> Millis {
+        let free = self.limit.saturating_sub(self.running.len());
+        let ahead: usize = self.queued[..=rank].iter().sum();
+        if ahead < free {
+            return Millis(0);
+        }
+        let mut work = 0.0;
+        for r in 0..=rank {
+            work += self.queued[r] as f64 * self.takes[r];
+        }
+        work += self.takes[rank];
+        let urgent: usize = self.per_rank[..rank].iter().sum();
+        let reserve = (self.limit as f64 * RESERVE) as usize;
+        let slots = self.limit.saturating_sub(urgent).max(reserve).max(1);
+        Millis((work / slots as f64) as u64)
+    }
+}
+
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
+
+fn patience(rank: usize, target: Millis) -> Millis {
+    Millis((target.0 as f64 * PATIENCE[rank]) as u64)
+}
--- a/crates/walnutmoor-core/src/error.rs
+++ b/crates/walnutmoor-core/src/error.rs
@@ -119,6 +119,10 @@
     WitnessSilent = ("witness_silent", 503),
     /// The change was based on another revision than the one in force.
     Conflict = ("conflict", 412),
+    /// No route matches the request.
+    NoRoute = ("no_route", 404),
+    /// The route's timeout has passed; the instance may still run it.
+    Timeout = ("timeout", 504),
     /// The platform did not answer in time.
     PlatformDown = ("platform_down", 503),
 }
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -33,6 +33,8 @@
 */
 
 pub mod admit;
+pub mod balance;
+pub mod bulkhead;
 pub mod call;
 pub mod chart;
 pub mod class;
@@ -49,9 +51,11 @@
 pub mod once;
 pub mod platform;
 pub mod queue;
+pub mod repeat;
 pub mod retry;
 pub mod route;
 pub mod server;
+pub mod table;
 pub mod ticket;
 pub mod time;
 pub mod witness;
--- a/crates/walnutmoor/src/command/mod.rs
+++ b/crates/walnutmoor/src/command/mod.rs
@@ -4,6 +4,7 @@
 | command | what it does | exit codes |
 |---|---|---|
 | `node --settings F` | runs a node | 3 settings, 4 listen |
+| `mesh --settings F` | runs a node on the users' platform | 3, 4 |
 | `check --settings F` | checks settings | 3 settings |
 | `class list\\|get\\|set\\|remove` | reads and changes classes | 5 unreachable, 6 conflict, 7 refused |
 | `audit` | prints the audit trail | 5 |
@@ -17,18 +18,21 @@
 mod node;
 mod operate;
 
+use std::path::PathBuf;
+
 use getopts::Options;
 use walnutmoor_core::{
     chart::{Chart, Symbol},
     config, once, server,
 };
 
-use crate::{prelude::*, settings::Settings};
+use crate::{mesh, prelude::*, settings::Settings};
 
 const HELP: &str = "\
 walnutmoor: an overload control layer for service call graphs
 
   walnutmoor node --settings FILE     run a node
+  walnutmoor mesh --settings FILE     run a node on the users' platform
   walnutmoor check --settings FILE    check settings and start nothing
   walnutmoor class list               show the classes in force
   walnutmoor class get NAME           show one class
@@ -54,6 +58,7 @@
     };
     match command.as_str() {
         "node" => with_settings("node", rest, node::run),
+        "mesh" => mesh(rest),
         "check" => with_settings("check", rest, check),
         "class" => operate::class(rest),
         "audit" => operate::audit(rest),
@@ -94,21 +99,40 @@
     }
 }
 
+fn mesh(words: &[String]) -> Result<(), Failure> {
+    let Some(path) = settings_path("mesh", words)? else {
+        return Ok(());
+    };
+    let settings = mesh::settings::Settings::read(&path)?;
+    mesh::run(settings, path)
+}
+
 fn with_settings(
     name: &str,
     words: &[String],
     then: impl FnOnce(Settings) -> Result<(), Failure>,
 ) -> Result<(), Failure> {
+    match settings_path(name, words)? {
+        Some(path) => then(Settings::read(&path)?),
+        None => Ok(()),
+    }
+}
+
+/// The settings file that the words name; `None` if the help was printed.
+fn settings_path(
+    name: &str,
+    words: &[String],
+) -> Result<Option<PathBuf>, Failure> {
     let mut options = Options::new();
     options.optopt("", "settings", "the settings file, in YAML", "FILE");
     let brief = format!("{name} --settings FILE");
     let Some(matches) = parse(&mut options, &brief, words)? else {
-        return Ok(());
+        return Ok(None);
     };
     no_more(&matches)?;
     let missing = || Failure::usage("--settings FILE is missing");
     let path = matches.opt_str("settings").ok_or_else(missing)?;
-    then(Settings::read(path.as_ref())?)
+    Ok(Some(path.into()))
 }
 
 fn check(settings: Settings) -> Result<(), Failure> {
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -0,0 +1,309 @@
+/*!
+Finds the instance for a request, and another one if need be.
+
+A request that is proved not to have run moves on at no cost. One that may
+have run goes to another instance only if it is idempotent, within the
+route's bound and the allowance of the instance that gets it. What was turned
+away everywhere is refused with the word that it did not run; what may have
+run is not.
+*/
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::{sync::oneshot, time::sleep};
+use walnutmoor_core::{
+    balance::{Choice, Want},
+    error::Kind,
+    id::{CallId, NodeId, Service},
+    table::{Effect, Route},
+    time::Millis,
+};
+
+use super::{
+    frame::{Call, Headers, Reply},
+    journal::Event,
+    link::Link,
+    serve::Sink,
+    state::State,
+};
+
+/// When a caller is told to come back if no instance is known to take work:
+/// links and heartbeats come back within a second or so.
+const RETRY_NOBODY: Millis = Millis(600);
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Service,
+    /// The caller's id of the attempt.
+    pub attempt: String,
+    /// The method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// The headers that are passed on.
+    pub headers: Headers,
+    /// The whole body.
+    pub body: Bytes,
+    /// When its final answer is due: the route's timeout, or the end of the
+    /// caller's time.
+    pub deadline: Millis,
+    /// The end of the caller's time.
+    pub caller_deadline: Millis,
+}
+
+/// The end of a request.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// An instance answered.
+    Answered {
+        /// The status.
+        status: u16,
+        /// The headers that are passed on.
+        headers: Headers,
+        /// The whole body.
+        body: Bytes,
+    },
+    /// It did not run.
+    Refused(Kind, Millis),
+    /// It may have run.
+    Failed(Kind),
+}
+
+/// A request under way at one instance. Dropped early, it is canceled there.
+struct Flight<'a> {
+    state: &'a Rc<State>,
+    node: NodeId,
+    way: Way,
+    landed: bool,
+}
+
+enum Way {
+    Local(CallId),
+    Remote(Rc<Link>, CallId),
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        if self.landed {
+            return;
+        }
+        self.state.balance.borrow_mut().done(self.node, None);
+        match &self.way {
+            Way::Local(id) => self.state.serve.cancel(self.state, *id),
+            Way::Remote(link, id) => link.cancel(*id),
+        }
+    }
+}
+
+/// Brings a request to its end.
+pub async fn run(state: &Rc<State>, request: &Request) -> End {
+    let mut course = Course::new();
+    loop {
+        let now = state.now();
+        if now >= request.deadline {
+            return course.give_up(Kind::Timeout);
+        }
+        let choice = state.balance.borrow_mut().choose(
+            now,
+            Want {
+                service: &request.service,
+                priority: request.route.priority,
+                target: request.route.target,
+            },
+            &course.tried,
+        );
+        let node = match choice {
+            Choice::Send(node) => node,
+            Choice::None => return course.nobody(),
+        };
+        let Some((flight, receiver)) = send(state, request, node, &course)
+        else {
+            course.tried.push(node);
+            continue;
+        };
+        let Some(reply) = land(state, request, flight, receiver).await else {
+            course.may_have_run = true;
+            return course.give_up(Kind::Timeout);
+        };
+        if let Some(end) = course.take(state, request, node, reply) {
+            return end;
+        }
+    }
+}
+
+/// What has become of a request so far.
+struct Course {
+    tried: Vec<NodeId>,
+    /// Instances that it has reached.
+    reached: u8,
+    may_have_run: bool,
+    /// The last answer that an instance failed it with.
+    failed: Option<Reply>,
+    /// Why it was turned away last, and when there may be room.
+    refusal: Option<(Kind, Millis)>,
+}
+
+impl Course {
+    fn new() -> Course {
+        Course {
+            tried: Vec::new(),
+            reached: 0,
+            may_have_run: false,
+            failed: None,
+            refusal: None,
+        }
+    }
+
+    /// Takes a reply; `None` if another instance is to be tried.
+    fn take(
+        &mut self,
+        state: &Rc<State>,
+        request: &Request,
+        node: NodeId,
+        reply: Reply,
+    ) -> Option<End> {
+        self.tried.push(node);
+        let again = request.route.effect == Effect::Idempotent;
+        let more = self.reached + 1 < request.route.attempts;
+        match reply {
+            Reply::Answered { status, .. } if status < 500 => {
+                state.balance.borrow_mut().done(node, Some(false));
+                Some(answered(reply))
+            }
+            Reply::Answered { .. } => {
+                state.balance.borrow_mut().done(node, Some(true));
+                self.reached += 1;
+                if !again || !more {
+                    return Some(answered(reply));
+                }
+                self.may_have_run = true;
+                self.failed = Some(reply);
+                self.note(state, request, node, "the instance failed");
+                None
+            }
+            Reply::NotRun { kind, retry, reached } => {
+                let failed = reached.then_some(true);
+                state.balance.borrow_mut().done(node, failed);
+                self.reached += u8::from(reached);
+                self.refusal = Some((kind, retry));
+                if reached && !more {
+                    return Some(self.give_up(kind));
+                }
+                None
+            }
+            Reply::Unknown(kind) => {
+                state.balance.borrow_mut().done(node, Some(true));
+                self.reached += 1;
+                self.may_have_run = true;
+                if !again || !more {
+                    return Some(self.give_up(kind));
+                }
+                self.note(state, request, node, kind.as_str());
+                None
+            }
+        }
+    }
+
+    fn note(&self, state: &State, request: &Request, node: NodeId, why: &str) {
+        let fields = [
+            ("from", node.to_string().into()),
+            ("why", why.into()),
+            ("reached", self.reached.into()),
+        ];
+        let id = &request.attempt;
+        state.journal.request(state.now(), Event::Retry, id, &fields);
+    }
+
+    /// No instance is left to be tried.
+    fn nobody(&mut self) -> End {
+        let (kind, _) =
+            self.refusal.unwrap_or((Kind::Unreachable, RETRY_NOBODY));
+        self.give_up(kind)
+    }
+
+    fn give_up(&mut self, kind: Kind) -> End {
+        if let Some(reply) = self.failed.take() {
+            return answered(reply);
+        }
+        if self.may_have_run {
+            let kind = match kind {
+                Kind::Timeout => Kind::Timeout,
+                _ => Kind::Broken,
+            };
+            return End::Failed(kind);
+        }
+        let retry = self.refusal.map_or(RETRY_NOBODY, |(_, retry)| retry);
+        End::Refused(kind, retry)
+    }
+}
+
+fn answered(reply: Reply) -> End {
+    match reply {
+        Reply::Answered { status, headers, body } => {
+            End::Answered { status, headers, body }
+        }
+        _ => End::Failed(Kind::Broken),
+    }
+}
+
+/// Hands a request to a node; `None` if nothing was sent.
+fn send<'a>(
+    state: &'a Rc<State>,
+    request: &Request,
+    node: NodeId,
+    course: &Course,
+) -> Option<(Flight<'a>, oneshot::Receiver<Reply>)> {
+    let now = state.now();
+    let call = Call {
+        id: CallId(0),
+        service: request.service.clone(),
+        caller: state.settings.service.clone(),
+        attempt: request.attempt.clone(),
+        effect: request.route.effect,
+        priority: request.route.priority,
+        target: request.route.target,
+        left: request.deadline.since(now),
+        caller_left: request.caller_deadline.since(now),
+        repeat: course.reached > 0,
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+    };
+    let (way, receiver) = if node == state.me {
+        let (sender, receiver) = oneshot::channel();
+        let id = state.serve.number();
+        state.serve.submit(state, id, call, Sink::Local(sender));
+        (Way::Local(id), receiver)
+    } else {
+        let link = state.link(node)?;
+        let (id, receiver) = link.call(call)?;
+        (Way::Remote(link, id), receiver)
+    };
+    state.balance.borrow_mut().sent(node);
+    Some((Flight { state, node, way, landed: false }, receiver))
+}
+
+/// Waits for the reply; `None` if the time is over first.
+async fn land(
+    state: &Rc<State>,
+    request: &Request,
+    mut flight: Flight<'_>,
+    receiver: oneshot::Receiver<Reply>,
+) -> Option<Reply> {
+    let left = request.deadline.since(state.now());
+    tokio::select! {
+        biased;
+        reply = receiver => {
+            flight.landed = true;
+            // Only a node that ends drops what it was asked for.
+            Some(reply.unwrap_or(Reply::Unknown(Kind::Broken)))
+        }
+        () = sleep(Duration::from_millis(left.0)) => None,
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -0,0 +1,172 @@
+/*!
+What travels between two nodes.
+
+A link is one TCP connection, opened by the node that sends requests over it.
+Each frame is a length of four bytes, the smaller end first, and a message in
+`postcard`. Many requests are under way on a link at once, so a wait of one
+holds up no other.
+
+# Example
+
+```
+use walnutmoor::mesh::frame::{self, Frame};
+
+let mut bytes = bytes::BytesMut::new();
+frame::encode(&Frame::Fetch, &mut bytes);
+assert_eq!(frame::decode(&mut bytes), Ok(Some(Frame::Fetch)));
+assert_eq!(frame::decode(&mut bytes), Ok(None));
+```
+*/
+
+use bytes::{Buf, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use walnutmoor_core::{
+    bulkhead::Load,
+    error::Kind,
+    id::{CallId, Incarnation, NodeId, Revision, Service, Zone},
+    table::Effect,
+    time::Millis,
+};
+
+/// The longest frame: the longest body that the platform allows, with room
+/// for its head.
+const FRAME_MAX: usize = 72 << 20;
+
+/// Headers as they travel: names and values, in order.
+pub type Headers = Vec<(String, Bytes)>;
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum Frame {
+    /// The first frame in either direction.
+    Hello(Hello),
+    /// Run this.
+    Call(Box<Call>),
+    /// The caller left, or its time is over.
+    Cancel(CallId),
+    /// What became of these? Asked after a link broke.
+    Query(Vec<CallId>),
+    /// What became of a call.
+    Answer(CallId, Reply, Load),
+    /// Are you there? Carries the desired state that the sender has.
+    Ping(Revision),
+    /// I am. Carries the same, and the load.
+    Pong(Revision, Load),
+    /// Send me your desired state.
+    Fetch,
+    /// The desired state, as the store holds it.
+    Desired(Revision, Bytes),
+}
+
+/// Who speaks.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Hello {
+    /// Where it listens for links.
+    pub node: NodeId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The service of the instance beside it.
+    pub service: Service,
+    /// The desired state that it has.
+    pub revision: Revision,
+    /// The load of its instance.
+    pub load: Load,
+    /// Other nodes that it knows.
+    pub known: Vec<NodeId>,
+}
+
+/// A request on its way to an instance.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Call {
+    /// Its number on this link; grows by one with each call.
+    pub id: CallId,
+    /// The service that is to run it.
+    pub service: Service,
+    /// The service beside which it began.
+    pub caller: Service,
+    /// The caller's id of the attempt.
+    pub attempt: String,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// Its rank.
+    pub priority: u8,
+    /// The time within which its answer is worth most.
+    pub target: Millis,
+    /// What is left until the route's timeout.
+    pub left: Millis,
+    /// What is left of the caller's own time.
+    pub caller_left: Millis,
+    /// True if an instance may have been reached by it before.
+    pub repeat: bool,
+    /// The method.
+    pub method: String,
+    /// Path and query, unchanged.
+    pub path: String,
+    /// The headers that are passed on.
+    pub headers: Headers,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum Reply {
+    /// The instance answered.
+    Answered {
+        /// The status.
+        status: u16,
+        /// The headers that are passed on.
+        headers: Headers,
+        /// The whole body.
+        body: Bytes,
+    },
+    /// It was not run, and this call never will be.
+    NotRun {
+        /// Why.
+        kind: Kind,
+        /// When there may be room.
+        retry: Millis,
+        /// True if the instance saw it and turned it away.
+        reached: bool,
+    },
+    /// It may have run.
+    Unknown(Kind),
+}
+
+/// A frame that can't be read; the link is broken.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a frame of {0} bytes can't be read")]
+pub struct Error(usize);
+
+/// Appends a frame.
+pub fn encode(frame: &Frame, out: &mut BytesMut) {
+    let body = postcard::to_allocvec(frame);
+    // Plain data in memory always encodes.
+    let body = body.expect("a frame encodes");
+    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    out.extend_from_slice(&body);
+}
+
+/// Takes the first whole frame; `None` if more bytes are needed.
+///
+/// # Errors
+///
+/// If what is there is no frame.
+pub fn decode(input: &mut BytesMut) -> Result<Option<Frame>, Error> {
+    let Some(head) = input.first_chunk::<4>() else {
+        return Ok(None);
+    };
+    let len = u32::from_le_bytes(*head) as usize;
+    if len > FRAME_MAX {
+        return Err(Error(len));
+    }
+    if input.len() < 4 + len {
+        input.reserve(4 + len - input.len());
+        return Ok(None);
+    }
+    input.advance(4);
+    let body = input.split_to(len);
+    postcard::from_bytes(&body).map(Some).map_err(|_| Error(len))
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -0,0 +1,276 @@
+/*!
+Takes requests from callers and from the instance beside this node, and
+answers them.
+*/
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, header as names, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use walnutmoor_core::{error::Kind, table::Table, time::Millis};
+use walnutmoor_platform::header;
+
+use super::{
+    dispatch::{self, End},
+    journal::Event,
+    state::{Phase, State},
+    wire::{self, Answer},
+};
+
+/// Callers' requests under way at most. With 12 KB each they take 36 MB of
+/// the 260 MB that a node has.
+const UNDER_WAY_MAX: usize = 3_000;
+
+/// Bytes of bodies held for callers at most, out of the same.
+const HELD_MAX: usize = 96 << 20;
+
+/// When a caller may come back that met a node which does not know the
+/// desired state yet; reading it takes some tens of milliseconds.
+const RETRY_STARTING: Millis = Millis(300);
+
+/// How long a connection may wait for a request where the operator sets no
+/// limit yet.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// The time that a caller has if it names none.
+const TIME_LEFT: Millis = Millis(30_000);
+
+/// Accepts connections until the process ends.
+pub async fn listen(state: Rc<State>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(state.clone(), stream));
+            }
+            Err(error) => {
+                let fields = [("why", error.to_string().into())];
+                state.journal.change(state.now(), Event::Fault, &fields);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve(state: Rc<State>, stream: TcpStream) {
+    // Only a delay would follow.
+    let _ = stream.set_nodelay(true);
+    let limits = state.table().map(|table| table.limits);
+    let idle = limits.map_or(IDLE, |limits| {
+        let longest = limits.idle.0.max(limits.head_time.0);
+        Duration::from_millis(longest + 1_000)
+    });
+    let service = service_fn(move |request| {
+        let state = state.clone();
+        async move { Ok::<_, Infallible>(take(state, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    builder.auto_date_header(false);
+    // A caller that breaks off is no fault of this node.
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Counts a request for as long as it lasts, and notes when its caller has
+/// left: the whole task is then dropped.
+struct Stay {
+    state: Rc<State>,
+    attempt: String,
+    since: Millis,
+    held: usize,
+    over: bool,
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        let state = &self.state;
+        state.under_way.set(state.under_way.get() - 1);
+        state.held.set(state.held.get() - self.held);
+        if self.over {
+            return;
+        }
+        metrics::counter!("walnutmoor_canceled_total").increment(1);
+        let now = state.now();
+        let fields = [("after_ms", now.since(self.since).0.into())];
+        let id = &self.attempt;
+        state.journal.request(now, Event::Canceled, id, &fields);
+    }
+}
+
+async fn take(state: Rc<State>, request: Request<Incoming>) -> Answer {
+    let since = state.now();
+    state.under_way.set(state.under_way.get() + 1);
+    let attempt = header::attempt(request.headers());
+    let mut stay = Stay {
+        attempt: attempt.unwrap_or_default().to_string(),
+        state: state.clone(),
+        since,
+        held: 0,
+        over: false,
+    };
+    let mut answer = match admit(&state, &mut stay, request).await {
+        Ok(request) => {
+            let end = dispatch::run(&state, &request).await;
+            conclude(&state, &stay, &request, end)
+        }
+        Err(kind) => turn_away(&state, &stay, kind),
+    };
+    stay.over = true;
+    if state.phase.get() != Phase::Serving {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(names::CONNECTION, close);
+    }
+    answer
+}
+
+/// Reads a request and finds its route.
+async fn admit(
+    state: &Rc<State>,
+    stay: &mut Stay,
+    request: Request<Incoming>,
+) -> Result<dispatch::Request, Kind> {
+    let table = state.table().ok_or(Kind::Starting)?;
+    if state.phase.get() == Phase::Finishing {
+        return Err(Kind::Leaving);
+    }
+    if state.under_way.get() > UNDER_WAY_MAX {
+        return Err(Kind::Full);
+    }
+    if stay.attempt.is_empty() {
+        return Err(Kind::Malformed);
+    }
+    let (mut head, body) = request.into_parts();
+    let route = host(&head).and_then(|h| table.find(h, head.uri.path()));
+    let route = route.ok_or(Kind::NoRoute)?.clone();
+    let body = read(state, stay, &table, &head.headers, body).await?;
+    let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
+    let service = state.splitter.borrow_mut().pick(&route);
+    header::prepare(&mut head.headers);
+    Ok(dispatch::Request {
+        service: service.ok_or(Kind::UnknownService)?,
+        attempt: stay.attempt.clone(),
+        method: head.method.to_string(),
+        path: path(&head),
+        headers: wire::pack(&head.headers),
+        body,
+        deadline: stay.since + left.min(route.timeout),
+        caller_deadline: stay.since + left,
+        route,
+    })
+}
+
+fn host(head: &Parts) -> Option<&str> {
+    match head.uri.host() {
+        Some(host) => Some(host),
+        None => head.headers.get(names::HOST)?.to_str().ok(),
+    }
+}
+
+fn path(head: &Parts) -> String {
+    let path = head.uri.path_and_query();
+    path.map_or("/", |path| path.as_str()).to_string()
+}
+
+async fn read(
+    state: &State,
+    stay: &mut Stay,
+    table: &Table,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<Bytes, Kind> {
+    let length = headers.get(names::CONTENT_LENGTH);
+    let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    if length > table.limits.body {
+        return Err(Kind::TooLarge);
+    }
+    if state.held.get() + length > HELD_MAX {
+        return Err(Kind::Full);
+    }
+    let room = HELD_MAX - state.held.get();
+    let limit = table.limits.body.min(room);
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => {
+            let body = body.to_bytes();
+            stay.held = body.len();
+            state.held.set(state.held.get() + body.len());
+            Ok(body)
+        }
+        Err(error) if error.is::<LengthLimitError>() => {
+            match limit < table.limits.body {
+                true => Err(Kind::Full),
+                false => Err(Kind::TooLarge),
+            }
+        }
+        Err(_) => Err(Kind::Malformed),
+    }
+}
+
+fn turn_away(state: &Rc<State>, stay: &Stay, kind: Kind) -> Answer {
+    metrics::counter!("walnutmoor_refused_total", "kind" => kind.as_str())
+        .increment(1);
+    let fields = [
+        ("why", kind.as_str().into()),
+        ("revision", state.revision().0.into()),
+    ];
+    let id = &stay.attempt;
+    state.journal.request(state.now(), Event::Refused, id, &fields);
+    match kind {
+        Kind::Starting | Kind::Leaving | Kind::Full => {
+            wire::refuse(kind, state.spread(RETRY_STARTING))
+        }
+        Kind::UnknownService => wire::refuse(kind, RETRY_STARTING),
+        _ => wire::fail(kind),
+    }
+}
+
+/// The shortest span after which a caller is told to come back: room that
+/// is short now is seldom there sooner.
+const RETRY_MIN: Millis = Millis(250);
+
+fn conclude(
+    state: &Rc<State>,
+    stay: &Stay,
+    request: &dispatch::Request,
+    end: End,
+) -> Answer {
+    let now = state.now();
+    let after = now.since(stay.since);
+    let route = &request.route;
+    let id = &request.attempt;
+    let (event, outcome, why) = match &end {
+        End::Answered { status, .. } if *status < 500 => {
+            (Event::Answered, "answered", "")
+        }
+        End::Answered { .. } => (Event::Unknown, "failed", "instance"),
+        End::Refused(kind, _) => (Event::Refused, "refused", kind.as_str()),
+        End::Failed(kind) => (Event::Unknown, "unknown", kind.as_str()),
+    };
+    metrics::counter!("walnutmoor_requests_total", "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("walnutmoor_request_seconds").record(after.secs());
+    if state.journal.has_room(now, event) {
+        let fields = [
+            ("why", why.into()),
+            ("route", route.name.as_str().into()),
+            ("service", request.service.as_str().into()),
+            ("revision", state.revision().0.into()),
+            ("after_ms", after.0.into()),
+            ("left_ms", request.deadline.since(now).0.into()),
+        ];
+        state.journal.request(now, event, id, &fields);
+    }
+    match end {
+        End::Answered { status, headers, body } => {
+            wire::answer(status, headers, body)
+        }
+        End::Refused(kind, retry) => {
+            let retry = Millis(retry.0.max(RETRY_MIN.0));
+            wire::refuse(kind, state.spread(retry))
+        }
+        End::Failed(kind) => wire::fail(kind),
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -0,0 +1,284 @@
+/*!
+The log: one JSON object a line on standard output.
+
+Lines pass a bounded ring to a thread of their own, as standard output may
+block. A full ring drops the line and counts it by kind; the next line that
+gets through is followed by one with these counts. Lines about single
+requests are also bounded by a rate, so that the log costs a small part of
+the processor however many requests fail.
+
+# Example
+
+```
+use walnutmoor::mesh::journal::{Event, Journal};
+use walnutmoor_core::time::Millis;
+
+let journal = Journal::silent();
+journal.request(Millis(3), Event::Refused, "9c41", &[("why", "full".into())]);
+```
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    io::Write,
+    thread::{self, JoinHandle},
+};
+
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use serde_json::{Map, Value};
+use walnutmoor_core::time::Millis;
+
+/// Lines that wait for the thread.
+const RING: usize = 1_024;
+
+/// Lines about single requests in a second; at some 300 bytes a line this
+/// keeps the log under 15 KB a second.
+const LINES_A_SECOND: u32 = 40;
+
+/// Lines about routine in a second, out of the same.
+const ROUTINE_A_SECOND: u32 = 5;
+
+/// What a line tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// The process starts.
+    Start,
+    /// The process ends.
+    Stop,
+    /// The settings were read again.
+    Reload,
+    /// A dependency can't be reached any more.
+    Lost,
+    /// It can again.
+    Regained,
+    /// A desired state came into force.
+    Desired,
+    /// A node was found, or is gone.
+    Directory,
+    /// What is believed of the own instance changed.
+    Instance,
+    /// A request was answered by an instance.
+    Answered,
+    /// A request was turned away, not run.
+    Refused,
+    /// A request ended and may have run.
+    Unknown,
+    /// A request is sent to another instance.
+    Retry,
+    /// A caller left before its answer.
+    Canceled,
+    /// Admission of a route changed.
+    Admission,
+    /// Something went wrong inside.
+    Fault,
+}
+
+impl Event {
+    /// The name in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Event::Start => "start",
+            Event::Stop => "stop",
+            Event::Reload => "reload",
+            Event::Lost => "lost",
+            Event::Regained => "regained",
+            Event::Desired => "desired",
+            Event::Directory => "directory",
+            Event::Instance => "instance",
+            Event::Answered => "answered",
+            Event::Refused => "refused",
+            Event::Unknown => "unknown",
+            Event::Retry => "retry",
+            Event::Canceled => "canceled",
+            Event::Admission => "admission",
+            Event::Fault => "fault",
+        }
+    }
+
+    fn index(self) -> usize {
+        self as usize
+    }
+}
+
+/// Number of events.
+const EVENTS: usize = Event::Fault as usize + 1;
+
+/// A named value in a line.
+pub type Field<'a> = (&'a str, Value);
+
+/// Writes the log.
+#[derive(Debug)]
+pub struct Journal {
+    node: String,
+    ring: Option<Sender<Vec<u8>>>,
+    thread: RefCell<Option<JoinHandle<()>>>,
+    dropped: RefCell<[u64; EVENTS]>,
+    second: Cell<u64>,
+    lines: Cell<u32>,
+    routine: Cell<u32>,
+}
+
+impl Journal {
+    /// A log on standard output.
+    pub fn stdout(node: &str) -> Journal {
+        let (ring, lines) = bounded(RING);
+        let thread = thread::Builder::new()
+            .name("journal".into())
+            .spawn(move || write(lines))
+            .ok();
+        Journal::with(node, Some(ring), thread)
+    }
+
+    /// A log that goes nowhere.
+    pub fn silent() -> Journal {
+        Journal::with("", None, None)
+    }
+
+    fn with(
+        node: &str,
+        ring: Option<Sender<Vec<u8>>>,
+        thread: Option<JoinHandle<()>>,
+    ) -> Journal {
+        Journal {
+            node: node.to_string(),
+            ring,
+            thread: RefCell::new(thread),
+            dropped: RefCell::new([0; EVENTS]),
+            second: Cell::new(0),
+            lines: Cell::new(0),
+            routine: Cell::new(0),
+        }
+    }
+
+    /// A line about what the process is or believes.
+    pub fn change(&self, now: Millis, event: Event, fields: &[Field<'_>]) {
+        self.line(now, event, None, fields);
+    }
+
+    /// A line about a decision on a request, if the rate allows it.
+    pub fn request(
+        &self,
+        now: Millis,
+        event: Event,
+        id: &str,
+        fields: &[Field<'_>],
+    ) {
+        if !self.spend(now, event) {
+            self.dropped.borrow_mut()[event.index()] += 1;
+            return;
+        }
+        self.line(now, event, Some(id), fields);
+    }
+
+    /// True if a line about this event would be written now. Callers that
+    /// build costly fields ask first.
+    pub fn has_room(&self, now: Millis, event: Event) -> bool {
+        let fresh = self.second.get() != now.0 / 1_000;
+        let limit = match event {
+            Event::Answered => self.routine.get() < ROUTINE_A_SECOND,
+            _ => self.lines.get() < LINES_A_SECOND,
+        };
+        let room = self.ring.is_some() && (fresh || limit);
+        if !room {
+            self.dropped.borrow_mut()[event.index()] += 1;
+        }
+        room
+    }
+
+    /// Writes what waits and ends the thread.
+    pub fn close(&mut self) {
+        self.ring = None;
+        if let Some(thread) = self.thread.borrow_mut().take() {
+            // The thread panics only if standard output is gone.
+            let _ = thread.join();
+        }
+    }
+
+    fn spend(&self, now: Millis, event: Event) -> bool {
+        let second = now.0 / 1_000;
+        if self.second.replace(second) != second {
+            self.lines.set(0);
+            self.routine.set(0);
+        }
+        if event == Event::Answered {
+            self.routine.set(self.routine.get() + 1);
+            return self.routine.get() <= ROUTINE_A_SECOND;
+        }
+        self.lines.set(self.lines.get() + 1);
+        self.lines.get() <= LINES_A_SECOND
+    }
+
+    fn line(
+        &self,
+        now: Millis,
+        event: Event,
+        id: Option<&str>,
+        fields: &[Field<'_>],
+    ) {
+        let Some(ring) = &self.ring else {
+            return;
+        };
+        let mut line = Map::new();
+        line.insert("ms".into(), now.0.into());
+        line.insert("node".into(), self.node.as_str().into());
+        line.insert("event".into(), event.as_str().into());
+        if let Some(id) = id {
+            line.insert("request".into(), id.into());
+        }
+        for (name, value) in fields {
+            line.insert((*name).into(), value.clone());
+        }
+        let mut dropped = self.dropped.borrow_mut();
+        if dropped.iter().any(|count| *count > 0) {
+            line.insert("left_out".into(), counts(&dropped));
+        }
+        let mut bytes = Value::Object(line).to_string().into_bytes();
+        bytes.push(b'\n');
+        match ring.try_send(bytes) {
+            Ok(()) => *dropped = [0; EVENTS],
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                dropped[event.index()] += 1;
+            }
+        }
+    }
+}
+
+fn counts(dropped: &[u64; EVENTS]) -> Value {
+    let all = [
+        Event::Answered,
+        Event::Refused,
+        Event::Unknown,
+        Event::Retry,
+        Event::Canceled,
+        Event::Admission,
+        Event::Instance,
+        Event::Directory,
+        Event::Fault,
+    ];
+    let mut map = Map::new();
+    for event in all {
+        let count = dropped[event.index()];
+        if count > 0 {
+            map.insert(event.as_str().into(), count.into());
+        }
+    }
+    Value::Object(map)
+}
+
+/// The pause between writes: lines that come meanwhile go out in one write,
+/// which spares wake-ups.
+const GATHER: std::time::Duration = std::time::Duration::from_millis(100);
+
+fn write(lines: Receiver<Vec<u8>>) {
+    let mut out = std::io::stdout();
+    while let Ok(mut text) = lines.recv() {
+        thread::sleep(GATHER);
+        while let Ok(line) = lines.try_recv() {
+            text.extend_from_slice(&line);
+        }
+        // Nobody reads the log any more: there is no one to tell.
+        if out.write_all(&text).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -0,0 +1,364 @@
+/*!
+The way to one other node: requests go out, answers come back.
+
+A link that breaks is opened again, and the other node is asked what became
+of the calls that were under way. It answers for those that it has seen and
+says of the others that they never ran, which turns most broken connections
+into true answers. Only if it has begun a new life, nobody can tell.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::BytesMut;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{
+        Notify,
+        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        oneshot,
+    },
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
+use walnutmoor_core::{
+    digest::Map,
+    error::Kind,
+    id::{CallId, Incarnation, NodeId},
+    table::Effect,
+    time::Millis,
+};
+
+use super::{
+    frame::{self, Call, Frame, Hello, Reply},
+    journal::Event,
+    state::State,
+};
+
+/// How long opening a connection and the first frames may take. A round
+/// trip between zones takes a millisecond, a slowed node some tens.
+const OPEN_WITHIN: Duration = Duration::from_millis(500);
+
+/// The shortest pause between tries to open.
+const PAUSE_MIN: Duration = Duration::from_millis(50);
+
+/// The longest pause between tries to open: a node that comes back is
+/// reached again within this.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// A link on which nothing was heard for this long is pinged.
+pub const QUIET: Millis = Millis(250);
+
+/// A link on which nothing was heard for this long is dead: three pings
+/// went unanswered.
+const SILENT: Millis = Millis(1_000);
+
+/// How long idempotent calls of a broken link wait for it to open again
+/// before they are sent elsewhere.
+const RESUME_WITHIN: Duration = Duration::from_millis(250);
+
+#[derive(Debug)]
+struct Pending {
+    reply: oneshot::Sender<Reply>,
+    effect: Effect,
+}
+
+/// A link to a node.
+#[derive(Debug)]
+pub struct Link {
+    /// The node.
+    pub node: NodeId,
+    out: RefCell<Option<UnboundedSender<Frame>>>,
+    pending: RefCell<Map<CallId, Pending>>,
+    last: Cell<u64>,
+    life: Cell<Option<Incarnation>>,
+    heard: Cell<Millis>,
+    broken: Notify,
+    task: RefCell<Option<AbortHandle>>,
+}
+
+impl Link {
+    /// Keeps a link to a node open from now on.
+    pub fn open(state: &Rc<State>, node: NodeId) -> Rc<Link> {
+        let link = Rc::new(Link {
+            node,
+            out: RefCell::new(None),
+            pending: RefCell::new(Map::default()),
+            last: Cell::new(0),
+            life: Cell::new(None),
+            heard: Cell::new(Millis(0)),
+            broken: Notify::new(),
+            task: RefCell::new(None),
+        });
+        let task = keep(state.clone(), link.clone());
+        let task = tokio::task::spawn_local(task);
+        *link.task.borrow_mut() = Some(task.abort_handle());
+        link
+    }
+
+    /// True if calls can be sent.
+    pub fn is_up(&self) -> bool {
+        self.out.borrow().is_some()
+    }
+
+    /// Ends the link for good.
+    pub fn close(&self) {
+        if let Some(task) = self.task.borrow_mut().take() {
+            task.abort();
+        }
+        self.out.borrow_mut().take();
+        self.fail(|_| true);
+    }
+
+    /// Sends a frame, if the link is up.
+    pub fn send(&self, frame: Frame) {
+        if let Some(out) = &*self.out.borrow() {
+            // The writer is gone: the link is about to be found broken.
+            let _ = out.send(frame);
+        }
+    }
+
+    /// Sends a call; `None` if the link is down, so that nothing was sent.
+    pub fn call(
+        &self,
+        mut call: Call,
+    ) -> Option<(CallId, oneshot::Receiver<Reply>)> {
+        if !self.is_up() {
+            return None;
+        }
+        let id = CallId(self.last.get() + 1);
+        self.last.set(id.0);
+        call.id = id;
+        let (reply, receiver) = oneshot::channel();
+        let pending = Pending { reply, effect: call.effect };
+        self.pending.borrow_mut().insert(id, pending);
+        self.send(Frame::Call(Box::new(call)));
+        Some((id, receiver))
+    }
+
+    /// A call is no longer wanted.
+    pub fn cancel(&self, id: CallId) {
+        if self.pending.borrow_mut().remove(&id).is_some() {
+            self.send(Frame::Cancel(id));
+        }
+    }
+
+    /// Looks after the link; called every [`QUIET`] or so.
+    pub fn check(&self, state: &State, now: Millis, paused: bool) {
+        if !self.is_up() {
+            return;
+        }
+        // This process itself stood still: what came meanwhile is unread.
+        if paused {
+            self.heard.set(now);
+        }
+        let silent = now.since(self.heard.get());
+        if silent >= SILENT {
+            self.broken.notify_one();
+        } else if silent >= QUIET {
+            self.send(Frame::Ping(state.revision()));
+        }
+    }
+
+    fn settle(&self, id: CallId, reply: Reply) {
+        if let Some(pending) = self.pending.borrow_mut().remove(&id) {
+            // The request may have ended at the same moment.
+            let _ = pending.reply.send(reply);
+        }
+    }
+
+    fn fail(&self, which: impl Fn(Effect) -> bool) {
+        let mut pending = self.pending.borrow_mut();
+        let ids: Vec<CallId> = pending
+            .iter()
+            .filter(|(_, pending)| which(pending.effect))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            if let Some(pending) = pending.remove(&id) {
+                let _ = pending.reply.send(Reply::Unknown(Kind::Broken));
+            }
+        }
+    }
+}
+
+async fn keep(state: Rc<State>, link: Rc<Link>) {
+    let mut pause = PAUSE_MIN;
+    loop {
+        let opened = timeout(OPEN_WITHIN, open(&state, &link)).await;
+        if let Ok(Ok((stream, hello))) = opened {
+            pause = PAUSE_MIN;
+            begin(&state, &link, &hello);
+            let why = carry(&state, &link, stream).await;
+            end(&state, &link, &why);
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+}
+
+type Stream = (OwnedReadHalf, OwnedWriteHalf, BytesMut);
+
+async fn open(
+    state: &Rc<State>,
+    link: &Rc<Link>,
+) -> io::Result<(Stream, Hello)> {
+    let stream = TcpStream::connect(link.node.0).await?;
+    stream.set_nodelay(true)?;
+    let (mut read, mut write) = stream.into_split();
+    let mut bytes = BytesMut::new();
+    frame::encode(&Frame::Hello(state.hello()), &mut bytes);
+    write.write_all(&bytes).await?;
+    bytes.clear();
+    loop {
+        match frame::decode(&mut bytes).map_err(io::Error::other)? {
+            Some(Frame::Hello(hello)) => {
+                return Ok(((read, write, bytes), hello));
+            }
+            Some(_) => return Err(io::ErrorKind::InvalidData.into()),
+            None => {}
+        }
+        if read.read_buf(&mut bytes).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+fn begin(state: &Rc<State>, link: &Rc<Link>, hello: &Hello) {
+    let now = state.now();
+    if link.life.replace(Some(hello.life)) != Some(hello.life) {
+        // Another life has seen none of these calls and knows nothing of
+        // what the former one did with them.
+        link.fail(|_| true);
+    }
+    let mut balance = state.balance.borrow_mut();
+    balance.join(link.node, &hello.service, &hello.zone);
+    balance.report(link.node, hello.load);
+    balance.down(link.node, Millis(0));
+    drop(balance);
+    link.heard.set(now);
+    let fields = [
+        ("peer", link.node.to_string().into()),
+        ("service", hello.service.as_str().into()),
+        ("life", hello.life.0.into()),
+    ];
+    state.journal.change(now, Event::Regained, &fields);
+    for node in &hello.known {
+        state.learn(*node);
+    }
+}
+
+fn end(state: &Rc<State>, link: &Rc<Link>, why: &str) {
+    let now = state.now();
+    link.out.borrow_mut().take();
+    state.balance.borrow_mut().down(link.node, Millis::NEVER);
+    let fields = [
+        ("peer", link.node.to_string().into()),
+        ("why", why.into()),
+        ("calls", link.pending.borrow().len().into()),
+    ];
+    state.journal.change(now, Event::Lost, &fields);
+    let link = link.clone();
+    tokio::task::spawn_local(async move {
+        sleep(RESUME_WITHIN).await;
+        if !link.is_up() {
+            link.fail(|effect| effect == Effect::Idempotent);
+        }
+    });
+}
+
+async fn carry(state: &Rc<State>, link: &Rc<Link>, stream: Stream) -> String {
+    let (read, write, bytes) = stream;
+    let (out, frames) = unbounded_channel();
+    let ids: Vec<CallId> = link.pending.borrow().keys().copied().collect();
+    if !ids.is_empty() {
+        // Comes first, so that the peer has seen no later call.
+        let _ = out.send(Frame::Query(ids));
+    }
+    let _ = out.send(Frame::Ping(state.revision()));
+    *link.out.borrow_mut() = Some(out);
+    tokio::select! {
+        end = receive(state, link, read, bytes) => match end {
+            Ok(()) => "closed by the peer".into(),
+            Err(error) => error.to_string(),
+        },
+        end = transmit(write, frames) => match end {
+            Ok(()) => "closed here".into(),
+            Err(error) => error.to_string(),
+        },
+        () = link.broken.notified() => "silent".into(),
+    }
+}
+
+/// Writes frames, all that wait in one system call.
+pub async fn transmit(
+    mut write: OwnedWriteHalf,
+    mut frames: UnboundedReceiver<Frame>,
+) -> io::Result<()> {
+    let mut bytes = BytesMut::new();
+    while let Some(first) = frames.recv().await {
+        frame::encode(&first, &mut bytes);
+        while let Ok(more) = frames.try_recv() {
+            frame::encode(&more, &mut bytes);
+        }
+        write.write_all(&bytes).await?;
+        recycle(&mut bytes);
+    }
+    Ok(())
+}
+
+/// Keeps a buffer for reuse, unless one long body has made it large.
+fn recycle(bytes: &mut BytesMut) {
+    const KEEP: usize = 64 << 10;
+    match bytes.capacity() > KEEP {
+        true => *bytes = BytesMut::new(),
+        false => bytes.clear(),
+    }
+}
+
+async fn receive(
+    state: &Rc<State>,
+    link: &Rc<Link>,
+    mut read: OwnedReadHalf,
+    mut bytes: BytesMut,
+) -> io::Result<()> {
+    loop {
+        while let Some(frame) =
+            frame::decode(&mut bytes).map_err(io::Error::other)?
+        {
+            take(state, link, frame);
+        }
+        if read.read_buf(&mut bytes).await? == 0 {
+            return Ok(());
+        }
+        link.heard.set(state.now());
+    }
+}
+
+fn take(state: &Rc<State>, link: &Rc<Link>, frame: Frame) {
+    match frame {
+        Frame::Answer(id, reply, load) => {
+            state.balance.borrow_mut().report(link.node, load);
+            link.settle(id, reply);
+        }
+        Frame::Pong(revision, load) => {
+            state.balance.borrow_mut().report(link.node, load);
+            if state.is_behind(revision) {
+                link.send(Frame::Fetch);
+            }
+        }
+        Frame::Desired(revision, raw) => {
+            state.adopt(revision, raw, "peer");
+        }
+        // The rest travels the other way.
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -0,0 +1,86 @@
+/*!
+Settings of a node in the mesh, in YAML.
+
+The platform renders the file from a template at each start and at each
+change; `docs/SETTINGS.md` lists the keys.
+*/
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path};
+
+use serde::Deserialize;
+use walnutmoor_core::{
+    id::{Service, Zone},
+    time::Millis,
+};
+use walnutmoor_platform::bound::Bounds;
+
+use crate::failure::Failure;
+
+/// The time from the signal to end until the platform kills, where the
+/// settings name none.
+const GRACE: Millis = Millis(6_000);
+
+/// All settings.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The node's name, for logs.
+    pub name: String,
+    /// Where other nodes reach it, by TCP.
+    pub peers: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The service of the instance beside it.
+    pub service: Service,
+    /// Where that instance listens.
+    pub server: SocketAddr,
+    /// Where callers and the instance send requests.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether callers may come.
+    pub ready: SocketAddr,
+    /// Where the instance sends heartbeats.
+    pub control: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The platform's bounds by name.
+    #[serde(default)]
+    pub bounds: BTreeMap<String, String>,
+}
+
+impl Settings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such file, or a key in it is missing or wrong.
+    pub fn read(path: &Path) -> Result<Settings, Failure> {
+        let text = std::fs::read_to_string(path).map_err(|cause| {
+            Failure::File { path: path.display().to_string(), cause }
+        })?;
+        Settings::parse(&text)
+    }
+
+    /// Parses the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// If a key is missing or wrong.
+    pub fn parse(text: &str) -> Result<Settings, Failure> {
+        serde_saphyr::from_str(text)
+            .map_err(|error| Failure::Internal(error.to_string()))
+    }
+
+    /// The platform's bounds that concern this node.
+    pub fn bounds(&self) -> Bounds {
+        Bounds::parse(
+            self.bounds.iter().map(|(n, v)| (n.as_str(), v.as_str())),
+        )
+    }
+
+    /// How long the node has from the signal to end.
+    pub fn grace(&self) -> Millis {
+        self.bounds().grace.unwrap_or(GRACE)
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -0,0 +1,229 @@
+/*!
+What the tasks of a node share. One thread runs them all, so plain cells do.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use rand::{RngExt, rngs::SmallRng};
+use tokio::time::Instant;
+use walnutmoor_core::{
+    balance::Balance,
+    digest::Map,
+    id::{Incarnation, NodeId, Revision},
+    table::{Splitter, Table},
+    time::Millis,
+};
+use walnutmoor_platform::desired;
+
+use super::{
+    frame::{Frame, Hello},
+    journal::{Event, Journal},
+    link::Link,
+    serve::Serve,
+    settings::Settings,
+};
+
+/// How far a node goes on its way to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// It takes callers.
+    Serving,
+    /// It was told to end; callers that still come are served.
+    Leaving,
+    /// It finishes what it has.
+    Finishing,
+}
+
+/// The state of a node.
+#[derive(Debug)]
+pub struct State {
+    /// The settings.
+    pub settings: Settings,
+    /// This node, as others call it.
+    pub me: NodeId,
+    /// This life of it.
+    pub life: Incarnation,
+    /// The log.
+    pub journal: Journal,
+    /// What is known of instances.
+    pub balance: RefCell<Balance>,
+    /// Deals out splits.
+    pub splitter: RefCell<Splitter>,
+    /// Work for the instance beside this node.
+    pub serve: Serve,
+    /// How far this node is on its way to its end.
+    pub phase: Cell<Phase>,
+    /// Callers' requests under way.
+    pub under_way: Cell<usize>,
+    /// Bytes of bodies held for callers.
+    pub held: Cell<usize>,
+    links: RefCell<Map<NodeId, Rc<Link>>>,
+    table: RefCell<Option<Rc<Table>>>,
+    raw: RefCell<Bytes>,
+    behind: Cell<Option<(Revision, Millis)>>,
+    rng: RefCell<SmallRng>,
+    begun: Instant,
+}
+
+/// How long a node waits for its own watch to bring a desired state of which
+/// a peer has told, before it asks the peer. A watch brings it within some
+/// milliseconds; this bounds the extra delay when it does not.
+const FETCH_AFTER: Millis = Millis(200);
+
+impl State {
+    /// The state of a node that begins.
+    pub fn new(settings: Settings, journal: Journal) -> Rc<State> {
+        let mut rng: SmallRng = rand::make_rng();
+        let life = Incarnation(rng.random());
+        let me = NodeId(settings.peers);
+        let balance = Balance::new(settings.zone.clone());
+        let serve = Serve::new(&settings);
+        Rc::new(State {
+            me,
+            life,
+            journal,
+            balance: RefCell::new(balance),
+            splitter: RefCell::new(Splitter::new()),
+            serve,
+            phase: Cell::new(Phase::Serving),
+            under_way: Cell::new(0),
+            held: Cell::new(0),
+            links: RefCell::new(Map::default()),
+            table: RefCell::new(None),
+            raw: RefCell::new(Bytes::new()),
+            behind: Cell::new(None),
+            rng: RefCell::new(rng),
+            begun: Instant::now(),
+            settings,
+        })
+    }
+
+    /// The time since the node began, on the steady clock.
+    pub fn now(&self) -> Millis {
+        Millis(self.begun.elapsed().as_millis() as u64)
+    }
+
+    /// A span between half of this one and one and a half.
+    pub fn spread(&self, span: Millis) -> Millis {
+        let part: f64 = self.rng.borrow_mut().random_range(0.5..1.5);
+        Millis((span.0 as f64 * part) as u64)
+    }
+
+    /// A number in 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// The revision in force; 0 before the first.
+    pub fn revision(&self) -> Revision {
+        self.table.borrow().as_ref().map_or(Revision(0), |t| t.revision)
+    }
+
+    /// The desired state as the store holds it, for peers that lack it.
+    pub fn desired(&self) -> Option<Frame> {
+        let raw = self.raw.borrow().clone();
+        (!raw.is_empty()).then(|| Frame::Desired(self.revision(), raw))
+    }
+
+    /// Puts a desired state in force, unless it is no newer than the one
+    /// that is: a process never goes back.
+    pub fn adopt(&self, revision: Revision, raw: Bytes, source: &str) {
+        if revision <= self.revision() {
+            return;
+        }
+        let now = self.now();
+        let table = match desired::decode(revision, &raw) {
+            Ok(table) => table,
+            Err(error) => {
+                let fields = [("why", error.to_string().into())];
+                self.journal.change(now, Event::Fault, &fields);
+                return;
+            }
+        };
+        let fields = [
+            ("revision", revision.0.into()),
+            ("version", table.version.into()),
+            ("routes", table.routes().count().into()),
+            ("source", source.into()),
+        ];
+        self.journal.change(now, Event::Desired, &fields);
+        *self.table.borrow_mut() = Some(Rc::new(table));
+        *self.raw.borrow_mut() = raw;
+        self.splitter.borrow_mut().reset();
+        for link in self.links() {
+            link.send(Frame::Ping(revision));
+        }
+    }
+
+    /// A peer has told of a revision. True if it is to be asked for it.
+    pub fn is_behind(&self, revision: Revision) -> bool {
+        if revision <= self.revision() {
+            self.behind.set(None);
+            return false;
+        }
+        let now = self.now();
+        let since = match self.behind.get() {
+            Some((known, since)) if known == revision => since,
+            _ => now,
+        };
+        self.behind.set(Some((revision, since)));
+        let due = now.since(since) >= FETCH_AFTER;
+        // A node without any desired state serves nobody: no time to lose.
+        due || self.revision() == Revision(0)
+    }
+
+    /// What this node says of itself on a new link.
+    pub fn hello(&self) -> Hello {
+        let up = |link: &Rc<Link>| link.is_up().then_some(link.node);
+        Hello {
+            node: self.me,
+            life: self.life,
+            zone: self.settings.zone.clone(),
+            service: self.settings.service.clone(),
+            revision: self.revision(),
+            load: self.serve.load(),
+            known: self.links().iter().filter_map(up).collect(),
+        }
+    }
+
+    /// All links.
+    pub fn links(&self) -> Vec<Rc<Link>> {
+        self.links.borrow().values().cloned().collect()
+    }
+
+    /// The link to a node.
+    pub fn link(&self, node: NodeId) -> Option<Rc<Link>> {
+        self.links.borrow().get(&node).cloned()
+    }
+
+    /// Opens a link to a node that was heard of.
+    pub fn learn(self: &Rc<State>, node: NodeId) {
+        if node == self.me || self.links.borrow().contains_key(&node) {
+            return;
+        }
+        let fields = [("found", node.to_string().into())];
+        self.journal.change(self.now(), Event::Directory, &fields);
+        let link = Link::open(self, node);
+        self.links.borrow_mut().insert(node, link);
+    }
+
+    /// Closes the link to a node that is gone.
+    pub fn forget(&self, node: NodeId) {
+        let Some(link) = self.links.borrow_mut().remove(&node) else {
+            return;
+        };
+        link.close();
+        self.balance.borrow_mut().leave(node);
+        let fields = [("gone", node.to_string().into())];
+        self.journal.change(self.now(), Event::Directory, &fields);
+    }
+}
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -0,0 +1,373 @@
+/*!
+The platform's store: the desired state, and the directory of nodes.
+
+Each is read once and then watched by a long poll, which costs the store one
+call for each change instead of one for each look. A node writes its own
+record once; what its instance does travels on links and never through the
+store.
+*/
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
+use walnutmoor_core::{
+    id::{NodeId, Revision, Service, Zone},
+    time::Millis,
+};
+use walnutmoor_platform::store::{self, Kind, Object, Read};
+
+use super::{journal::Event, state::State};
+
+/// How long the store may hold a watch. Longer spares calls; a dead
+/// connection is found by keep-alive probes, not by this.
+const WATCH: Millis = Millis(20_000);
+
+/// How long a call may take besides what the store holds it: the store takes
+/// 4 ms, and some hundreds when it is slow.
+const CALL_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// The pause after the first call that failed.
+const PAUSE_MIN: Millis = Millis(100);
+
+/// The longest pause between calls that fail: a store that returns is
+/// noticed within this.
+const PAUSE_MAX: Millis = Millis(800);
+
+/// Idle time before a connection is probed, and between probes. With
+/// [`PROBES`] a silent connection is found within 2 s.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Probes that may go unanswered.
+const PROBES: u32 = 1;
+
+/// What a node writes about itself.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+struct Record {
+    node: NodeId,
+    zone: Zone,
+    service: Service,
+}
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("no connection")]
+    Connect,
+    #[error("no answer in time")]
+    Late,
+    #[error("the connection broke")]
+    Broken,
+    #[error("the store answered {0}")]
+    Status(u16),
+    #[error("{0}")]
+    Body(#[from] walnutmoor_platform::Error),
+}
+
+/// One connection to the store.
+struct Client {
+    address: SocketAddr,
+    connection: Option<(SendRequest<Full<Bytes>>, AbortHandle)>,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.disconnect();
+    }
+}
+
+impl Client {
+    fn new(address: SocketAddr) -> Client {
+        Client { address, connection: None }
+    }
+
+    fn disconnect(&mut self) {
+        if let Some((_, task)) = self.connection.take() {
+            task.abort();
+        }
+    }
+
+    async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        within: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let result = timeout(within, self.exchange(request)).await;
+        let result = result.unwrap_or(Err(Error::Late));
+        if result.is_err() {
+            // A connection on which an answer was lost is of no more use.
+            self.disconnect();
+        }
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Bytes>,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let closed = match &self.connection {
+            Some((sender, _)) => sender.is_closed(),
+            None => true,
+        };
+        if closed {
+            self.connection = Some(connect(self.address).await?);
+        }
+        let (sender, _) = self.connection.as_mut().ok_or(Error::Connect)?;
+        sender.ready().await.map_err(|_| Error::Broken)?;
+        let mut request = request.map(Full::new);
+        let host = self.address.to_string();
+        if let Ok(host) = host.parse() {
+            request.headers_mut().insert(http::header::HOST, host);
+        }
+        let answer = sender.send_request(request);
+        let answer = answer.await.map_err(|_| Error::Broken)?;
+        let status = answer.status();
+        let body = answer.into_body().collect().await;
+        let body = body.map_err(|_| Error::Broken)?.to_bytes();
+        Ok((status, body))
+    }
+
+    async fn read(&mut self, kind: Kind, read: &Read) -> Result<Bytes, Error> {
+        let within = match read {
+            Read::List { .. } => CALL_WITHIN,
+            Read::Watch { wait, .. } => {
+                CALL_WITHIN + Duration::from_millis(wait.0)
+            }
+        };
+        let request = store::request(kind, read);
+        let (status, body) = self.call(request, within).await?;
+        match status {
+            StatusCode::OK => Ok(body),
+            other => Err(Error::Status(other.as_u16())),
+        }
+    }
+
+    async fn list(
+        &mut self,
+        kind: Kind,
+    ) -> Result<(Vec<Object>, Revision), Error> {
+        let mut objects = Vec::new();
+        let mut first = None;
+        loop {
+            let last = objects.last().map(|o: &Object| o.name.clone());
+            let read = Read::List { after: last.unwrap_or_default() };
+            let page = store::page(&self.read(kind, &read).await?)?;
+            // A watch goes on from the first page, so that no change
+            // between two pages is missed.
+            let revision = *first.get_or_insert(page.revision);
+            objects.extend(page.objects);
+            if !page.more {
+                return Ok((objects, revision));
+            }
+        }
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), Error> {
+    let stream = TcpStream::connect(address).await;
+    let stream = stream.map_err(|_| Error::Connect)?;
+    let socket = SockRef::from(&stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    // Without probes a dead connection is found when the watch ends.
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = stream.set_nodelay(true);
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = handshake.map_err(|_| Error::Connect)?;
+    let task = tokio::task::spawn_local(async move {
+        // The call on this connection tells what went wrong.
+        let _ = driver.await;
+    });
+    Ok((sender, task.abort_handle()))
+}
+
+/// Says once that the store is lost and once that it is back.
+struct Watchman {
+    what: &'static str,
+    lost: bool,
+    pause: Millis,
+}
+
+impl Watchman {
+    fn new(what: &'static str) -> Watchman {
+        Watchman { what, lost: false, pause: PAUSE_MIN }
+    }
+
+    fn good(&mut self, state: &State) {
+        self.pause = PAUSE_MIN;
+        if std::mem::take(&mut self.lost) {
+            let fields = [("store", self.what.into())];
+            state.journal.change(state.now(), Event::Regained, &fields);
+        }
+    }
+
+    async fn bad(&mut self, state: &State, error: &Error) {
+        if !std::mem::replace(&mut self.lost, true) {
+            let why = error.to_string().into();
+            let fields = [("store", self.what.into()), ("why", why)];
+            state.journal.change(state.now(), Event::Lost, &fields);
+        }
+        let pause = state.spread(self.pause);
+        self.pause = Millis(self.pause.0 * 2).min(PAUSE_MAX);
+        sleep(Duration::from_millis(pause.0)).await;
+    }
+}
+
+/// Follows a kind for ever: its objects once, and then each change.
+async fn follow(
+    state: Rc<State>,
+    kind: Kind,
+    what: &'static str,
+    whole: impl Fn(&Rc<State>, &[Object]),
+    change: impl Fn(&Rc<State>, &store::Change),
+) {
+    let mut client = Client::new(state.settings.store);
+    let mut watchman = Watchman::new(what);
+    loop {
+        let mut since = match client.list(kind).await {
+            Ok((objects, revision)) => {
+                watchman.good(&state);
+                whole(&state, &objects);
+                revision
+            }
+            Err(error) => {
+                watchman.bad(&state, &error).await;
+                continue;
+            }
+        };
+        loop {
+            let read = Read::Watch { since, wait: WATCH };
+            let news = match client.read(kind, &read).await {
+                Ok(body) => store::news(&body).map_err(Error::from),
+                Err(error) => Err(error),
+            };
+            match news {
+                Ok(news) => {
+                    watchman.good(&state);
+                    for each in &news.changes {
+                        change(&state, each);
+                    }
+                    since = news.revision;
+                }
+                // The history is gone: read all again, at once.
+                Err(Error::Status(410)) => break,
+                Err(error) => {
+                    watchman.bad(&state, &error).await;
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the desired state in force.
+pub async fn desired(state: Rc<State>) {
+    let adopt = |state: &Rc<State>, object: &Object| {
+        if store::is_desired(object) {
+            state.adopt(object.revision, object.spec.clone(), "store");
+        }
+    };
+    let whole = move |state: &Rc<State>, objects: &[Object]| {
+        for object in objects {
+            adopt(state, object);
+        }
+    };
+    let change = move |state: &Rc<State>, change: &store::Change| {
+        if !change.removed {
+            adopt(state, &change.object);
+        }
+    };
+    let what = "desired state";
+    follow(state, Kind::Desired, what, whole, change).await;
+}
+
+/// Keeps the directory of nodes.
+pub async fn directory(state: Rc<State>) {
+    let whole = |state: &Rc<State>, objects: &[Object]| {
+        for object in objects {
+            if let Some(record) = record(state, object) {
+                state.learn(record.node);
+            }
+        }
+    };
+    let change = |state: &Rc<State>, change: &store::Change| {
+        let Some(record) = record(state, &change.object) else {
+            return;
+        };
+        match change.removed {
+            true => state.forget(record.node),
+            false => state.learn(record.node),
+        }
+    };
+    follow(state, Kind::Node, "directory", whole, change).await;
+}
+
+fn record(state: &State, object: &Object) -> Option<Record> {
+    match serde_json::from_slice(&object.spec) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let why = format!("record {}: {error}", object.name);
+            let fields = [("why", why.into())];
+            state.journal.change(state.now(), Event::Fault, &fields);
+            None
+        }
+    }
+}
+
+fn name(state: &State) -> String {
+    state.me.to_string().replace(':', "-")
+}
+
+/// Writes this node's record, until the store has it.
+pub async fn register(state: Rc<State>) {
+    let record = Record {
+        node: state.me,
+        zone: state.settings.zone.clone(),
+        service: state.settings.service.clone(),
+    };
+    let name = name(&state);
+    let mut client = Client::new(state.settings.store);
+    let mut watchman = Watchman::new("registration");
+    loop {
+        let create = store::create(Kind::Node, &name, &record);
+        let mut result = client.call(create, CALL_WITHIN).await;
+        if matches!(result, Ok((StatusCode::CONFLICT, _))) {
+            let replace = store::replace(Kind::Node, &name, &record);
+            result = client.call(replace, CALL_WITHIN).await;
+        }
+        match result {
+            Ok((status, _)) if status.is_success() => {
+                return watchman.good(&state);
+            }
+            Ok((status, _)) => {
+                let error = Error::Status(status.as_u16());
+                watchman.bad(&state, &error).await;
+            }
+            Err(error) => watchman.bad(&state, &error).await,
+        }
+    }
+}
+
+/// Removes this node's record: its instance has left for good.
+pub async fn unregister(state: &Rc<State>) {
+    let mut client = Client::new(state.settings.store);
+    let request = store::remove(Kind::Node, &name(state));
+    if let Err(error) = client.call(request, CALL_WITHIN).await {
+        let fields = [("why", error.to_string().into())];
+        state.journal.change(state.now(), Event::Fault, &fields);
+    }
+}
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -14,7 +14,7 @@
     node::{Stats, Status},
 };
 
-use crate::{prelude::*, settings};
+use crate::{mesh, prelude::*, settings};
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -90,3 +90,23 @@
         gauge!(name).set(value as f64);
     }
 }
+
+/// Takes what a node of the mesh knows into the metrics.
+pub fn mesh(state: &mesh::state::State) {
+    let (running, waiting) = state.serve.held();
+    let gauges = [
+        ("walnutmoor_running", running),
+        ("walnutmoor_queued", waiting),
+        ("walnutmoor_under_way", state.under_way.get()),
+        ("walnutmoor_held_bytes", state.held.get()),
+        ("walnutmoor_links", state.links().len()),
+        ("walnutmoor_revision", state.revision().0 as usize),
+    ];
+    for (name, value) in gauges {
+        gauge!(name).set(value as f64);
+    }
+    let arrivals = state.serve.arrivals.get();
+    counter!("walnutmoor_arrivals_total").absolute(arrivals);
+    let opened = state.serve.pool.opened();
+    counter!("walnutmoor_connections_opened_total").absolute(opened);
+}
