core: admission by route at the way in; second tries only where they help

Nested calls of repeated runs double what each gate lets through. Ruled out: a gate over its ratio (each kept 0.07).

What was done: throttle (cut the least urgent route that runs and fails while a bulkhead turns urgent work away); an instance's failure is tried again only if a sibling fails half as often; the ratio of a gate from 0.07 to 0.05.

--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -42,6 +42,9 @@
 /// eyes, so that some requests go on to tell when it has recovered.
 const FAIL_MAX: f64 = 0.95;
 
+/// The share of failures up to which an instance is worth a second try.
+const HELP_AT: f64 = 0.15;
+
 /// What a request wants.
 #[derive(Clone, Copy, Debug)]
 pub struct Want<'a> {
@@ -200,6 +203,30 @@
         }
     }
 
+    /// True if some instance turns urgent work away.
+    pub fn is_pressed(&self) -> bool {
+        let mut all = self.servers.values();
+        all.any(|(_, server)| server.load.pressed)
+    }
+
+    /// True if a request that this instance failed is likely to fare better
+    /// at another one.
+    ///
+    /// Where all instances of a service fail alike, the cause lies deeper,
+    /// and trying again only adds to it.
+    pub fn may_help(&self, id: NodeId) -> bool {
+        let Some((service, here)) = self.servers.get(&id) else {
+            return true;
+        };
+        let ids = self.services.get(service).into_iter().flatten();
+        let others = ids.filter(|other| **other != id);
+        let mut failing = others
+            .filter_map(|other| self.servers.get(other))
+            .filter(|(_, other)| other.load.accepting)
+            .map(|(_, other)| other.failing);
+        failing.any(|f| f < HELP_AT || f < here.failing / 2.0)
+    }
+
     /// The load that a node's instance last reported.
     pub fn load(&self, id: NodeId) -> Option<Load> {
         self.servers.get(&id).map(|(_, server)| server.load)
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -30,7 +30,7 @@
 ```
 */
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -63,6 +63,13 @@
 /// longer wait, as refusing an inner call wastes its parent's work.
 const PATIENCE: [f64; RANKS] = [0.25, 0.5, 0.125];
 
+/// How long urgent work that was turned away counts as recent.
+const PRESSED: Millis = Millis(1_000);
+
+/// Urgent work that is turned away within [`PRESSED`] at the least, for the
+/// instance to count as pressed; single refusals happen in calm times.
+const PRESSED_MIN: usize = 3;
+
 /// How fast the mean of run times follows: half of it is forgotten after
 /// some 14 runs.
 const MEAN_STEP: f64 = 0.05;
@@ -120,6 +127,8 @@
     pub limit: u16,
     /// Work that runs or waits.
     pub held: u16,
+    /// True if urgent work was turned away lately.
+    pub pressed: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -149,6 +158,8 @@
     queued: [usize; RANKS],
     takes: [f64; RANKS],
     arrivals: u64,
+    /// When the last few urgent ones were turned away.
+    turned_away: VecDeque<Millis>,
 }
 
 impl Default for Bulkhead {
@@ -170,6 +181,7 @@
             queued: [0; RANKS],
             takes: [0.0; RANKS],
             arrivals: 0,
+            turned_away: VecDeque::new(),
         }
     }
 
@@ -214,6 +226,7 @@
         let left = work.deadline.since(now);
         let takes = Millis(self.takes[rank] as u64);
         if wait > patience || wait + takes > left {
+            self.turned_away(now, work.priority);
             return Offer::Full { retry: wait };
         }
         self.arrivals += 1;
@@ -275,13 +288,33 @@
         Some(Next::Run(id))
     }
 
+    /// Work was turned away, by this bulkhead or by the instance.
+    pub fn turned_away(&mut self, now: Millis, priority: u8) {
+        // The least urgent is turned away first and tells nothing of the
+        // calls that other work depends on.
+        if rank(priority) == RANKS - 1 {
+            return;
+        }
+        if self.turned_away.len() == PRESSED_MIN {
+            self.turned_away.pop_front();
+        }
+        self.turned_away.push_back(now);
+    }
+
+    fn is_pressed(&self, now: Millis) -> bool {
+        let oldest = self.turned_away.front();
+        self.turned_away.len() == PRESSED_MIN
+            && oldest.is_some_and(|at| now.since(*at) <= PRESSED)
+    }
+
     /// What other nodes are to know.
-    pub fn load(&self) -> Load {
+    pub fn load(&self, now: Millis) -> Load {
         let short = |value: f64| value.min(f64::from(u16::MAX)) as u16;
         let mut load = Load {
             accepting: self.open,
             limit: short(self.limit as f64),
             held: short((self.running.len() + self.queue.len()) as f64),
+            pressed: self.is_pressed(now),
             ..Load::default()
         };
         for rank in 0..RANKS {
@@ -317,6 +350,7 @@
             if over || place.1 <= now {
                 let id = waiting.id;
                 self.cancel(id);
+                self.turned_away(now, rank as u8);
                 return Some(Next::Full(id, self.wait(rank)));
             }
         }
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod route;
 pub mod server;
 pub mod table;
+pub mod throttle;
 pub mod ticket;
 pub mod time;
 pub mod witness;
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -178,7 +178,8 @@
             Reply::Answered { .. } => {
                 state.balance.borrow_mut().done(node, Some(true));
                 self.reached += 1;
-                if !again || !more {
+                let helps = state.balance.borrow().may_help(node);
+                if !again || !more || !helps {
                     return Some(answered(reply));
                 }
                 self.may_have_run = true;
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -11,7 +11,9 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use walnutmoor_core::{error::Kind, table::Table, time::Millis};
+use walnutmoor_core::{
+    error::Kind, table::Table, throttle::Ended, time::Millis,
+};
 use walnutmoor_platform::header;
 
 use super::{
@@ -36,6 +38,10 @@
 /// limit yet.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// When a caller may come back that admission refused. What is cut comes
+/// back over seconds; the spread keeps callers from coming together.
+const RETRY_CUT: Millis = Millis(1_200);
+
 /// The time that a caller has if it names none.
 const TIME_LEFT: Millis = Millis(30_000);
 
@@ -147,6 +153,11 @@
     let route = route.ok_or(Kind::NoRoute)?.clone();
     let body = read(state, stay, &table, &head.headers, body).await?;
     let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
+    let returns = state.returns(&route.name, left);
+    let draw = state.draw();
+    if !state.throttle.borrow().admits(&route.name, returns, draw) {
+        return Err(Kind::Overloaded);
+    }
     let service = state.splitter.borrow_mut().pick(&route);
     header::prepare(&mut head.headers);
     Ok(dispatch::Request {
@@ -222,6 +233,7 @@
         Kind::Starting | Kind::Leaving | Kind::Full => {
             wire::refuse(kind, state.spread(RETRY_STARTING))
         }
+        Kind::Overloaded => wire::refuse(kind, state.spread(RETRY_CUT)),
         Kind::UnknownService => wire::refuse(kind, RETRY_STARTING),
         _ => wire::fail(kind),
     }
@@ -249,6 +261,14 @@
         End::Refused(kind, _) => (Event::Refused, "refused", kind.as_str()),
         End::Failed(kind) => (Event::Unknown, "unknown", kind.as_str()),
     };
+    if event != Event::Refused {
+        let ended = match &end {
+            End::Answered { status, .. } if *status >= 500 => Ended::Starved,
+            _ => Ended::Served,
+        };
+        let mut throttle = state.throttle.borrow_mut();
+        throttle.ended(&route.name, route.priority, ended);
+    }
     metrics::counter!("walnutmoor_requests_total", "outcome" => outcome)
         .increment(1);
     metrics::histogram!("walnutmoor_request_seconds").record(after.secs());
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -69,6 +69,8 @@
     Canceled,
     /// Admission of a route changed.
     Admission,
+    /// Counts since the start.
+    Counters,
     /// Something went wrong inside.
     Fault,
 }
@@ -91,6 +93,7 @@
             Event::Retry => "retry",
             Event::Canceled => "canceled",
             Event::Admission => "admission",
+            Event::Counters => "counters",
             Event::Fault => "fault",
         }
     }
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -93,6 +93,8 @@
     spawn_local(store::register(state.clone()));
     spawn_local(tick(state.clone()));
     spawn_local(ask(state.clone()));
+    spawn_local(count(state.clone()));
+    spawn_local(throttle(state.clone()));
     let watch = state.clone();
     spawn_local(async move { watch.serve.watch(&watch).await });
     spawn_local(reload(state.clone(), path));
@@ -154,11 +156,55 @@
             link.check(&state, now, paused);
         }
         state.serve.pool.sweep(now);
-        let load = state.serve.load();
+        let load = state.serve.load(state.now());
         state.balance.borrow_mut().report(state.me, load);
     }
 }
 
+/// The pause between steps of admission.
+const STEP: Duration = Duration::from_millis(200);
+
+/// Adjusts admission at the way in.
+async fn throttle(state: Rc<State>) {
+    let mut timer = interval(STEP);
+    loop {
+        timer.tick().await;
+        let pressed = state.balance.borrow().is_pressed();
+        let changed = state.throttle.borrow_mut().step(pressed);
+        for (route, open) in changed {
+            let fields = [
+                ("route", route.as_str().into()),
+                ("let_in", open.into()),
+                ("pressed", pressed.into()),
+            ];
+            let now = state.now();
+            state.journal.request(now, Event::Admission, "", &fields);
+        }
+    }
+}
+
+/// The pause between lines with counters.
+const COUNT_EVERY: Duration = Duration::from_secs(5);
+
+/// Writes the counters, so that logs alone show the load of any time.
+async fn count(state: Rc<State>) {
+    loop {
+        sleep(COUNT_EVERY).await;
+        let serve = &state.serve;
+        let (running, waiting) = serve.held();
+        let fields = [
+            ("under_way", state.under_way.get().into()),
+            ("running", running.into()),
+            ("waiting", waiting.into()),
+            ("arrivals", serve.arrivals.get().into()),
+            ("repeats", serve.repeated.get().into()),
+            ("over_budget", serve.over_budget.get().into()),
+            ("connections", serve.pool.opened().into()),
+        ];
+        state.journal.change(state.now(), Event::Counters, &fields);
+    }
+}
+
 /// Asks the instance for its health until it was heard of: a node that
 /// begins beside a running instance need not wait for its next heartbeat.
 async fn ask(state: Rc<State>) {
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -99,7 +99,7 @@
         }
         kept.push_back((now, id, reply.clone()));
         drop(kept);
-        self.send(Frame::Answer(id, reply, state.serve.load()));
+        self.send(Frame::Answer(id, reply, state.serve.load(state.now())));
     }
 
     fn find(&self, id: CallId) -> Option<Reply> {
@@ -252,13 +252,13 @@
         Frame::Query(ids) => {
             for id in ids {
                 if let Some(reply) = session.find(id) {
-                    let load = state.serve.load();
+                    let load = state.serve.load(state.now());
                     session.send(Frame::Answer(id, reply, load));
                 }
             }
         }
         Frame::Ping(revision) => {
-            let load = state.serve.load();
+            let load = state.serve.load(state.now());
             session.send(Frame::Pong(state.revision(), load));
             if state.is_behind(revision)
                 && let Some(link) = state.link(hello.node)
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -45,7 +45,7 @@
 /// The part of the platform's ratio of repeats that one instance allows.
 /// The calls that a repeated request makes count as repeats as well, at each
 /// service below it; three levels of them must fit in the ratio.
-const RATIO_PART: f64 = 0.35;
+const RATIO_PART: f64 = 0.25;
 
 /// The part of the platform's slack that one instance allows. Services
 /// have three instances or more, and the slack covers restarts as well.
@@ -119,6 +119,10 @@
     pub pool: Pool,
     /// Requests that reached the instance.
     pub arrivals: Cell<u64>,
+    /// Repeats among them.
+    pub repeated: Cell<u64>,
+    /// Repeats that were turned away, as the allowance was spent.
+    pub over_budget: Cell<u64>,
 }
 
 impl Serve {
@@ -146,6 +150,8 @@
             waiting: Notify::new(),
             pool: Pool::new(settings.server),
             arrivals: Cell::new(0),
+            repeated: Cell::new(0),
+            over_budget: Cell::new(0),
         }
     }
 
@@ -157,8 +163,8 @@
     }
 
     /// What other nodes are told.
-    pub fn load(&self) -> Load {
-        self.bulkhead.borrow().load()
+    pub fn load(&self, now: Millis) -> Load {
+        self.bulkhead.borrow().load(now)
     }
 
     /// Work under way, running and waiting.
@@ -196,6 +202,7 @@
             return turn_away(state, sink, Kind::UnknownService, Millis(0));
         }
         if call.repeat && !self.repeats.borrow_mut().try_repeat(now) {
+            self.over_budget.set(self.over_budget.get() + 1);
             return turn_away(state, sink, Kind::Budget, Millis(1_000));
         }
         let deadline = now + call.left;
@@ -468,12 +475,14 @@
         finish(&state, id, not_run(Kind::Deadline, false), false);
         return;
     }
-    if !call.repeat {
-        serve.repeats.borrow_mut().first(now);
+    match call.repeat {
+        true => serve.repeated.set(serve.repeated.get() + 1),
+        false => serve.repeats.borrow_mut().first(now),
     }
     serve.arrivals.set(serve.arrivals.get() + 1);
     let instance = serve.instance();
     let attempt = call.attempt.clone();
+    let priority = call.priority;
     let Some(request) = request(call, due.since(now), &instance) else {
         finish(&state, id, not_run(Kind::Malformed, false), false);
         return;
@@ -481,7 +490,7 @@
     let clock = || state.now();
     let outcome = serve.pool.send(clock, request, &attempt).await;
     let answered = matches!(outcome, Outcome::Answer(..));
-    let reply = reply(&state, outcome);
+    let reply = reply(&state, outcome, priority);
     finish(&state, id, reply, answered);
 }
 
@@ -513,7 +522,7 @@
     Some(request)
 }
 
-fn reply(state: &Rc<State>, outcome: Outcome) -> Reply {
+fn reply(state: &Rc<State>, outcome: Outcome, priority: u8) -> Reply {
     let (verdict, status, headers, body) = match outcome {
         Outcome::Answer(verdict, status, headers, body) => {
             (verdict, status, headers, body)
@@ -526,7 +535,12 @@
     };
     match verdict {
         Verdict::Genuine => answered(status, headers, body),
-        Verdict::NotRun => not_run(Kind::Overloaded, true),
+        Verdict::NotRun => {
+            let now = state.now();
+            let mut bulkhead = state.serve.bulkhead.borrow_mut();
+            bulkhead.turned_away(now, priority);
+            not_run(Kind::Overloaded, true)
+        }
         Verdict::Misdirected => {
             state.serve.replaced(state);
             not_run(Kind::Unreachable, true)
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -15,6 +15,7 @@
     digest::Map,
     id::{Incarnation, NodeId, Revision},
     table::{Splitter, Table},
+    throttle::Throttle,
     time::Millis,
 };
 use walnutmoor_platform::desired;
@@ -51,6 +52,8 @@
     pub journal: Journal,
     /// What is known of instances.
     pub balance: RefCell<Balance>,
+    /// Admission at the way in.
+    pub throttle: RefCell<Throttle>,
     /// Deals out splits.
     pub splitter: RefCell<Splitter>,
     /// Work for the instance beside this node.
@@ -65,6 +68,8 @@
     table: RefCell<Option<Rc<Table>>>,
     raw: RefCell<Bytes>,
     behind: Cell<Option<(Revision, Millis)>>,
+    /// The longest time that a caller of each route ever had.
+    longest: RefCell<Map<String, Millis>>,
     rng: RefCell<SmallRng>,
     begun: Instant,
 }
@@ -74,6 +79,10 @@
 /// milliseconds; this bounds the extra delay when it does not.
 const FETCH_AFTER: Millis = Millis(200);
 
+/// A caller with less than this part of the longest time, in hundredths,
+/// has spent some of it on an earlier try.
+const RETURNS_UNDER: u64 = 98;
+
 impl State {
     /// The state of a node that begins.
     pub fn new(settings: Settings, journal: Journal) -> Rc<State> {
@@ -87,6 +96,7 @@
             life,
             journal,
             balance: RefCell::new(balance),
+            throttle: RefCell::new(Throttle::new()),
             splitter: RefCell::new(Splitter::new()),
             serve,
             phase: Cell::new(Phase::Serving),
@@ -96,6 +106,7 @@
             table: RefCell::new(None),
             raw: RefCell::new(Bytes::new()),
             behind: Cell::new(None),
+            longest: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
             begun: Instant::now(),
             settings,
@@ -118,6 +129,19 @@
         self.rng.borrow_mut().random()
     }
 
+    /// True if a caller with this much time left has been here before: those
+    /// that come for the first time have the most that was ever seen on the
+    /// route.
+    pub fn returns(&self, route: &str, left: Millis) -> bool {
+        let mut longest = self.longest.borrow_mut();
+        let Some(most) = longest.get_mut(route) else {
+            longest.insert(route.to_string(), left);
+            return false;
+        };
+        *most = left.max(*most);
+        left.0 * 100 < most.0 * RETURNS_UNDER
+    }
+
     /// The table in force.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
@@ -190,7 +214,7 @@
             zone: self.settings.zone.clone(),
             service: self.settings.service.clone(),
             revision: self.revision(),
-            load: self.serve.load(),
+            load: self.serve.load(self.now()),
             known: self.links().iter().filter_map(up).collect(),
         }
     }
