--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -56,6 +56,15 @@
     pub target: Millis,
 }
 
+/// How hard the service in the worst state is pressed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pressure {
+    /// Urgent work that is asked for, as a part of what can be done.
+    pub demand: f64,
+    /// True if an instance turns urgent work away.
+    pub pressed: bool,
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -203,10 +212,24 @@
         }
     }
 
-    /// True if some instance turns urgent work away.
-    pub fn is_pressed(&self) -> bool {
-        let mut all = self.servers.values();
-        all.any(|(_, server)| server.load.pressed)
+    /// The service that is pressed most by urgent work.
+    pub fn pressure(&self) -> Pressure {
+        let mut worst = Pressure::default();
+        for ids in self.services.values() {
+            let loads = ids.iter().filter_map(|id| self.load(*id));
+            let (mut asked, mut room, mut pressed) = (0.0, 0.0, false);
+            for load in loads.filter(|load| load.accepting) {
+                let limit = f64::from(load.limit);
+                asked += f64::from(load.demand) / 1_000.0 * limit;
+                room += limit;
+                pressed |= load.pressed;
+            }
+            if room > 0.0 && asked / room > worst.demand {
+                worst.demand = asked / room;
+            }
+            worst.pressed |= pressed;
+        }
+        worst
     }
 
     /// True if a request that this instance failed is likely to fare better
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -34,7 +34,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{digest::Map, id::CallId, time::Millis};
+use crate::{demand::Demand, digest::Map, id::CallId, time::Millis};
 
 /// What an instance says of its load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -129,6 +129,9 @@
     pub held: u16,
     /// True if urgent work was turned away lately.
     pub pressed: bool,
+    /// Urgent work that is asked for, in thousandths of what the instance
+    /// can do beside the reserve of the least urgent.
+    pub demand: u16,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -160,6 +163,7 @@
     arrivals: u64,
     /// When the last few urgent ones were turned away.
     turned_away: VecDeque<Millis>,
+    demand: Demand,
 }
 
 impl Default for Bulkhead {
@@ -182,6 +186,7 @@
             takes: [0.0; RANKS],
             arrivals: 0,
             turned_away: VecDeque::new(),
+            demand: Demand::new(),
         }
     }
 
@@ -217,6 +222,9 @@
             return Offer::Closed;
         }
         let rank = rank(work.priority);
+        if rank < RANKS - 1 {
+            self.demand.add(now, self.takes[rank]);
+        }
         if self.queue.is_empty() && self.running.len() < self.limit {
             self.start(now, work.id, rank);
             return Offer::Run;
@@ -288,8 +296,8 @@
         Some(Next::Run(id))
     }
 
-    /// Work was turned away, by this bulkhead or by the instance.
-    pub fn turned_away(&mut self, now: Millis, priority: u8) {
+    /// Work was turned away.
+    fn turned_away(&mut self, now: Millis, priority: u8) {
         // The least urgent is turned away first and tells nothing of the
         // calls that other work depends on.
         if rank(priority) == RANKS - 1 {
@@ -301,6 +309,12 @@
         self.turned_away.push_back(now);
     }
 
+    /// Urgent work that is asked for, as a part of what can be done.
+    fn demand(&self, now: Millis) -> f64 {
+        let room = self.limit as f64 * (1.0 - RESERVE);
+        self.demand.slots(now) / room.max(1.0)
+    }
+
     fn is_pressed(&self, now: Millis) -> bool {
         let oldest = self.turned_away.front();
         self.turned_away.len() == PRESSED_MIN
@@ -315,6 +329,7 @@
             limit: short(self.limit as f64),
             held: short((self.running.len() + self.queue.len()) as f64),
             pressed: self.is_pressed(now),
+            demand: short(self.demand(now) * 1_000.0),
             ..Load::default()
         };
         for rank in 0..RANKS {
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -4,32 +4,34 @@
 The load pattern: a service deep in the graph is short of slots, so requests
 are let in at the top, run, call, are turned away below and fail after they
 have used everything above. Refusing a part of them at the way in costs
-less and lets the rest finish. Which services a route leads to need not be
-known: routes whose requests run and then fail, while some instance
-somewhere turns urgent work away, are the ones.
+less and lets the rest finish.
 
-The least urgent of these routes is cut first, and a more urgent one only
-when nothing is left to cut below it. Cuts are by a fraction for each step,
-as the excess is a fraction of the load; the way back is slow, as each step
-too far wastes work.
+Two things are learned. *Which* routes lead to the service that is short: those
+whose requests run and fail while it turns urgent work away. *How much*
+to refuse: instances tell how much urgent work they are asked for, as a part of
+what they can do, so a cut goes at once to about what fits.
+
+The least urgent of the routes is cut first, and a more urgent one only when
+nothing is left to cut below it. Inner calls can't be told apart by the
+request that made them, so this is what keeps the slots for urgent requests.
 
 # Example
 
 ```
-use walnutmoor_core::throttle::*;
+use walnutmoor_core::{balance::Pressure, throttle::*};
 
 let mut throttle = Throttle::new();
 for _ in 0..20 {
     throttle.ended("claims", 0, Ended::Served);
     throttle.ended("lookups", 2, Ended::Starved);
 }
-throttle.step(true);
+throttle.step(Pressure { demand: 1.5, pressed: true });
 assert!(!throttle.admits("lookups", false, 0.99));
 assert!(throttle.admits("claims", false, 0.99));
 ```
 */
 
-use crate::digest::Map;
+use crate::{balance::Pressure, digest::Map};
 
 /// How a request ended that was let in.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -40,44 +42,61 @@
     Starved,
 }
 
-/// The share of failures at which a route is cut. Instances fail up to one
-/// request in a hundred in calm times.
-const CUT_AT: f64 = 0.12;
+/// The share of failures from which a route is taken to lead to a service
+/// that turns work away. Instances fail up to one request in a hundred in
+/// calm times.
+const SHARES_AT: f64 = 0.06;
+
+/// Demand above which a part is cut.
+const CUT_AT: f64 = 0.98;
 
-/// The share of failures up to which a route is let in more and more.
-const RAISE_AT: f64 = 0.05;
+/// Demand up to which more is let in. The gap to [`CUT_AT`] is wider than
+/// the noise of a second of arrivals.
+const RAISE_AT: f64 = 0.88;
 
-/// The part that is still let in after a cut.
-const CUT: f64 = 0.8;
+/// What a cut aims at: just under all that can be done.
+const AIM: f64 = 0.93;
 
-/// What is let in more after a step without failures; from nothing to all in
-/// some 5 s of steps.
-const RAISE: f64 = 0.04;
+/// The least and the most that one cut leaves.
+const CUT: (f64, f64) = (0.6, 0.95);
+
+/// What is let in more after a step with room; from nothing to all in some
+/// 4 s of steps.
+const RAISE: f64 = 0.05;
 
 /// The part that is let in at the least, so that no class starves and the
 /// way back is found.
 const FLOOR: f64 = 0.08;
 
 /// What is left of the counts after a step.
-const DECAY: f64 = 0.7;
+const DECAY: f64 = 0.8;
 
 /// The least count that says anything.
 const COUNT_MIN: f64 = 4.0;
 
 /// Steps in which nothing is cut again: the effect of a cut shows once the
-/// requests that were let in before it have ended.
+/// requests that were let in before it have made their calls.
 const SETTLE: u8 = 2;
 
+/// Steps without a sign of trouble after which a route that is wholly open
+/// is no longer taken to lead to the service that was short: 10 s.
+const FORGET: u8 = 50;
+
 #[derive(Debug)]
 struct Gauge {
     priority: u8,
     served: f64,
     starved: f64,
     open: f64,
-    settle: u8,
+    /// Steps for which the route is still taken to share in the trouble.
+    shares: u8,
 }
 
 impl Gauge {
+    fn new(priority: u8) -> Gauge {
+        Gauge { priority, served: 0.0, starved: 0.0, open: 1.0, shares: 0 }
+    }
+
     fn failing(&self) -> f64 {
         let count = self.served + self.starved;
         match count < COUNT_MIN {
@@ -85,12 +104,17 @@
             false => self.starved / count,
         }
     }
+
+    fn can_be_cut(&self) -> bool {
+        self.shares > 0 && self.open > FLOOR
+    }
 }
 
 /// The admission of all routes at one node.
 #[derive(Debug, Default)]
 pub struct Throttle {
     routes: Map<String, Gauge>,
+    settle: u8,
 }
 
 impl Throttle {
@@ -114,14 +138,7 @@
     /// Counts the end of a request that was let in.
     pub fn ended(&mut self, route: &str, priority: u8, ended: Ended) {
         if !self.routes.contains_key(route) {
-            let gauge = Gauge {
-                priority,
-                served: 0.0,
-                starved: 0.0,
-                open: 1.0,
-                settle: 0,
-            };
-            self.routes.insert(route.to_string(), gauge);
+            self.routes.insert(route.to_string(), Gauge::new(priority));
         }
         let Some(gauge) = self.routes.get_mut(route) else {
             return;
@@ -133,31 +150,27 @@
         }
     }
 
-    /// Adjusts all routes; called every 200 ms. `pressed` tells whether an
-    /// instance somewhere turns urgent work away.
+    /// Adjusts all routes; called every 200 ms.
     ///
     /// Returns the routes whose part changed, with the part.
-    pub fn step(&mut self, pressed: bool) -> Vec<(String, f64)> {
-        let victim = self.victim(pressed);
-        let mut changed = Vec::new();
-        for (name, gauge) in &mut self.routes {
-            let before = gauge.open;
-            let failing = gauge.failing();
-            gauge.settle = gauge.settle.saturating_sub(1);
-            let cut = victim == Some(gauge.priority) && failing > CUT_AT;
-            if cut && gauge.settle == 0 {
-                gauge.open = (gauge.open * CUT).max(FLOOR);
-                gauge.settle = SETTLE;
-            } else if failing < RAISE_AT {
-                gauge.open = (gauge.open + RAISE).min(1.0);
+    pub fn step(&mut self, pressure: Pressure) -> Vec<(String, f64)> {
+        for gauge in self.routes.values_mut() {
+            let fails = gauge.failing() > SHARES_AT;
+            if (pressure.pressed && fails) || gauge.open < 1.0 {
+                gauge.shares = FORGET;
             }
+            gauge.shares = gauge.shares.saturating_sub(1);
             gauge.served *= DECAY;
             gauge.starved *= DECAY;
-            if gauge.open != before {
-                changed.push((name.clone(), gauge.open));
-            }
         }
-        changed
+        self.settle = self.settle.saturating_sub(1);
+        if pressure.demand > CUT_AT {
+            return self.cut(pressure.demand);
+        }
+        match pressure.demand < RAISE_AT {
+            true => self.raise(),
+            false => Vec::new(),
+        }
     }
 
     /// The part of each route that is let in, where it is not all.
@@ -166,13 +179,45 @@
         routes.filter(|(_, g)| g.open < 1.0).map(|(n, g)| (n.as_str(), g.open))
     }
 
-    /// The least urgent rank that fails and can still be cut.
-    fn victim(&self, pressed: bool) -> Option<u8> {
-        if !pressed {
-            return None;
+    fn cut(&mut self, demand: f64) -> Vec<(String, f64)> {
+        if self.settle > 0 {
+            return Vec::new();
+        }
+        let able = self.routes.values().filter(|g| g.can_be_cut());
+        let Some(rank) = able.map(|gauge| gauge.priority).max() else {
+            return Vec::new();
+        };
+        self.settle = SETTLE;
+        let part = (AIM / demand).clamp(CUT.0, CUT.1);
+        self.adjust(
+            |gauge| gauge.priority == rank && gauge.can_be_cut(),
+            |open| (open * part).max(FLOOR),
+        )
+    }
+
+    fn raise(&mut self) -> Vec<(String, f64)> {
+        let cut = self.routes.values().filter(|gauge| gauge.open < 1.0);
+        let Some(rank) = cut.map(|gauge| gauge.priority).min() else {
+            return Vec::new();
+        };
+        self.adjust(
+            |gauge| gauge.priority == rank && gauge.open < 1.0,
+            |open| (open + RAISE).min(1.0),
+        )
+    }
+
+    fn adjust(
+        &mut self,
+        which: impl Fn(&Gauge) -> bool,
+        change: impl Fn(f64) -> f64,
+    ) -> Vec<(String, f64)> {
+        let mut changed = Vec::new();
+        for (name, gauge) in &mut self.routes {
+            if which(gauge) {
+                gauge.open = change(gauge.open);
+                changed.push((name.clone(), gauge.open));
+            }
         }
-        let failing = |g: &&Gauge| g.failing() > CUT_AT && g.open > FLOOR;
-        let gauges = self.routes.values().filter(failing);
-        gauges.map(|gauge| gauge.priority).max()
+        changed
     }
 }
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -23,6 +23,7 @@
         limit: 10,
         held: 0,
         pressed: false,
+        demand: 0,
     }
 }
 
--- a/crates/walnutmoor-core/tests/throttle.rs
+++ b/crates/walnutmoor-core/tests/throttle.rs
@@ -1,6 +1,15 @@
 //! Admission at the way in.
 
-use walnutmoor_core::throttle::{Ended, Throttle};
+use walnutmoor_core::{
+    balance::Pressure,
+    throttle::{Ended, Throttle},
+};
+
+/// Twice what can be done is asked for.
+const OVER: Pressure = Pressure { demand: 2.0, pressed: true };
+
+/// Half of what can be done is asked for.
+const CALM: Pressure = Pressure { demand: 0.5, pressed: false };
 
 fn ends(throttle: &mut Throttle, route: &str, priority: u8, failed: u32) {
     for n in 0..100 {
@@ -25,7 +34,7 @@
         ends(&mut throttle, "claims", 0, 60);
         ends(&mut throttle, "lookups", 2, 60);
         ends(&mut throttle, "searches", 2, 0);
-        throttle.step(true);
+        throttle.step(OVER);
     }
 
     assert!(open(&throttle, "lookups") < 0.7);
@@ -40,7 +49,7 @@
     for _ in 0..60 {
         ends(&mut throttle, "claims", 0, 60);
         ends(&mut throttle, "lookups", 2, 60);
-        throttle.step(true);
+        throttle.step(OVER);
     }
 
     assert!(open(&throttle, "claims") < 1.0);
@@ -48,12 +57,12 @@
 }
 
 #[test]
-fn failures_without_pressure_cut_nothing() {
+fn failures_without_demand_cut_nothing() {
     let mut throttle = Throttle::new();
 
     for _ in 0..10 {
         ends(&mut throttle, "lookups", 2, 60);
-        throttle.step(false);
+        throttle.step(CALM);
     }
 
     assert_eq!(open(&throttle, "lookups"), 1.0);
@@ -64,13 +73,13 @@
     let mut throttle = Throttle::new();
     for _ in 0..6 {
         ends(&mut throttle, "lookups", 2, 60);
-        throttle.step(true);
+        throttle.step(OVER);
     }
     assert!(open(&throttle, "lookups") < 0.7);
 
     for _ in 0..40 {
         ends(&mut throttle, "lookups", 2, 0);
-        throttle.step(false);
+        throttle.step(CALM);
     }
 
     assert_eq!(open(&throttle, "lookups"), 1.0);
@@ -81,10 +90,25 @@
     let mut throttle = Throttle::new();
     for _ in 0..12 {
         ends(&mut throttle, "lookups", 2, 60);
-        throttle.step(true);
+        throttle.step(OVER);
     }
     let part = open(&throttle, "lookups");
 
     assert!(!throttle.admits("lookups", false, part + 0.01));
     assert!(throttle.admits("lookups", true, part + 0.01));
 }
+
+#[test]
+fn a_cut_goes_to_about_what_fits() {
+    let mut throttle = Throttle::new();
+
+    // All demand comes from one route, and there is half too much of it.
+    for _ in 0..60 {
+        let demand = 1.5 * open(&throttle, "lookups");
+        ends(&mut throttle, "lookups", 2, if demand > 1.0 { 40 } else { 0 });
+        throttle.step(Pressure { demand, pressed: demand > 1.0 });
+    }
+
+    let part = open(&throttle, "lookups");
+    assert!((0.55..0.67).contains(&part), "{part}");
+}
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -171,13 +171,14 @@
     let mut timer = interval(STEP);
     loop {
         timer.tick().await;
-        let pressed = state.balance.borrow().is_pressed();
-        let changed = state.throttle.borrow_mut().step(pressed);
+        let pressure = state.balance.borrow().pressure();
+        let changed = state.throttle.borrow_mut().step(pressure);
         for (route, open) in changed {
             let fields = [
                 ("route", route.as_str().into()),
                 ("let_in", open.into()),
-                ("pressed", pressed.into()),
+                ("demand", pressure.demand.into()),
+                ("pressed", pressure.pressed.into()),
             ];
             let now = state.now();
             state.journal.request(now, Event::Admission, "", &fields);
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -495,7 +495,6 @@
     serve.arrivals.set(serve.arrivals.get() + 1);
     let instance = serve.instance();
     let attempt = call.attempt.clone();
-    let priority = call.priority;
     let Some(request) = request(call, due.since(now), &instance) else {
         finish(&state, id, not_run(Kind::Malformed, false), false);
         return;
@@ -503,7 +502,7 @@
     let clock = || state.now();
     let outcome = serve.pool.send(clock, request, &attempt).await;
     let answered = matches!(outcome, Outcome::Answer(..));
-    let reply = reply(&state, outcome, priority);
+    let reply = reply(&state, outcome);
     finish(&state, id, reply, answered);
 }
 
@@ -535,7 +534,7 @@
     Some(request)
 }
 
-fn reply(state: &Rc<State>, outcome: Outcome, priority: u8) -> Reply {
+fn reply(state: &Rc<State>, outcome: Outcome) -> Reply {
     let (verdict, status, headers, body) = match outcome {
         Outcome::Answer(verdict, status, headers, body) => {
             (verdict, status, headers, body)
@@ -548,12 +547,9 @@
     };
     match verdict {
         Verdict::Genuine => answered(status, headers, body),
-        Verdict::NotRun => {
-            let now = state.now();
-            let mut bulkhead = state.serve.bulkhead.borrow_mut();
-            bulkhead.turned_away(now, priority);
-            not_run(Kind::Overloaded, true)
-        }
+        // No sign of overload: the instance is never given more than it has
+        // slots, so what it turns away it would turn away at any load.
+        Verdict::NotRun => not_run(Kind::Overloaded, true),
         Verdict::Misdirected => {
             state.serve.replaced(state);
             not_run(Kind::Unreachable, true)
