mesh: calls inherit the rank and the repeat of the request that they serve

Cause: at parts-counter the calls of a claim and of a lookup can't be told apart, so cutting lookups alone protects claims, and inner calls themselves were cut at the way in.

Also: repeats by calls of repeated runs count against the allowance; the ratio of a gate from 0.25 to 0.6 of the platform's.

--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -22,6 +22,7 @@
     priority: 0,
     target: Millis(100),
     deadline: Millis(1_000),
+    moved: false,
 };
 assert_eq!(bulkhead.offer(Millis(0), work(1)), Offer::Run);
 assert_eq!(bulkhead.offer(Millis(0), work(2)), Offer::Wait);
@@ -47,8 +48,21 @@
     pub slots: u32,
 }
 
-/// Ranks that are told apart; all that are less urgent count as the last.
-pub const RANKS: usize = 3;
+/// Ranks that are told apart; [`urgency`] gives them.
+pub const RANKS: usize = 4;
+
+/// The rank of work: that of the whole request, so that a call deep in the
+/// graph is as urgent as the caller's request that it serves.
+///
+/// Among the least urgent requests the calls of those that have begun go
+/// before new ones: refusing them wastes all that was done above.
+pub fn urgency(priority: u8, inner: bool) -> u8 {
+    match (priority, inner) {
+        (0 | 1, _) => priority,
+        (_, true) => 2,
+        (_, false) => 3,
+    }
+}
 
 /// The part of an instance's slots that is used. Instances slow down by a
 /// third in their last twentieth, which costs more than the slots bring.
@@ -61,7 +75,7 @@
 /// What part of its target a request may wait, by rank. The least urgent is
 /// refused within an eighth, in time to come back; more urgent ones are worth a
 /// longer wait, as refusing an inner call wastes its parent's work.
-const PATIENCE: [f64; RANKS] = [0.25, 0.5, 0.125];
+const PATIENCE: [f64; RANKS] = [0.5, 0.5, 0.5, 0.125];
 
 /// How long urgent work that was turned away counts as recent.
 const PRESSED: Millis = Millis(1_000);
@@ -85,6 +99,8 @@
     pub target: Millis,
     /// When nobody waits for it any more.
     pub deadline: Millis,
+    /// True if another instance has turned it away: its demand was counted.
+    pub moved: bool,
 }
 
 /// What becomes of work that was offered.
@@ -222,7 +238,7 @@
             return Offer::Closed;
         }
         let rank = rank(work.priority);
-        if rank < RANKS - 1 {
+        if rank < RANKS - 1 && !work.moved {
             self.demand.add(now, self.takes[rank]);
         }
         if self.queue.is_empty() && self.running.len() < self.limit {
--- a/crates/walnutmoor-core/src/repeat.rs
+++ b/crates/walnutmoor-core/src/repeat.rs
@@ -104,6 +104,13 @@
         true
     }
 
+    /// Counts a request of a run that is itself a repeat. It is not asked
+    /// for: turning it away would waste that run. What it takes is missing
+    /// for other repeats.
+    pub fn echo(&mut self, now: Millis) {
+        self.bucket(now).repeats += 1;
+    }
+
     /// Repeats that are left at this moment.
     pub fn left(&self, now: Millis) -> u64 {
         let Config { ratio, slack, window } = self.config;
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -58,11 +58,11 @@
 const AIM: f64 = 0.93;
 
 /// The least and the most that one cut leaves.
-const CUT: (f64, f64) = (0.6, 0.95);
+const CUT: (f64, f64) = (0.7, 0.95);
 
 /// What is let in more after a step with room; from nothing to all in some
-/// 4 s of steps.
-const RAISE: f64 = 0.05;
+/// 5 s of steps.
+const RAISE: f64 = 0.04;
 
 /// The part that is let in at the least, so that no class starves and the
 /// way back is found.
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -18,8 +18,8 @@
 fn load(takes: u16, wait: u16) -> Load {
     Load {
         accepting: true,
-        waits: [wait; 3],
-        takes: [takes; 3],
+        waits: [wait; 4],
+        takes: [takes; 4],
         limit: 10,
         held: 0,
         pressed: false,
--- a/crates/walnutmoor-core/tests/bulkhead.rs
+++ b/crates/walnutmoor-core/tests/bulkhead.rs
@@ -9,7 +9,7 @@
     ReferenceStateMachine, StateMachineTest, prop_state_machine,
 };
 use walnutmoor_core::{
-    bulkhead::{Bulkhead, Next, Offer, Work},
+    bulkhead::{Bulkhead, Next, Offer, Work, urgency},
     id::CallId,
     time::Millis,
 };
@@ -106,7 +106,9 @@
             Step::Offer { priority, left } => {
                 let id = CallId(model.next);
                 let deadline = now + Millis(left);
-                let work = Work { id, priority, target: TARGET, deadline };
+                let moved = false;
+                let work =
+                    Work { id, priority, target: TARGET, deadline, moved };
                 let open = this.bulkhead.is_open();
                 match this.bulkhead.offer(now, work) {
                     Offer::Run => this.running.push(id),
@@ -168,14 +170,15 @@
 
 fn work(id: u64, priority: u8, left: u64) -> Work {
     let deadline = Millis(left);
-    Work { id: CallId(id), priority, target: TARGET, deadline }
+    let id = CallId(id);
+    Work { id, priority, target: TARGET, deadline, moved: false }
 }
 
 /// A bulkhead of one slot, in which call 0 runs and runs take 10 ms.
 fn busy() -> Bulkhead {
     let mut bulkhead = Bulkhead::new();
     bulkhead.open(1);
-    for priority in 0..3 {
+    for priority in 0..4 {
         let id = CallId(100 + u64::from(priority));
         bulkhead.offer(Millis(0), Work { id, ..work(0, priority, 900) });
         bulkhead.finish(Millis(10), id, true);
@@ -188,7 +191,7 @@
 fn the_most_urgent_goes_first_and_among_equals_the_one_with_least_time() {
     let mut bulkhead = busy();
 
-    for (id, priority, left) in [(1, 2, 500), (2, 0, 800), (3, 0, 700)] {
+    for (id, priority, left) in [(1, 3, 500), (2, 0, 800), (3, 0, 700)] {
         let offer = bulkhead.offer(Millis(10), work(id, priority, left));
         assert_eq!(offer, Offer::Wait, "{id}");
     }
@@ -211,7 +214,7 @@
 
     let mut full = 0;
     for id in 1..40 {
-        let offer = bulkhead.offer(Millis(10), work(id, 2, 900));
+        let offer = bulkhead.offer(Millis(10), work(id, 3, 900));
         full += usize::from(matches!(offer, Offer::Full { .. }));
     }
 
@@ -237,6 +240,16 @@
     assert_eq!(next, Some(Next::Run(CallId(50))));
 }
 
+#[test]
+fn a_call_is_as_urgent_as_the_request_that_it_serves() {
+    let claims_call = urgency(0, true);
+    let lookups_call = urgency(2, true);
+    let search = urgency(2, false);
+
+    assert!(claims_call < lookups_call);
+    assert!(lookups_call < search);
+}
+
 #[test]
 fn urgent_work_turned_away_shows_as_pressure_for_a_while() {
     let mut bulkhead = busy();
--- a/crates/walnutmoor-core/tests/repeat.rs
+++ b/crates/walnutmoor-core/tests/repeat.rs
@@ -126,3 +126,15 @@
     assert_eq!(granted, 3);
     assert_eq!(repeats.left(Millis(5)), 0);
 }
+
+#[test]
+fn calls_of_repeated_runs_use_up_the_allowance() {
+    let config = Config::new().ratio(0.0).slack(3.0);
+    let mut repeats = Repeats::new(config);
+
+    repeats.echo(Millis(1));
+    repeats.echo(Millis(2));
+
+    assert!(repeats.try_repeat(Millis(3)));
+    assert!(!repeats.try_repeat(Millis(4)));
+}
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -37,6 +37,12 @@
 pub struct Request {
     /// Its route.
     pub route: Arc<Route>,
+    /// Its rank, as `bulkhead::urgency` gives it.
+    pub urgency: u8,
+    /// True if the instance beside this node made it for another request.
+    pub inner: bool,
+    /// True if a run that is itself a repeat has made it.
+    pub echo: bool,
     /// The service that it goes to.
     pub service: Service,
     /// The caller's id of the attempt.
@@ -112,7 +118,7 @@
             now,
             Want {
                 service: &request.service,
-                priority: request.route.priority,
+                priority: request.urgency,
                 target: request.route.target,
             },
             &course.tried,
@@ -266,11 +272,13 @@
         caller: state.settings.service.clone(),
         attempt: request.attempt.clone(),
         effect: request.route.effect,
-        priority: request.route.priority,
+        priority: request.urgency,
         target: request.route.target,
         left: request.deadline.since(now),
         caller_left: request.caller_deadline.since(now),
         repeat: course.reached > 0,
+        echo: request.echo,
+        moved: !course.tried.is_empty(),
         method: request.method.clone(),
         path: request.path.clone(),
         headers: request.headers.clone(),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -90,7 +90,7 @@
     pub attempt: String,
     /// Whether it may run again.
     pub effect: Effect,
-    /// Its rank.
+    /// Its rank, as `bulkhead::urgency` gives it.
     pub priority: u8,
     /// The time within which its answer is worth most.
     pub target: Millis,
@@ -100,6 +100,10 @@
     pub caller_left: Millis,
     /// True if an instance may have been reached by it before.
     pub repeat: bool,
+    /// True if a run that is itself a repeat has made it.
+    pub echo: bool,
+    /// True if another instance has turned it away.
+    pub moved: bool,
     /// The method.
     pub method: String,
     /// Path and query, unchanged.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use walnutmoor_core::{
-    error::Kind, table::Table, throttle::Ended, time::Millis,
+    bulkhead, error::Kind, table::Table, throttle::Ended, time::Millis,
 };
 use walnutmoor_platform::header;
 
@@ -153,14 +153,24 @@
     let route = route.ok_or(Kind::NoRoute)?.clone();
     let body = read(state, stay, &table, &head.headers, body).await?;
     let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
-    let returns = state.returns(&route.name, left);
-    let draw = state.draw();
-    if !state.throttle.borrow().admits(&route.name, returns, draw) {
-        return Err(Kind::Overloaded);
+    let parent = state.serve.parent(&stay.attempt);
+    if parent.is_none() {
+        let returns = state.returns(&route.name, left);
+        let draw = state.draw();
+        if !state.throttle.borrow().admits(&route.name, returns, draw) {
+            return Err(Kind::Overloaded);
+        }
     }
+    let urgency = match &parent {
+        Some(parent) => bulkhead::urgency(parent.priority, true),
+        None => bulkhead::urgency(route.priority, false),
+    };
     let service = state.splitter.borrow_mut().pick(&route);
     header::prepare(&mut head.headers);
     Ok(dispatch::Request {
+        urgency,
+        inner: parent.is_some(),
+        echo: parent.is_some_and(|parent| parent.repeat),
         service: service.ok_or(Kind::UnknownService)?,
         attempt: stay.attempt.clone(),
         method: head.method.to_string(),
@@ -261,7 +271,7 @@
         End::Refused(kind, _) => (Event::Refused, "refused", kind.as_str()),
         End::Failed(kind) => (Event::Unknown, "unknown", kind.as_str()),
     };
-    if event != Event::Refused {
+    if event != Event::Refused && !request.inner {
         let ended = match &end {
             End::Answered { status, .. } if *status >= 500 => Ended::Starved,
             _ => Ended::Served,
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -42,10 +42,10 @@
     wire,
 };
 
-/// The part of the platform's ratio of repeats that one instance allows.
-/// The calls that a repeated request makes count as repeats as well, at each
-/// service below it; three levels of them must fit in the ratio.
-const RATIO_PART: f64 = 0.25;
+/// The part of the platform's ratio of repeats that one instance allows. The
+/// calls of repeated runs count as repeats and are not turned away; the rest
+/// is room for those.
+const RATIO_PART: f64 = 0.6;
 
 /// The part of the platform's slack that one instance allows. Services
 /// have three instances or more, and the slack covers restarts as well.
@@ -76,8 +76,19 @@
     }
 }
 
+/// What a request that the instance runs hands down to the calls that it
+/// makes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Parent {
+    /// The rank of the whole request.
+    pub priority: u8,
+    /// True if this run is a repeat, or that of a call of one.
+    pub repeat: bool,
+}
+
 #[derive(Debug)]
 struct Job {
+    attempt: String,
     call: Option<Call>,
     effect: Effect,
     deadline: Millis,
@@ -109,6 +120,8 @@
     bulkhead: RefCell<Bulkhead>,
     repeats: RefCell<Repeats>,
     jobs: RefCell<Map<CallId, Job>>,
+    /// Requests that the instance runs, by the callers' ids.
+    parents: RefCell<Map<String, Parent>>,
     known: RefCell<Option<Known>>,
     /// Ids of instances that had the address before.
     former: RefCell<Vec<String>>,
@@ -144,6 +157,7 @@
             bulkhead: RefCell::new(Bulkhead::new()),
             repeats: RefCell::new(Repeats::new(config)),
             jobs: RefCell::new(Map::default()),
+            parents: RefCell::new(Map::default()),
             known: RefCell::new(None),
             former: RefCell::new(Vec::new()),
             suspended_until: Cell::new(Millis(0)),
@@ -190,6 +204,12 @@
         self.known.borrow().as_ref().is_some_and(|known| !known.ready)
     }
 
+    /// The request that made this one, if the instance runs it.
+    pub fn parent(&self, attempt: &str) -> Option<Parent> {
+        let parent = header::parent(attempt)?;
+        self.parents.borrow().get(parent).copied()
+    }
+
     /// Takes a call: hands it to the instance, lets it wait or turns it
     /// away.
     pub fn submit(
@@ -213,9 +233,11 @@
             priority: call.priority,
             target: call.target,
             deadline,
+            moved: call.moved,
         };
         let offer = self.bulkhead.borrow_mut().offer(now, work);
         let job = Job {
+            attempt: call.attempt.clone(),
             effect: call.effect,
             deadline,
             caller_deadline: now + call.caller_left,
@@ -261,7 +283,7 @@
             drop(jobs);
             if let Some(task) = job.task {
                 task.abort();
-                self.end(state, id, false);
+                self.end(state, id, &job.attempt, false);
             }
         }
     }
@@ -319,8 +341,15 @@
     }
 
     /// Work has left the instance.
-    fn end(&self, state: &Rc<State>, id: CallId, answered: bool) {
+    fn end(
+        &self,
+        state: &Rc<State>,
+        id: CallId,
+        attempt: &str,
+        answered: bool,
+    ) {
         let now = state.now();
+        self.parents.borrow_mut().remove(attempt);
         self.bulkhead.borrow_mut().finish(now, id, answered);
         self.advance(state);
     }
@@ -488,10 +517,17 @@
         finish(&state, id, not_run(Kind::Deadline, false), false);
         return;
     }
-    match call.repeat {
-        true => serve.repeated.set(serve.repeated.get() + 1),
-        false => serve.repeats.borrow_mut().first(now),
+    if call.repeat || call.echo {
+        serve.repeated.set(serve.repeated.get() + 1);
+    }
+    if call.echo && !call.repeat {
+        serve.repeats.borrow_mut().echo(now);
+    } else if !call.repeat {
+        serve.repeats.borrow_mut().first(now);
     }
+    let parent =
+        Parent { priority: call.priority, repeat: call.repeat || call.echo };
+    serve.parents.borrow_mut().insert(call.attempt.clone(), parent);
     serve.arrivals.set(serve.arrivals.get() + 1);
     let instance = serve.instance();
     let attempt = call.attempt.clone();
@@ -507,11 +543,13 @@
 }
 
 fn finish(state: &Rc<State>, id: CallId, reply: Reply, answered: bool) {
-    let job = state.serve.jobs.borrow_mut().remove(&id);
+    let Some(job) = state.serve.jobs.borrow_mut().remove(&id) else {
+        return;
+    };
     // Room is made first, so that the load that travels with the answer is
     // that of the next moment.
-    state.serve.end(state, id, answered);
-    if let Some(sink) = job.and_then(|job| job.sink) {
+    state.serve.end(state, id, &job.attempt, answered);
+    if let Some(sink) = job.sink {
         sink.reply(state, reply);
     }
 }
