--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -75,7 +75,7 @@
 /// What part of its target a request may wait, by rank. The least urgent is
 /// refused within an eighth, in time to come back; more urgent ones are worth a
 /// longer wait, as refusing an inner call wastes its parent's work.
-const PATIENCE: [f64; RANKS] = [0.5, 0.5, 0.5, 0.125];
+const PATIENCE: [f64; RANKS] = [0.5, 0.5, 0.3, 0.125];
 
 /// How long urgent work that was turned away counts as recent.
 const PRESSED: Millis = Millis(1_000);
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -60,9 +60,13 @@
 /// The least and the most that one cut leaves.
 const CUT: (f64, f64) = (0.7, 0.95);
 
-/// What is let in more after a step with room; from nothing to all in some
-/// 5 s of steps.
-const RAISE: f64 = 0.04;
+/// What is let in more after a step, as a part of what is let in and of the
+/// room that is left. The effect of a step shows after some five of them, so
+/// a larger part overshoots.
+const RAISE: f64 = 0.25;
+
+/// What is let in more at the least, so that a small part grows as well.
+const RAISE_MIN: f64 = 0.01;
 
 /// The part that is let in at the least, so that no class starves and the
 /// way back is found.
@@ -168,7 +172,7 @@
             return self.cut(pressure.demand);
         }
         match pressure.demand < RAISE_AT {
-            true => self.raise(),
+            true => self.raise(RAISE_AT - pressure.demand),
             false => Vec::new(),
         }
     }
@@ -195,14 +199,14 @@
         )
     }
 
-    fn raise(&mut self) -> Vec<(String, f64)> {
+    fn raise(&mut self, room: f64) -> Vec<(String, f64)> {
         let cut = self.routes.values().filter(|gauge| gauge.open < 1.0);
         let Some(rank) = cut.map(|gauge| gauge.priority).min() else {
             return Vec::new();
         };
         self.adjust(
             |gauge| gauge.priority == rank && gauge.open < 1.0,
-            |open| (open + RAISE).min(1.0),
+            |open| (open + open * room * RAISE + RAISE_MIN).min(1.0),
         )
     }
 
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -34,6 +34,12 @@
 /// desired state yet; reading it takes some tens of milliseconds.
 const RETRY_STARTING: Millis = Millis(300);
 
+/// The part of the descriptors that callers' connections may take before
+/// they are asked to close. Callers that retry open a new connection each
+/// time and keep the old one for as long as the operator allows; without
+/// this a node ran out of descriptors and read nobody for four seconds.
+const CONNECTIONS_PART: f64 = 0.35;
+
 /// How long a connection may wait for a request where the operator sets no
 /// limit yet.
 const IDLE: Duration = Duration::from_secs(60);
@@ -69,6 +75,7 @@
         let longest = limits.idle.0.max(limits.head_time.0);
         Duration::from_millis(longest + 1_000)
     });
+    let counted = state.clone();
     let service = service_fn(move |request| {
         let state = state.clone();
         async move { Ok::<_, Infallible>(take(state, request).await) }
@@ -76,8 +83,18 @@
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(idle);
     builder.auto_date_header(false);
+    let open = &counted.connections;
+    open.set(open.get() + 1);
     // A caller that breaks off is no fault of this node.
     let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    open.set(open.get() - 1);
+}
+
+/// True if callers are to close their connections after an answer.
+fn is_crowded(state: &State) -> bool {
+    let all = state.settings.descriptors as f64;
+    let crowded = state.connections.get() as f64 > all * CONNECTIONS_PART;
+    crowded || state.phase.get() != Phase::Serving
 }
 
 /// Counts a request for as long as it lasts, and notes when its caller has
@@ -125,7 +142,7 @@
         Err(kind) => turn_away(&state, &stay, kind),
     };
     stay.over = true;
-    if state.phase.get() != Phase::Serving {
+    if is_crowded(&state) {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(names::CONNECTION, close);
     }
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -202,6 +202,7 @@
             ("arrivals", serve.arrivals.get().into()),
             ("repeats", serve.repeated.get().into()),
             ("over_budget", serve.over_budget.get().into()),
+            ("callers", state.connections.get().into()),
             ("connections", serve.pool.opened().into()),
         ];
         state.journal.change(state.now(), Event::Counters, &fields);
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -20,6 +20,11 @@
 /// settings name none.
 const GRACE: Millis = Millis(6_000);
 
+/// Files and sockets that a process may commonly have open.
+fn descriptors() -> usize {
+    1_024
+}
+
 /// All settings.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +49,9 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Files and sockets that the process may have open.
+    #[serde(default = "descriptors")]
+    pub descriptors: usize,
     /// The platform's bounds by name.
     #[serde(default)]
     pub bounds: BTreeMap<String, String>,
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -62,6 +62,8 @@
     pub phase: Cell<Phase>,
     /// Callers' requests under way.
     pub under_way: Cell<usize>,
+    /// Callers' connections that are open.
+    pub connections: Cell<usize>,
     /// Bytes of bodies held for callers.
     pub held: Cell<usize>,
     links: RefCell<Map<NodeId, Rc<Link>>>,
@@ -101,6 +103,7 @@
             serve,
             phase: Cell::new(Phase::Serving),
             under_way: Cell::new(0),
+            connections: Cell::new(0),
             held: Cell::new(0),
             links: RefCell::new(Map::default()),
             table: RefCell::new(None),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -18,13 +18,23 @@
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
+/// Upper ends of the latency buckets in seconds: twofold steps from the time
+/// that a node adds to the longest time-out in use.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512,
+    1.024, 2.048, 4.096, 8.192,
+];
+
 /// Installs the recorder of metrics for this process.
 ///
 /// # Errors
 ///
 /// If another recorder is there.
 pub fn install_metrics() -> Result<(), Failure> {
+    // Fixed buckets: a summary would keep every sample in memory.
     let handle = PrometheusBuilder::new()
+        .set_buckets(&BUCKETS)
+        .map_err(|error| Failure::Internal(error.to_string()))?
         .install_recorder()
         .map_err(|error| Failure::Internal(error.to_string()))?;
     let _ = HANDLE.set(handle);
