mesh: callers come back within the target of their route

Cause: a refused caller was told to come back after 1.2 s, which is the whole target of a lookup, so all that were served at the second try were late.

--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -70,7 +70,7 @@
 
 /// The part of the slots that each less urgent rank keeps while it has work
 /// waiting, so that no class starves behind another.
-const RESERVE: f64 = 0.12;
+const RESERVE: f64 = 0.15;
 
 /// What part of its target a request may wait, by rank. The least urgent is
 /// refused within an eighth, in time to come back; more urgent ones are worth a
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -12,7 +12,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use walnutmoor_core::{
-    bulkhead, error::Kind, table::Table, throttle::Ended, time::Millis,
+    bulkhead,
+    error::{Kind, Ran, Refusal},
+    table::Table,
+    throttle::Ended,
+    time::Millis,
 };
 use walnutmoor_platform::header;
 
@@ -44,9 +48,10 @@
 /// limit yet.
 const IDLE: Duration = Duration::from_secs(60);
 
-/// When a caller may come back that admission refused. What is cut comes
-/// back over seconds; the spread keeps callers from coming together.
-const RETRY_CUT: Millis = Millis(1_200);
+/// When a caller may come back that admission refused, as a part of the
+/// route's target: soon enough that an answer at the second try still lies
+/// within it. The spread keeps callers from coming together.
+const RETRY_CUT: f64 = 0.3;
 
 /// The time that a caller has if it names none.
 const TIME_LEFT: Millis = Millis(30_000);
@@ -139,7 +144,7 @@
             let end = dispatch::run(&state, &request).await;
             conclude(&state, &stay, &request, end)
         }
-        Err(kind) => turn_away(&state, &stay, kind),
+        Err(refusal) => turn_away(&state, &stay, &refusal),
     };
     stay.over = true;
     if is_crowded(&state) {
@@ -154,28 +159,32 @@
     state: &Rc<State>,
     stay: &mut Stay,
     request: Request<Incoming>,
-) -> Result<dispatch::Request, Kind> {
-    let table = state.table().ok_or(Kind::Starting)?;
+) -> Result<dispatch::Request, Refusal> {
+    let table = state.table().ok_or_else(|| not_run(Kind::Starting))?;
     if state.phase.get() == Phase::Finishing {
-        return Err(Kind::Leaving);
+        return Err(not_run(Kind::Leaving));
     }
     if state.under_way.get() > UNDER_WAY_MAX {
-        return Err(Kind::Full);
+        return Err(not_run(Kind::Full));
     }
     if stay.attempt.is_empty() {
-        return Err(Kind::Malformed);
+        return Err(not_run(Kind::Malformed));
     }
     let (mut head, body) = request.into_parts();
     let route = host(&head).and_then(|h| table.find(h, head.uri.path()));
-    let route = route.ok_or(Kind::NoRoute)?.clone();
-    let body = read(state, stay, &table, &head.headers, body).await?;
+    let route = route.ok_or_else(|| not_run(Kind::NoRoute))?.clone();
+    let body = read(state, stay, &table, &head.headers, body)
+        .await
+        .map_err(not_run)?;
     let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
     let parent = state.serve.parent(&stay.attempt);
     if parent.is_none() {
         let returns = state.returns(&route.name, left);
         let draw = state.draw();
         if !state.throttle.borrow().admits(&route.name, returns, draw) {
-            return Err(Kind::Overloaded);
+            let span = route.target.0 as f64 * RETRY_CUT;
+            let refusal = Refusal::new(Kind::Overloaded, Ran::No);
+            return Err(refusal.retry_after(Millis(span as u64)));
         }
     }
     let urgency = match &parent {
@@ -188,7 +197,7 @@
         urgency,
         inner: parent.is_some(),
         echo: parent.is_some_and(|parent| parent.repeat),
-        service: service.ok_or(Kind::UnknownService)?,
+        service: service.ok_or_else(|| not_run(Kind::UnknownService))?,
         attempt: stay.attempt.clone(),
         method: head.method.to_string(),
         path: path(&head),
@@ -247,22 +256,33 @@
     }
 }
 
-fn turn_away(state: &Rc<State>, stay: &Stay, kind: Kind) -> Answer {
-    metrics::counter!("walnutmoor_refused_total", "kind" => kind.as_str())
-        .increment(1);
-    let fields = [
-        ("why", kind.as_str().into()),
-        ("revision", state.revision().0.into()),
-    ];
-    let id = &stay.attempt;
-    state.journal.request(state.now(), Event::Refused, id, &fields);
+/// A refusal of a request that was not even tried.
+fn not_run(kind: Kind) -> Refusal {
+    let refusal = Refusal::new(kind, Ran::No);
     match kind {
-        Kind::Starting | Kind::Leaving | Kind::Full => {
-            wire::refuse(kind, state.spread(RETRY_STARTING))
+        Kind::Starting | Kind::Leaving | Kind::Full | Kind::UnknownService => {
+            refusal.retry_after(RETRY_STARTING)
         }
-        Kind::Overloaded => wire::refuse(kind, state.spread(RETRY_CUT)),
-        Kind::UnknownService => wire::refuse(kind, RETRY_STARTING),
-        _ => wire::fail(kind),
+        _ => refusal,
+    }
+}
+
+fn turn_away(state: &Rc<State>, stay: &Stay, refusal: &Refusal) -> Answer {
+    let kind = refusal.kind;
+    metrics::counter!("walnutmoor_refused_total", "kind" => kind.as_str())
+        .increment(1);
+    let now = state.now();
+    if state.journal.has_room(now, Event::Refused) {
+        let fields = [
+            ("why", kind.as_str().into()),
+            ("revision", state.revision().0.into()),
+        ];
+        let id = &stay.attempt;
+        state.journal.request(now, Event::Refused, id, &fields);
+    }
+    match refusal.retry_after {
+        Some(span) => wire::refuse(kind, state.spread(span)),
+        None => wire::fail(kind),
     }
 }
 
