--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -138,13 +138,18 @@
         }
     }
 
-    /// A node tells the load of its instance.
-    pub fn report(&mut self, id: NodeId, load: Load) {
-        if let Some((_, server)) = self.servers.get_mut(&id) {
-            server.load = load;
-            server.reported = true;
-            server.under_way_then = server.under_way;
-        }
+    /// A node tells the load of its instance. True if that tells whether
+    /// the instance takes work, and it was not known or was otherwise.
+    pub fn report(&mut self, id: NodeId, load: Load) -> bool {
+        let Some((_, server)) = self.servers.get_mut(&id) else {
+            return false;
+        };
+        let known = server.reported && server.load.accepting;
+        let changed = known != load.accepting;
+        server.load = load;
+        server.reported = true;
+        server.under_way_then = server.under_way;
+        changed
     }
 
     /// A node can't be reached until then.
--- a/crates/walnutmoor-standin/src/lib.rs
+++ b/crates/walnutmoor-standin/src/lib.rs
@@ -8,6 +8,7 @@
 - [`child`] starts nodes as processes of their own.
 - [`load`] is an open-loop load generator.
 - [`measure`] runs a scenario and prints its figures.
+- [`mesh`] has the platform's store, instances, callers and nodes.
 - [`drive`] reads events as JSON lines and prints the core's actions.
 
 # Example
@@ -26,6 +27,7 @@
 pub mod drive;
 pub mod load;
 pub mod measure;
+pub mod mesh;
 pub mod oracle;
 pub mod platform;
 pub mod report;
--- /dev/null
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -0,0 +1,313 @@
+/*!
+An instance of a service: slots, heartbeats, and ways to fail. It speaks raw
+HTTP over a socket, since most of its failures are none that a library would
+write.
+*/
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use http::HeaderMap;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use walnutmoor_core::{id::Service, time::Millis};
+use walnutmoor_platform::{
+    header,
+    heartbeat::{Report, State},
+    standin,
+};
+
+use super::caller;
+
+/// How an instance treats the requests that it gets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mood {
+    /// It runs and answers them.
+    Well,
+    /// It runs them, and the connection breaks before the answer.
+    LosesAnswers,
+    /// It turns them away, not run.
+    Sheds,
+    /// It runs them and fails.
+    Fails,
+    /// It answers, and a moment later answers once more.
+    AnswersTwice,
+    /// It answers with half of the body that it has promised.
+    CutsAnswers,
+    /// It answers without a signature.
+    Forges,
+    /// It runs them and never answers.
+    Silent,
+}
+
+/// An instance.
+#[derive(Debug)]
+pub struct Instance {
+    id: String,
+    service: Service,
+    slots: u32,
+    address: SocketAddr,
+    control: SocketAddr,
+    mood: Mutex<Mood>,
+    time: AtomicU64,
+    sequence: AtomicU64,
+    draining: AtomicBool,
+    silent: AtomicBool,
+    runs: Mutex<BTreeMap<String, u32>>,
+    cut: AtomicU64,
+    callers: Mutex<Vec<String>>,
+}
+
+/// The pause between heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+
+impl Instance {
+    /// Starts one at an address, beside the node whose control is there.
+    ///
+    /// # Panics
+    ///
+    /// If the address is taken.
+    pub async fn start(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        control: SocketAddr,
+    ) -> Arc<Instance> {
+        let listener = TcpListener::bind(address).await.expect("a port");
+        let instance = Arc::new(Instance {
+            id: id.to_string(),
+            service: service.parse().expect("a service name"),
+            slots: 8,
+            address,
+            control,
+            mood: Mutex::new(Mood::Well),
+            time: AtomicU64::new(5),
+            sequence: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
+            runs: Mutex::default(),
+            cut: AtomicU64::new(0),
+            callers: Mutex::default(),
+        });
+        tokio::spawn(accept(instance.clone(), listener));
+        tokio::spawn(beat(instance.clone()));
+        instance
+    }
+
+    /// Changes how it treats requests.
+    pub fn set_mood(&self, mood: Mood) {
+        *self.mood.lock().expect("no holder panics") = mood;
+    }
+
+    /// Changes how long it takes for a request.
+    pub fn set_time(&self, time: Duration) {
+        self.time.store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Says from now on that it is leaving, and finishes what it has.
+    pub async fn drain(&self) -> u16 {
+        self.draining.store(true, Ordering::Relaxed);
+        self.report().await
+    }
+
+    /// Sends no heartbeats any more.
+    pub fn hush(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Says goodbye without having said that it leaves.
+    pub async fn leave(&self) -> u16 {
+        self.silent.store(true, Ordering::Relaxed);
+        let (method, path, body) = standin::goodbye(&self.id);
+        let sent = caller::send(self.control, method, &path, &[], body);
+        sent.await.map_or(0, |answer| answer.status)
+    }
+
+    /// How often a request ran.
+    pub fn runs(&self, attempt: &str) -> u32 {
+        let runs = self.runs.lock().expect("no holder panics");
+        runs.get(attempt).copied().unwrap_or(0)
+    }
+
+    /// Requests that ran.
+    pub fn total(&self) -> u32 {
+        self.runs.lock().expect("no holder panics").values().sum()
+    }
+
+    /// Runs whose connection was closed before they ended.
+    pub fn cut(&self) -> u64 {
+        self.cut.load(Ordering::Relaxed)
+    }
+
+    /// The services beside which its requests began.
+    pub fn callers(&self) -> Vec<String> {
+        self.callers.lock().expect("no holder panics").clone()
+    }
+
+    async fn report(&self) -> u16 {
+        let state = match self.draining.load(Ordering::Relaxed) {
+            true => State::Draining,
+            false => State::Ready,
+        };
+        let report = Report {
+            instance: self.id.clone(),
+            address: self.address.to_string(),
+            service: self.service.clone(),
+            slots: self.slots,
+            state,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            cold_left: Millis(0),
+        };
+        let (method, path, body) = standin::report(&report);
+        let sent = caller::send(self.control, method, &path, &[], body);
+        sent.await.map_or(0, |answer| answer.status)
+    }
+
+    fn note(&self, request: &caller::Request) {
+        let id = header::attempt(&request.headers).unwrap_or_default();
+        let mut runs = self.runs.lock().expect("no holder panics");
+        *runs.entry(id.to_string()).or_default() += 1;
+        let from = request.headers.get(header::CALLER);
+        let from = from.and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let mut callers = self.callers.lock().expect("no holder panics");
+        callers.push(from.to_string());
+    }
+
+    fn is_misdirected(&self, headers: &HeaderMap) -> bool {
+        let only = headers.get(header::ONLY_INSTANCE);
+        only.is_some_and(|only| only.as_bytes() != self.id.as_bytes())
+    }
+}
+
+async fn beat(instance: Arc<Instance>) {
+    while !instance.silent.load(Ordering::Relaxed) {
+        instance.report().await;
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+async fn accept(instance: Arc<Instance>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(instance.clone(), stream));
+    }
+}
+
+async fn serve(instance: Arc<Instance>, mut stream: TcpStream) {
+    let mut bytes = Vec::new();
+    while let Some(request) =
+        caller::read_request(&mut stream, &mut bytes).await
+    {
+        if !answer(&instance, &mut stream, &request).await {
+            return;
+        }
+    }
+}
+
+/// Answers a request; false if the connection ends with it.
+async fn answer(
+    instance: &Arc<Instance>,
+    stream: &mut TcpStream,
+    request: &caller::Request,
+) -> bool {
+    if request.path == "/health" {
+        return health(instance, stream).await;
+    }
+    if instance.is_misdirected(&request.headers) {
+        return write(stream, "421 Misdirected Request", "", "").await;
+    }
+    let mood = *instance.mood.lock().expect("no holder panics");
+    if mood == Mood::Sheds {
+        let said = format!("{}: 1\r\n", header::NOT_RUN);
+        return write(stream, "503 Service Unavailable", &said, "").await;
+    }
+    if !run(instance, stream, request).await {
+        return false;
+    }
+    let id = header::attempt(&request.headers).unwrap_or_default();
+    let body = format!("{} {id} {}", instance.id, request.body);
+    let own = format!("{}: {id}\r\n", header::ATTEMPT);
+    let signed = format!("{own}{}: s.{id}\r\n", header::SIGNATURE);
+    match mood {
+        Mood::LosesAnswers => false,
+        Mood::Silent => std::future::pending().await,
+        Mood::Fails => {
+            write(stream, "500 Internal Server Error", &signed, "no").await
+        }
+        Mood::Forges => write(stream, "200 OK", &own, &body).await,
+        Mood::CutsAnswers => {
+            let half = format!(
+                "HTTP/1.1 200 OK\r\n{signed}content-length: {}\r\n\r\n{body}",
+                body.len() * 2
+            );
+            // The caller sees a short body, which is what is meant.
+            let _ = stream.write_all(half.as_bytes()).await;
+            false
+        }
+        Mood::AnswersTwice => {
+            let first = write(stream, "200 OK", &signed, &body).await;
+            tokio::time::sleep(Duration::from_millis(3)).await;
+            first && write(stream, "200 OK", &signed, "again").await
+        }
+        Mood::Well | Mood::Sheds => {
+            write(stream, "200 OK", &signed, &body).await
+        }
+    }
+}
+
+/// Runs a request; false if its connection was closed meanwhile.
+async fn run(
+    instance: &Arc<Instance>,
+    stream: &mut TcpStream,
+    request: &caller::Request,
+) -> bool {
+    instance.note(request);
+    let time = Duration::from_millis(instance.time.load(Ordering::Relaxed));
+    let mut byte = [0];
+    tokio::select! {
+        () = tokio::time::sleep(time) => true,
+        read = stream.read(&mut byte) => {
+            // A caller sends nothing while its request runs, so this is the
+            // end of the connection.
+            debug_assert!(!matches!(read, Ok(n) if n > 0));
+            instance.cut.fetch_add(1, Ordering::Relaxed);
+            false
+        }
+    }
+}
+
+async fn health(instance: &Instance, stream: &mut TcpStream) -> bool {
+    let status = match instance.draining.load(Ordering::Relaxed) {
+        true => "503 Service Unavailable",
+        false => "200 OK",
+    };
+    let said = format!(
+        "{}: {}\r\n{}: 0,0,{}\r\n",
+        header::INSTANCE,
+        instance.id,
+        header::LOAD,
+        instance.slots
+    );
+    write(stream, status, &said, "").await
+}
+
+async fn write(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &str,
+) -> bool {
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
--- /dev/null
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -0,0 +1,255 @@
+/*!
+The platform's metadata store: objects with revisions, watches, and outages.
+*/
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, sync::Notify};
+use walnutmoor_core::{id::Revision, time::Millis};
+use walnutmoor_platform::{
+    standin::{self, Call},
+    store::Kind,
+};
+
+#[derive(Clone, Debug)]
+struct Entry {
+    kind: Kind,
+    name: String,
+    revision: Revision,
+    spec: String,
+    removed: bool,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    revision: u64,
+    /// The oldest revision from which a watch can go on.
+    oldest: u64,
+    objects: BTreeMap<(u8, String), Entry>,
+}
+
+/// A store.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    data: Mutex<Data>,
+    changed: Notify,
+    down: AtomicBool,
+    calls: AtomicU64,
+}
+
+type Reply = Response<Full<Bytes>>;
+
+impl Store {
+    /// Starts one on a free port of the loopback.
+    ///
+    /// # Panics
+    ///
+    /// If no port can be opened.
+    pub async fn start() -> Arc<Store> {
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let listener = TcpListener::bind(any).await.expect("a free port");
+        let store = Arc::new(Store {
+            address: listener.local_addr().expect("a bound port"),
+            data: Mutex::default(),
+            changed: Notify::new(),
+            down: AtomicBool::new(false),
+            calls: AtomicU64::new(0),
+        });
+        tokio::spawn(accept(store.clone(), listener));
+        store
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls that it was asked, also while it was down.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Refuses every call, or serves again.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets its history: watches are told to begin anew.
+    pub fn compact(&self) {
+        let mut data = self.lock();
+        data.revision += 1;
+        data.oldest = data.revision;
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes a desired state, as the operator does.
+    pub fn write_desired(&self, spec: &str) -> Revision {
+        self.put(Kind::Desired, "main", spec, false)
+    }
+
+    /// Names of the nodes that have registered.
+    pub fn nodes(&self) -> Vec<String> {
+        let data = self.lock();
+        let nodes = data.objects.values().filter(|e| e.kind == Kind::Node);
+        let there = nodes.filter(|entry| !entry.removed);
+        there.map(|entry| entry.name.clone()).collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Data> {
+        self.data.lock().expect("no holder panics")
+    }
+
+    fn put(
+        &self,
+        kind: Kind,
+        name: &str,
+        spec: &str,
+        removed: bool,
+    ) -> Revision {
+        let mut data = self.lock();
+        data.revision += 1;
+        let revision = Revision(data.revision);
+        let entry = Entry {
+            kind,
+            name: name.to_string(),
+            revision,
+            spec: spec.to_string(),
+            removed,
+        };
+        data.objects.insert((kind as u8, name.to_string()), entry);
+        drop(data);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    fn exists(&self, kind: Kind, name: &str) -> bool {
+        let data = self.lock();
+        let found = data.objects.get(&(kind as u8, name.to_string()));
+        found.is_some_and(|entry| !entry.removed)
+    }
+
+    fn list(&self, kind: Kind) -> Vec<u8> {
+        let data = self.lock();
+        let there =
+            data.objects.values().filter(|e| e.kind == kind && !e.removed);
+        let objects: Vec<_> = there.map(show).collect();
+        standin::page(&objects, Revision(data.revision))
+    }
+
+    /// Changes after a revision; an error if they are forgotten.
+    fn since(
+        &self,
+        kind: Kind,
+        since: Revision,
+    ) -> Result<Option<Vec<u8>>, ()> {
+        let data = self.lock();
+        if since.0 < data.oldest {
+            return Err(());
+        }
+        let newer = data
+            .objects
+            .values()
+            .filter(|e| e.kind == kind && e.revision > since);
+        let changes: Vec<_> = newer.map(|e| (show(e), e.removed)).collect();
+        let revision = Revision(data.revision);
+        let news = || standin::news(&changes, revision);
+        Ok((!changes.is_empty()).then(news))
+    }
+
+    async fn watch(&self, kind: Kind, since: Revision, wait: Millis) -> Reply {
+        let end = tokio::time::Instant::now() + Duration::from_millis(wait.0);
+        loop {
+            let changed = self.changed.notified();
+            if self.down.load(Ordering::Relaxed) {
+                return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+            }
+            match self.since(kind, since) {
+                Err(()) => return reply(StatusCode::GONE, Vec::new()),
+                Ok(Some(news)) => return reply(StatusCode::OK, news),
+                Ok(None) => {}
+            }
+            if tokio::time::timeout_at(end, changed).await.is_err() {
+                let now = Revision(self.lock().revision);
+                return reply(StatusCode::OK, standin::news(&[], now));
+            }
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if self.down.load(Ordering::Relaxed) {
+            return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+        }
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return reply(StatusCode::BAD_REQUEST, Vec::new());
+        };
+        let body = body.to_bytes().to_vec();
+        let Some(call) = standin::decode(&Request::from_parts(head, body))
+        else {
+            return reply(StatusCode::NOT_FOUND, Vec::new());
+        };
+        match call {
+            Call::List(kind) => reply(StatusCode::OK, self.list(kind)),
+            Call::Watch { kind, since, wait } => {
+                self.watch(kind, since, wait).await
+            }
+            Call::Create { kind, name, spec } => {
+                if self.exists(kind, &name) {
+                    return reply(StatusCode::CONFLICT, Vec::new());
+                }
+                self.put(kind, &name, &spec, false);
+                reply(StatusCode::OK, Vec::new())
+            }
+            Call::Replace { kind, name, spec } => {
+                self.put(kind, &name, &spec, false);
+                reply(StatusCode::OK, Vec::new())
+            }
+            Call::Remove { kind, name } => {
+                self.put(kind, &name, "null", true);
+                reply(StatusCode::OK, Vec::new())
+            }
+        }
+    }
+}
+
+fn show(entry: &Entry) -> serde_json::Value {
+    standin::object(&entry.name, entry.revision, &entry.spec)
+}
+
+fn reply(status: StatusCode, body: Vec<u8>) -> Reply {
+    let mut reply = Response::new(Full::new(body.into()));
+    *reply.status_mut() = status;
+    reply
+}
+
+async fn accept(store: Arc<Store>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let store = store.clone();
+        let service = service_fn(move |request| {
+            let store = store.clone();
+            async move { Ok::<_, Infallible>(store.answer(request).await) }
+        });
+        tokio::spawn(
+            http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service),
+        );
+    }
+}
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -241,9 +241,9 @@
     }
     let mut balance = state.balance.borrow_mut();
     balance.join(link.node, &hello.service, &hello.zone);
-    balance.report(link.node, hello.load);
     balance.down(link.node, Millis(0));
     drop(balance);
+    state.report(link.node, hello.load);
     link.heard.set(now);
     let fields = [
         ("peer", link.node.to_string().into()),
@@ -346,11 +346,11 @@
 fn take(state: &Rc<State>, link: &Rc<Link>, frame: Frame) {
     match frame {
         Frame::Answer(id, reply, load) => {
-            state.balance.borrow_mut().report(link.node, load);
+            state.report(link.node, load);
             link.settle(id, reply);
         }
         Frame::Pong(revision, load) => {
-            state.balance.borrow_mut().report(link.node, load);
+            state.report(link.node, load);
             if state.is_behind(revision) {
                 link.send(Frame::Fetch);
             }
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -159,7 +159,7 @@
         }
         state.serve.pool.sweep(now);
         let load = state.serve.load(state.now());
-        state.balance.borrow_mut().report(state.me, load);
+        state.report(state.me, load);
     }
 }
 
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -76,7 +76,8 @@
         })
     }
 
-    fn send(&self, frame: Frame) {
+    /// Sends a frame, if the other node is linked.
+    pub fn send(&self, frame: Frame) {
         if let Some(out) = &*self.out.borrow() {
             // A broken link: the answer is kept and will be asked for.
             let _ = out.send(frame);
@@ -118,15 +119,11 @@
     }
 }
 
-/// Sessions with all nodes that have linked.
-type Sessions = Rc<RefCell<Map<Incarnation, Rc<Session>>>>;
-
 /// Sessions kept at most; each is small once its calls have ended.
 const SESSIONS_MAX: usize = 4_096;
 
 /// Accepts links until the process ends.
 pub async fn listen(state: Rc<State>, listener: TcpListener) {
-    let sessions = Sessions::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -137,12 +134,12 @@
                 continue;
             }
         };
-        let link = accept(state.clone(), sessions.clone(), stream);
+        let link = accept(state.clone(), stream);
         tokio::task::spawn_local(link);
     }
 }
 
-async fn accept(state: Rc<State>, sessions: Sessions, stream: TcpStream) {
+async fn accept(state: Rc<State>, stream: TcpStream) {
     // Only a delay would follow.
     let _ = stream.set_nodelay(true);
     let (mut read, write) = stream.into_split();
@@ -151,7 +148,7 @@
     let Ok(Ok(hello)) = first else {
         return;
     };
-    let session = session(&sessions, hello.life);
+    let session = session(&state, hello.life);
     if let Some(older) = session.reader.borrow_mut().take() {
         older.abort();
     }
@@ -182,8 +179,8 @@
     session.out.borrow_mut().take();
 }
 
-fn session(sessions: &Sessions, life: Incarnation) -> Rc<Session> {
-    let mut sessions = sessions.borrow_mut();
+fn session(state: &State, life: Incarnation) -> Rc<Session> {
+    let mut sessions = state.sessions.borrow_mut();
     if sessions.len() >= SESSIONS_MAX {
         sessions.retain(|_, session| session.out.borrow().is_some());
     }
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -441,6 +441,7 @@
     pub fn retire(&self, state: &Rc<State>) {
         self.retired.set(true);
         self.bulkhead.borrow_mut().close();
+        state.announce();
         self.advance(state);
     }
 
@@ -462,6 +463,7 @@
             ("source", source.into()),
         ];
         state.journal.change(state.now(), Event::Instance, &fields);
+        state.announce();
         self.advance(state);
     }
 
@@ -481,6 +483,7 @@
         let fields = [("why", "no connection".into())];
         state.journal.change(now, Event::Lost, &fields);
         tokio::task::spawn_local(resume(state.clone()));
+        state.announce();
         self.advance(state);
     }
 }
@@ -494,6 +497,7 @@
         && !state.serve.retired.get()
     {
         state.serve.bulkhead.borrow_mut().open(known.slots);
+        state.announce();
     }
 }
 
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use walnutmoor_core::{
     balance::Balance,
+    bulkhead::Load,
     digest::Map,
     id::{Incarnation, NodeId, Revision},
     table::{Splitter, Table},
@@ -24,6 +25,7 @@
     frame::{Frame, Hello},
     journal::{Event, Journal},
     link::Link,
+    peer::Session,
     serve::Serve,
     settings::Settings,
 };
@@ -67,6 +69,8 @@
     /// Bytes of bodies held for callers.
     pub held: Cell<usize>,
     links: RefCell<Map<NodeId, Rc<Link>>>,
+    /// Other nodes that have linked to this one.
+    pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
     table: RefCell<Option<Rc<Table>>>,
     raw: RefCell<Bytes>,
     behind: Cell<Option<(Revision, Millis)>>,
@@ -106,6 +110,7 @@
             connections: Cell::new(0),
             held: Cell::new(0),
             links: RefCell::new(Map::default()),
+            sessions: RefCell::new(Map::default()),
             table: RefCell::new(None),
             raw: RefCell::new(Bytes::new()),
             behind: Cell::new(None),
@@ -208,6 +213,29 @@
         due || self.revision() == Revision(0)
     }
 
+    /// A node has told the load of its instance.
+    pub fn report(&self, node: NodeId, load: Load) {
+        if !self.balance.borrow_mut().report(node, load) {
+            return;
+        }
+        let fields = [
+            ("peer", node.to_string().into()),
+            ("accepting", load.accepting.into()),
+        ];
+        self.journal.change(self.now(), Event::Instance, &fields);
+    }
+
+    /// Tells every node that has linked what has become of the own
+    /// instance. Without this they would learn it with the next answer, or
+    /// after a quarter of a second of silence.
+    pub fn announce(&self) {
+        let load = self.serve.load(self.now());
+        self.report(self.me, load);
+        for session in self.sessions.borrow().values() {
+            session.send(Frame::Pong(self.revision(), load));
+        }
+    }
+
     /// What this node says of itself on a new link.
     pub fn hello(&self) -> Hello {
         let up = |link: &Rc<Link>| link.is_up().then_some(link.node);
--- /dev/null
+++ b/crates/walnutmoor/tests/mesh/faults.rs
@@ -0,0 +1,157 @@
+//! Instances that misbehave, and nodes that are killed or stand still.
+
+use walnutmoor_standin::mesh::instance::Mood;
+
+use crate::fixture::{World, is_promise, run, until};
+
+/// Sends orders to the first node while something goes wrong; each must have
+/// run once at most, and not at all if its answer promises so.
+async fn order(world: &World, name: &str, count: u32) {
+    for n in 0..count {
+        let id = format!("{name}-{n}");
+        let answer = world.send(0, "order", &id).await;
+        let runs = world.runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        if answer.as_ref().is_some_and(is_promise) {
+            assert_eq!(runs, 0, "{id} was said not to have run");
+        }
+        if answer.is_some_and(|answer| answer.status == 200) {
+            assert_eq!(runs, 1, "{id} was served without a run");
+        }
+    }
+}
+
+#[test]
+fn orders_run_once_whatever_becomes_of_their_answers() {
+    let moods = [
+        Mood::LosesAnswers,
+        Mood::CutsAnswers,
+        Mood::AnswersTwice,
+        Mood::Forges,
+        Mood::Fails,
+        Mood::Sheds,
+    ];
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        for mood in moods {
+            world.pairs[1].instance.set_mood(mood);
+            order(&world, &format!("{mood:?}"), 10).await;
+        }
+    });
+}
+
+#[test]
+fn every_answer_belongs_to_its_request_though_an_instance_answers_twice() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        world.pairs[1].instance.set_mood(Mood::AnswersTwice);
+
+        for n in 0..60 {
+            let id = format!("twice-{n}");
+            let answer = world.send(0, "browse", &id).await.unwrap();
+            if answer.status == 200 {
+                assert_eq!(answer.body, format!("i-1 {id} body"));
+            }
+        }
+    });
+}
+
+#[test]
+fn an_answer_cut_short_or_without_signature_never_looks_whole() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        for mood in [Mood::CutsAnswers, Mood::Forges] {
+            world.pairs[1].instance.set_mood(mood);
+            for n in 0..5 {
+                let id = format!("{mood:?}-{n}");
+                let answer = world.send(0, "browse", &id).await.unwrap();
+                assert!(answer.status >= 500, "{}", answer.status);
+            }
+        }
+    });
+}
+
+#[test]
+fn browsing_goes_to_the_sibling_of_an_instance_that_loses_answers() {
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        for n in 0..60 {
+            world.served(0, "browse", &format!("warm-{n}")).await;
+        }
+        world.pairs[1].instance.set_mood(Mood::LosesAnswers);
+
+        world.served(0, "browse", "again").await;
+
+        order(&world, "sibling", 20).await;
+    });
+}
+
+#[test]
+fn a_killed_node_is_found_again_and_runs_nothing_twice() {
+    run(async {
+        let mut world = World::start(&["front", "desk"]).await;
+        order(&world, "before", 3).await;
+
+        world.pairs[1].node.kill();
+        order(&world, "down", 3).await;
+        world.pairs[1].node.restart();
+
+        world.served(0, "order", "after").await;
+        order(&world, "up", 3).await;
+    });
+}
+
+#[test]
+fn a_frozen_node_does_not_hold_up_its_sibling() {
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        world.pairs[1].node.signal("STOP");
+
+        world.served(0, "browse", "frozen").await;
+        order(&world, "ice", 5).await;
+        world.pairs[1].node.signal("CONT");
+
+        order(&world, "melt", 5).await;
+        let desk = &world.pairs[1].instance;
+        let mut n = 0;
+        until("the thawed node gets work", || {
+            n += 1;
+            let id = format!("thawed-{n}");
+            let world = &world;
+            async move {
+                world.send(0, "browse", &id).await;
+                desk.runs(&id) == 1
+            }
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_node_restarted_while_the_store_is_away_learns_from_its_peers() {
+    run(async {
+        let mut world = World::start(&["front", "desk"]).await;
+        world.store.set_down(true);
+
+        world.pairs[0].node.restart();
+
+        until("it is ready", || world.is_ready(0)).await;
+        world.served(0, "order", "away").await;
+    });
+}
+
+#[test]
+fn all_nodes_killed_at_once_serve_again() {
+    run(async {
+        let mut world = World::start(&["front", "desk"]).await;
+
+        for pair in &mut world.pairs {
+            pair.node.kill();
+        }
+        for pair in &mut world.pairs {
+            pair.node.restart();
+        }
+
+        world.served(0, "order", "back").await;
+    });
+}
--- /dev/null
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -0,0 +1,9 @@
+//! Nodes of the mesh as separate processes, beside stand-ins of the store and
+//! of instances, under kills, freezes, outages and instances that misbehave.
+//! Tests wait on conditions; none judges elapsed time.
+
+mod desired;
+mod faults;
+mod fixture;
+mod leaving;
+mod path;
