--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -400,26 +400,24 @@
     }
 
     /// How long new work of a rank would wait: behind all that is at least
-    /// as urgent, in the slots that more urgent work leaves; or behind its
-    /// own rank only, in the slots of its reserve.
+    /// as urgent, in the slots that more urgent work leaves.
+    ///
+    /// The reserve is not reckoned with: work that counts on it would be let
+    /// in to the queue and take slots from the calls of more urgent work.
     fn wait(&self, rank: usize) -> Millis {
         let free = self.limit.saturating_sub(self.running.len());
         let ahead: usize = self.queued[..=rank].iter().sum();
         if ahead < free {
             return Millis(0);
         }
-        let own = (self.queued[rank] + 1) as f64 * self.takes[rank];
-        let urgent = (0..rank).map(|r| self.queued[r] as f64 * self.takes[r]);
-        let work = own + urgent.sum::<f64>();
+        let mut work = self.takes[rank];
+        for r in 0..=rank {
+            work += self.queued[r] as f64 * self.takes[r];
+        }
         let taken: usize = self.per_rank[..rank].iter().sum();
-        let slots = self.limit.saturating_sub(taken);
-        let behind_all = work / slots.max(1) as f64;
-        let behind_own = own / self.reserve().max(1) as f64;
-        let wait = match rank {
-            0 => behind_all,
-            _ => behind_all.min(behind_own),
-        };
-        Millis(wait as u64)
+        let left = self.limit.saturating_sub(taken);
+        let slots = left.max(self.reserve()).max(1);
+        Millis((work / slots as f64) as u64)
     }
 
     fn reserve(&self) -> usize {
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -50,6 +50,13 @@
 /// Demand above which a part is cut.
 const CUT_AT: f64 = 1.02;
 
+/// Demand from which a service counts as full. Failures of requests below
+/// it have other causes, and cutting for them costs claims.
+const FULL_AT: f64 = 0.85;
+
+/// The share of failures from which they hide demand.
+const HIDES_AT: f64 = 0.2;
+
 /// The demand that a share of failures hides; found by replaying loads of
 /// two to four times what fits.
 const HIDDEN: f64 = 0.3;
@@ -194,7 +201,8 @@
     fn hidden(&self, pressure: Pressure) -> f64 {
         let shares = self.routes.values().filter(|gauge| gauge.shares > 0);
         let failing = shares.map(Gauge::failing).fold(0.0, f64::max);
-        match pressure.pressed && failing > SHARES_AT {
+        let full = pressure.pressed && pressure.demand > FULL_AT;
+        match full && failing > HIDES_AT {
             true => CUT_AT + failing * HIDDEN,
             false => 0.0,
         }
