mesh: logs carry what decided; explain tells a request's story from them

Cause: a line about a refusal named its reason only; the request of the users asks for the inputs that decided, with their age or version.

What was done: refusals log the part let in, the demand and the revision; ends log rank, nodes tried and the wait that the last of them told; explain joins the logs of all nodes; settings of the mesh are checked with line and key by the same function as the others.

--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -150,6 +150,11 @@
         draw < open
     }
 
+    /// The part of a route that is let in.
+    pub fn part(&self, route: &str) -> f64 {
+        self.routes.get(route).map_or(1.0, |gauge| gauge.open)
+    }
+
     /// Counts the end of a request that was let in.
     pub fn ended(&mut self, route: &str, priority: u8, ended: Ended) {
         if !self.routes.contains_key(route) {
@@ -189,12 +194,6 @@
         }
     }
 
-    /// The part of each route that is let in, where it is not all.
-    pub fn cuts(&self) -> impl Iterator<Item = (&str, f64)> {
-        let routes = self.routes.iter();
-        routes.filter(|(_, g)| g.open < 1.0).map(|(n, g)| (n.as_str(), g.open))
-    }
-
     /// The demand that failures hide: a request that fails half-way makes no
     /// more calls, so that a service which fails all of them is asked for
     /// little.
--- a/crates/walnutmoor-core/tests/throttle.rs
+++ b/crates/walnutmoor-core/tests/throttle.rs
@@ -22,8 +22,7 @@
 }
 
 fn open(throttle: &Throttle, route: &str) -> f64 {
-    let found = throttle.cuts().find(|(name, _)| *name == route);
-    found.map_or(1.0, |(_, open)| open)
+    throttle.part(route)
 }
 
 #[test]
--- /dev/null
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -0,0 +1,115 @@
+//! `walnutmoor explain`: the story of one request, out of the logs of all
+//! nodes.
+
+use std::fmt::Write;
+
+use getopts::Options;
+use serde_json::Value;
+
+use super::parse;
+use crate::prelude::*;
+
+/// How long before a line about the request a change of belief on the same
+/// node is told with it.
+const BEFORE: u64 = 1_500;
+
+/// Changes that are told with one line at the most.
+const CHANGES_MAX: usize = 6;
+
+/// One line of a log.
+struct Line {
+    node: String,
+    ms: u64,
+    value: Value,
+}
+
+impl Line {
+    fn read(text: &str) -> Option<Line> {
+        let value: Value = serde_json::from_str(text.trim()).ok()?;
+        let node = value["node"].as_str()?.to_string();
+        let ms = value["ms"].as_u64()?;
+        Some(Line { node, ms, value })
+    }
+
+    /// The id of the request that it is about, if it is about one.
+    fn request(&self) -> Option<&str> {
+        self.value["request"].as_str().filter(|id| !id.is_empty())
+    }
+
+    /// True if it is about a request or a call that was made for it.
+    fn concerns(&self, id: &str) -> bool {
+        let rest = self.request().and_then(|own| own.strip_prefix(id));
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    }
+
+    fn sentence(&self) -> String {
+        let said = self.value["event"].as_str().unwrap_or("?");
+        let story = match said {
+            "answered" => "an instance answered it",
+            "refused" => "it was refused and has not run",
+            "unknown" => "it failed, and may have run",
+            "retry" => "it goes on to another instance",
+            "canceled" => "its caller left before an answer",
+            other => other,
+        };
+        let mut text = format!("{:>8} ms  {}  {story}", self.ms, self.node);
+        for (name, value) in self.value.as_object().into_iter().flatten() {
+            let known = ["ms", "node", "event", "request", "left_out"];
+            if known.contains(&name.as_str()) || value.is_null() {
+                continue;
+            }
+            // Writing to a text does not fail.
+            let _ = write!(text, "; {name} {value}");
+        }
+        text
+    }
+}
+
+/// Tells the story of a request.
+pub(super) fn explain(words: &[String]) -> Result<(), Failure> {
+    let mut options = Options::new();
+    let brief = "explain REQUEST-ID LOGFILE...";
+    let Some(matches) = parse(&mut options, brief, words)? else {
+        return Ok(());
+    };
+    let Some((id, files)) = matches.free.split_first() else {
+        return Err(Failure::usage("REQUEST-ID is missing"));
+    };
+    let mut lines = Vec::new();
+    for path in files {
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| Failure::File { path: path.clone(), cause })?;
+        lines.extend(text.lines().filter_map(Line::read));
+    }
+    print!("{}", story(id, &lines));
+    Ok(())
+}
+
+fn story(id: &str, lines: &[Line]) -> String {
+    let own: Vec<&Line> = lines.iter().filter(|l| l.concerns(id)).collect();
+    if own.is_empty() {
+        return format!(
+            "no line tells of {id}: look at `left_out` for lines that the \
+             rate did not allow\n"
+        );
+    }
+    let mut text = String::new();
+    for line in own {
+        let changes = lines.iter().filter(|other| {
+            other.node == line.node
+                && other.request().is_none()
+                && other.ms <= line.ms
+                && other.ms + BEFORE >= line.ms
+        });
+        let changes: Vec<&Line> = changes.collect();
+        let from = changes.len().saturating_sub(CHANGES_MAX);
+        for change in &changes[from..] {
+            text.push_str("  before: ");
+            text.push_str(change.sentence().trim_start());
+            text.push('\n');
+        }
+        text.push_str(&line.sentence());
+        text.push('\n');
+    }
+    text
+}
--- a/crates/walnutmoor/src/command/mod.rs
+++ b/crates/walnutmoor/src/command/mod.rs
@@ -10,11 +10,13 @@
 | `audit` | prints the audit trail | 5 |
 | `status` | prints a node's state | 5 |
 | `charts` | prints the state charts | |
+| `explain ID F...` | tells the story of a request from logs | 1 file |
 
 2 is a mistake on the command line, 1 anything else.
 */
 
 mod client;
+mod explain;
 mod node;
 mod operate;
 
@@ -42,6 +44,7 @@
   walnutmoor audit                    show who changed what, and when
   walnutmoor status                   show a node's state and counters
   walnutmoor charts                   show the state charts
+  walnutmoor explain ID LOGFILE...    tell the story of one request
 
 `walnutmoor COMMAND --help` tells the options of a command.
 ";
@@ -59,11 +62,12 @@
     match command.as_str() {
         "node" => with_settings("node", rest, node::run),
         "mesh" => mesh(rest),
-        "check" => with_settings("check", rest, check),
+        "check" => check(rest),
         "class" => operate::class(rest),
         "audit" => operate::audit(rest),
         "status" => operate::status(rest),
         "charts" => charts(rest),
+        "explain" => explain::explain(rest),
         "-h" | "--help" | "help" => {
             print!("{HELP}");
             Ok(())
@@ -135,11 +139,22 @@
     Ok(Some(path.into()))
 }
 
-fn check(settings: Settings) -> Result<(), Failure> {
-    println!(
-        "the settings of node {} in zone {} are good",
-        settings.node.address, settings.node.zone
-    );
+/// The key that only settings of the mesh have.
+const MESH_KEY: &str = "\ncallers:";
+
+fn check(words: &[String]) -> Result<(), Failure> {
+    let Some(path) = settings_path("check", words)? else {
+        return Ok(());
+    };
+    let text = std::fs::read_to_string(&path).unwrap_or_default();
+    let (node, zone) = if text.contains(MESH_KEY) {
+        let settings = mesh::settings::Settings::read(&path)?;
+        (settings.peers, settings.zone)
+    } else {
+        let settings = Settings::read(&path)?;
+        (settings.node.address, settings.node.zone)
+    };
+    println!("the settings of node {node} in zone {zone} are good");
     Ok(())
 }
 
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -62,6 +62,15 @@
     pub caller_deadline: Millis,
 }
 
+/// A request that has come to its end.
+#[derive(Clone, Debug)]
+pub struct Finished {
+    /// How.
+    pub end: End,
+    /// The nodes that it was sent to, in order.
+    pub tried: Vec<NodeId>,
+}
+
 /// The end of a request.
 #[derive(Clone, Debug)]
 pub enum End {
@@ -107,8 +116,17 @@
 }
 
 /// Brings a request to its end.
-pub async fn run(state: &Rc<State>, request: &Request) -> End {
+pub async fn run(state: &Rc<State>, request: &Request) -> Finished {
     let mut course = Course::new();
+    let end = follow(state, request, &mut course).await;
+    Finished { end, tried: course.tried }
+}
+
+async fn follow(
+    state: &Rc<State>,
+    request: &Request,
+    course: &mut Course,
+) -> End {
     loop {
         let now = state.now();
         if now >= request.deadline {
@@ -127,12 +145,13 @@
             Choice::Send(node) => node,
             Choice::None => return course.nobody(),
         };
-        let Some((flight, receiver)) = send(state, request, node, &course)
+        let Some((flight, receiver)) = send(state, request, node, course)
         else {
             course.tried.push(node);
             continue;
         };
         let Some(reply) = land(state, request, flight, receiver).await else {
+            course.tried.push(node);
             course.may_have_run = true;
             return course.give_up(Kind::Timeout);
         };
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -21,7 +21,7 @@
 use walnutmoor_platform::header;
 
 use super::{
-    dispatch::{self, End},
+    dispatch::{self, End, Finished},
     journal::Event,
     state::{Phase, State},
     wire::{self, Answer},
@@ -107,6 +107,7 @@
 struct Stay {
     state: Rc<State>,
     attempt: String,
+    route: String,
     since: Millis,
     held: usize,
     over: bool,
@@ -135,14 +136,15 @@
     let mut stay = Stay {
         attempt: attempt.unwrap_or_default().to_string(),
         state: state.clone(),
+        route: String::new(),
         since,
         held: 0,
         over: false,
     };
     let mut answer = match admit(&state, &mut stay, request).await {
         Ok(request) => {
-            let end = dispatch::run(&state, &request).await;
-            conclude(&state, &stay, &request, end)
+            let finished = dispatch::run(&state, &request).await;
+            conclude(&state, &stay, &request, finished)
         }
         Err(refusal) => turn_away(&state, &stay, &refusal),
     };
@@ -173,6 +175,7 @@
     let (mut head, body) = request.into_parts();
     let route = host(&head).and_then(|h| table.find(h, head.uri.path()));
     let route = route.ok_or_else(|| not_run(Kind::NoRoute))?.clone();
+    stay.route = route.name.clone();
     let body = read(state, stay, &table, &head.headers, body)
         .await
         .map_err(not_run)?;
@@ -273,8 +276,14 @@
         .increment(1);
     let now = state.now();
     if state.journal.has_room(now, Event::Refused) {
+        let throttle = state.throttle.borrow();
+        let let_in = throttle.part(&stay.route);
+        let demand = state.balance.borrow().pressure().demand;
         let fields = [
             ("why", kind.as_str().into()),
+            ("route", stay.route.as_str().into()),
+            ("let_in", let_in.into()),
+            ("demand", demand.into()),
             ("revision", state.revision().0.into()),
         ];
         let id = &stay.attempt;
@@ -294,8 +303,9 @@
     state: &Rc<State>,
     stay: &Stay,
     request: &dispatch::Request,
-    end: End,
+    finished: Finished,
 ) -> Answer {
+    let Finished { end, tried } = finished;
     let now = state.now();
     let after = now.since(stay.since);
     let route = &request.route;
@@ -320,8 +330,14 @@
         .increment(1);
     metrics::histogram!("walnutmoor_request_seconds").record(after.secs());
     if state.journal.has_room(now, event) {
+        let last = tried.last().and_then(|n| state.balance.borrow().load(*n));
+        let wait = last.map(|l| l.waits[usize::from(request.urgency)]);
+        let nodes = tried.iter().map(ToString::to_string);
         let fields = [
             ("why", why.into()),
+            ("tried", nodes.collect::<Vec<_>>().into()),
+            ("rank", request.urgency.into()),
+            ("wait_ms", wait.into()),
             ("route", route.name.as_str().into()),
             ("service", request.service.as_str().into()),
             ("revision", state.revision().0.into()),
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -67,7 +67,7 @@
         let text = std::fs::read_to_string(path).map_err(|cause| {
             Failure::File { path: path.display().to_string(), cause }
         })?;
-        Settings::parse(&text)
+        crate::settings::yaml(&path.display().to_string(), &text)
     }
 
     /// Parses the text of a file.
@@ -76,8 +76,7 @@
     ///
     /// If a key is missing or wrong.
     pub fn parse(text: &str) -> Result<Settings, Failure> {
-        serde_saphyr::from_str(text)
-            .map_err(|error| Failure::Internal(error.to_string()))
+        crate::settings::yaml("settings", text)
     }
 
     /// The platform's bounds that concern this node.
--- a/crates/walnutmoor/src/settings.rs
+++ b/crates/walnutmoor/src/settings.rs
@@ -20,7 +20,7 @@
 use std::{fmt, net::SocketAddr, path::Path, str::FromStr, sync::Arc};
 
 use miette::{NamedSource, SourceSpan};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use walnutmoor_core::{class::Class, id::ParseError, node::Mode, server};
 
 use crate::prelude::*;
@@ -335,14 +335,7 @@
     }
 
     fn named(name: &str, text: &str) -> Result<Settings, Failure> {
-        let settings: Settings =
-            serde_saphyr::from_str(text).map_err(|error| {
-                let at = error.location().map(|l| {
-                    let (line, column) = (l.line(), l.column());
-                    offset(text, line as usize, column as usize)
-                });
-                wrong(name, text, plain(&error.to_string()), at)
-            })?;
+        let settings: Settings = yaml(name, text)?;
         match settings.check() {
             Ok(()) => Ok(settings),
             Err(broken) => {
@@ -448,6 +441,20 @@
     message: String,
 }
 
+/// Reads YAML; an error shows the line.
+pub(crate) fn yaml<T: DeserializeOwned>(
+    name: &str,
+    text: &str,
+) -> Result<T, Failure> {
+    serde_saphyr::from_str(text).map_err(|error| {
+        let at = error.location().map(|l| {
+            let (line, column) = (l.line(), l.column());
+            offset(text, line as usize, column as usize)
+        });
+        wrong(name, text, plain(&error.to_string()), at)
+    })
+}
+
 fn wrong(
     name: &str,
     text: &str,
--- /dev/null
+++ b/crates/walnutmoor/tests/explain.rs
@@ -0,0 +1,50 @@
+//! `walnutmoor explain` over logs of two nodes.
+
+use std::process::Command;
+
+use expect_test::{Expect, expect};
+
+fn check(id: &str, want: Expect) {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/testdata/explain");
+    let output = Command::new(env!("CARGO_BIN_EXE_walnutmoor"))
+        .args(["explain", id, "a.log", "b.log"])
+        .current_dir(folder)
+        .output()
+        .unwrap();
+    assert!(output.status.success());
+    want.assert_eq(&String::from_utf8(output.stdout).unwrap());
+}
+
+#[test]
+fn a_refusal_is_told_with_the_belief_that_led_to_it() {
+    check(
+        "5d53",
+        expect![[r#"
+          before: 32402 ms  a  admission; demand 1.17; let_in 0.84; pressed true; route "lookups"
+           32424 ms  a  it was refused and has not run; demand 1.17; let_in 0.84; revision 21; route "lookups"; why "overloaded"
+    "#]],
+    );
+}
+
+#[test]
+fn the_calls_of_a_request_belong_to_its_story() {
+    check(
+        "71a4",
+        expect![[r#"
+          before: 9000 ms  b  lost; calls 2; peer "10.0.0.2:7500"; why "silent"
+            9300 ms  b  it goes on to another instance; from "10.0.0.2:7500"; reached 1; why "broken"
+          before: 9000 ms  b  lost; calls 2; peer "10.0.0.2:7500"; why "silent"
+            9500 ms  b  it failed, and may have run; after_ms 420; left_ms 0; revision 14; tried ["10.0.0.2:7500"]; why "timeout"
+    "#]],
+    );
+}
+
+#[test]
+fn a_request_without_lines_is_said_to_have_none() {
+    check(
+        "ffff",
+        expect![[r#"
+        no line tells of ffff: look at `left_out` for lines that the rate did not allow
+    "#]],
+    );
+}
