--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -180,8 +180,8 @@
 /// True if a log tells last that the instance of a node takes work.
 fn believes(log: &str, node: std::net::SocketAddr) -> bool {
     let peer = format!("\"peer\":\"{node}\"");
-    let told = log.lines().filter(|line| line.contains("\"accepting\""));
-    let last = told.filter(|line| line.contains(&peer)).next_back();
+    let mut told = log.lines().filter(|l| l.contains("\"accepting\""));
+    let last = told.rfind(|line| line.contains(&peer));
     last.is_some_and(|line| line.contains("\"accepting\":true"))
 }
 
