--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -18,7 +18,8 @@
 let (service, zone) = ("desk".parse().unwrap(), "b".parse().unwrap());
 balance.join(id(1), &service, &zone);
 balance.report(id(1), Load { accepting: true, limit: 4, ..Load::default() });
-let want = Want { service: &service, priority: 0, target: Millis(100) };
+let target = Millis(100);
+let want = Want { service: &service, priority: 0, target, again: true };
 assert_eq!(balance.choose(Millis(0), want, &[]), Choice::Send(id(1)));
 assert_eq!(balance.choose(Millis(0), want, &[id(1)]), Choice::None);
 ```
@@ -42,6 +43,15 @@
 /// eyes, so that some requests go on to tell when it has recovered.
 const FAIL_MAX: f64 = 0.95;
 
+/// One request in so many goes to the next instance in turn instead of the
+/// cheapest. What is known of an instance is learned from its answers, so one
+/// that was slow or failing would never be seen to have recovered.
+const EXPLORE: usize = 32;
+
+/// The share of failures from which an instance is explored only with
+/// requests that may run again.
+const EXPLORE_MAX: f64 = 0.2;
+
 /// The share of failures up to which an instance is worth a second try.
 const HELP_AT: f64 = 0.15;
 
@@ -54,6 +64,8 @@
     pub priority: u8,
     /// The time within which its answer is worth most.
     pub target: Millis,
+    /// True if it may run again.
+    pub again: bool,
 }
 
 /// How hard the service in the worst state is pressed.
@@ -193,9 +205,11 @@
         self.turn = self.turn.wrapping_add(1);
         let rank = usize::from(want.priority).min(RANKS - 1);
         let stay = want.target.0 as f64 * STAY;
+        let explores = self.turn.is_multiple_of(EXPLORE);
+        let first = self.turn / EXPLORE;
         let mut best: Option<(f64, NodeId)> = None;
         for at in 0..ids.len() {
-            let id = ids[(at + self.turn) % ids.len()];
+            let id = ids[(at + first) % ids.len()];
             let Some((_, server)) = self.servers.get(&id) else {
                 continue;
             };
@@ -203,6 +217,10 @@
             if !usable || server.down_until > now || tried.contains(&id) {
                 continue;
             }
+            let sound = want.again || server.failing < EXPLORE_MAX;
+            if explores && sound && server.load.waits[rank] == 0 {
+                return Choice::Send(id);
+            }
             let mut cost = server.cost(rank, want.target);
             if server.zone != self.zone {
                 cost += stay;
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -40,7 +40,7 @@
 fn choose(balance: &mut Balance, tried: &[NodeId]) -> Choice {
     let service = desk();
     let target = Millis(400);
-    let want = Want { service: &service, priority: 0, target };
+    let want = Want { service: &service, priority: 0, target, again: true };
     balance.choose(Millis(0), want, tried)
 }
 
@@ -121,3 +121,33 @@
     let known = balance.servers().find(|(node, _)| *node == id(1));
     assert_eq!(known, Some((id(1), &board)));
 }
+
+/// How many of many requests an instance gets.
+fn share(balance: &mut Balance, node: NodeId, again: bool) -> usize {
+    let service = desk();
+    let target = Millis(400);
+    let want = Want { service: &service, priority: 0, target, again };
+    let choices = (0..3_200).map(|_| balance.choose(Millis(0), want, &[]));
+    choices.filter(|choice| *choice == Choice::Send(node)).count()
+}
+
+#[test]
+fn an_instance_that_was_slow_gets_enough_to_show_that_it_is_not() {
+    let mut balance = balance();
+    balance.report(id(1), load(3_000, 0));
+
+    let got = share(&mut balance, id(1), false);
+
+    assert!((20..=120).contains(&got), "{got}");
+}
+
+#[test]
+fn one_that_fails_is_explored_only_with_what_may_run_again() {
+    let mut balance = balance();
+    for _ in 0..60 {
+        balance.done(id(1), Some(true));
+    }
+
+    assert_eq!(share(&mut balance, id(1), false), 0);
+    assert!(share(&mut balance, id(1), true) > 20);
+}
--- a/crates/walnutmoor-core/tests/replay/mod.rs
+++ b/crates/walnutmoor-core/tests/replay/mod.rs
@@ -281,7 +281,8 @@
             false => request.class.target(),
         };
         let name = service();
-        let want = Want { service: &name, priority: rank, target };
+        let want =
+            Want { service: &name, priority: rank, target, again: true };
         let balance = &mut self.ways[request.way].0;
         let Choice::Send(to) = balance.choose(self.now, want, &tried) else {
             return self.end(id, false);
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -138,6 +138,7 @@
                 service: &request.service,
                 priority: request.urgency,
                 target: request.route.target,
+                again: request.route.effect == Effect::Idempotent,
             },
             &course.tried,
         );
