mesh: what runs once goes over connections that were just used

Cause: the grown deployments have instances that forget idle connections and reset what comes next; a request that may run only once then ends as 502. Connections were used longest rested first.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -47,6 +47,9 @@
     Forges,
     /// It runs them and never answers.
     Silent,
+    /// It has forgotten connections that were idle: what comes on them is
+    /// reset, not run.
+    Forgets,
 }
 
 /// An instance.
@@ -70,6 +73,9 @@
 /// The pause between heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
 
+/// How soon an instance forgets an idle connection, if it does.
+const FORGETS_AFTER: Duration = Duration::from_millis(600);
+
 impl Instance {
     /// Starts one at an address, beside the node whose control is there.
     ///
@@ -203,12 +209,18 @@
 
 async fn serve(instance: Arc<Instance>, mut stream: TcpStream) {
     let mut bytes = Vec::new();
+    let mut since = tokio::time::Instant::now();
     while let Some(request) =
         caller::read_request(&mut stream, &mut bytes).await
     {
+        let mood = *instance.mood.lock().expect("no holder panics");
+        if mood == Mood::Forgets && since.elapsed() > FORGETS_AFTER {
+            return;
+        }
         if !answer(&instance, &mut stream, &request).await {
             return;
         }
+        since = tokio::time::Instant::now();
     }
 }
 
@@ -257,7 +269,7 @@
             tokio::time::sleep(Duration::from_millis(3)).await;
             first && write(stream, "200 OK", &signed, "again").await
         }
-        Mood::Well | Mood::Sheds => {
+        Mood::Well | Mood::Sheds | Mood::Forgets => {
             write(stream, "200 OK", &signed, &body).await
         }
     }
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -21,7 +21,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
-use walnutmoor_core::time::Millis;
+use walnutmoor_core::{table::Effect, time::Millis};
 use walnutmoor_platform::header::{self, Verdict};
 
 /// How long a connection to the instance may take; it is on this machine
@@ -40,6 +40,11 @@
 /// Late second answers come within some tens of milliseconds.
 const REST_MIN: Millis = Millis(40);
 
+/// How long a connection may have rested before a request that may run only
+/// once. Some instances forget idle connections without a word and reset
+/// what comes next; a new connection costs a millisecond.
+const ONCE_REST_MAX: Millis = Millis(250);
+
 /// What became of a request.
 #[derive(Debug)]
 pub enum Outcome {
@@ -94,10 +99,11 @@
         now: impl Fn() -> Millis,
         request: Request<Full<Bytes>>,
         attempt: &str,
+        effect: Effect,
     ) -> Outcome {
         let mut request = request;
         loop {
-            let (mut connection, fresh) = match self.rested(now()) {
+            let (mut connection, fresh) = match self.rested(now(), effect) {
                 Some(connection) => (connection, false),
                 None => match self.connect(now()).await {
                     Some(connection) => (connection, true),
@@ -143,8 +149,17 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn rested(&self, now: Millis) -> Option<Connection> {
+    fn rested(&self, now: Millis, effect: Effect) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
+        if effect == Effect::Once {
+            // The newest that has rested long enough for late answers.
+            let at = idle.iter().rposition(|connection| {
+                let rested = now.since(connection.rested_since);
+                let range = REST_MIN..ONCE_REST_MAX;
+                range.contains(&rested) && connection.is_usable(now)
+            })?;
+            return idle.remove(at);
+        }
         while let Some(first) = idle.front() {
             if !first.is_usable(now) {
                 idle.pop_front();
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -12,7 +12,7 @@
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
-use walnutmoor_core::time::Millis;
+use walnutmoor_core::{table::Effect, time::Millis};
 use walnutmoor_platform::header;
 
 use super::{
@@ -240,7 +240,7 @@
     }
     let clock = || state.now();
     let pool = &state.serve.pool;
-    let answer = pool.send(clock, request, "").await;
+    let answer = pool.send(clock, request, "", Effect::Idempotent).await;
     let Outcome::Answer(_, status, headers, _) = answer else {
         return;
     };
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -539,13 +539,13 @@
     serve.parents.borrow_mut().insert(call.attempt.clone(), parent);
     serve.arrivals.set(serve.arrivals.get() + 1);
     let instance = serve.instance();
-    let attempt = call.attempt.clone();
+    let (attempt, effect) = (call.attempt.clone(), call.effect);
     let Some(request) = request(call, due.since(now), &instance) else {
         finish(&state, id, not_run(Kind::Malformed, false), false);
         return;
     };
     let clock = || state.now();
-    let outcome = serve.pool.send(clock, request, &attempt).await;
+    let outcome = serve.pool.send(clock, request, &attempt, effect).await;
     let answered = matches!(outcome, Outcome::Answer(..));
     let reply = reply(&state, outcome);
     finish(&state, id, reply, answered);
--- a/crates/walnutmoor/tests/mesh/faults.rs
+++ b/crates/walnutmoor/tests/mesh/faults.rs
@@ -1,5 +1,7 @@
 //! Instances that misbehave, and nodes that are killed or stand still.
 
+use std::time::Duration;
+
 use walnutmoor_standin::mesh::instance::Mood;
 
 use crate::fixture::{World, is_promise, run, until};
@@ -155,3 +157,22 @@
         world.served(0, "order", "back").await;
     });
 }
+
+#[test]
+fn orders_do_not_go_over_connections_that_the_instance_may_have_forgotten() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        for n in 0..5 {
+            world.served(0, "order", &format!("warm-{n}")).await;
+        }
+        world.pairs[1].instance.set_mood(Mood::Forgets);
+
+        for n in 0..4 {
+            // Longer than the instance remembers.
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            let id = format!("idle-{n}");
+            let answer = world.send(0, "order", &id).await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+    });
+}
