--- a/crates/walnutmoor-standin/src/lib.rs
+++ b/crates/walnutmoor-standin/src/lib.rs
@@ -9,6 +9,7 @@
 - [`load`] is an open-loop load generator.
 - [`measure`] runs a scenario and prints its figures.
 - [`mesh`] has the platform's store, instances, callers and nodes.
+- [`wait`] waits for conditions.
 - [`drive`] reads events as JSON lines and prints the core's actions.
 
 # Example
@@ -32,3 +33,4 @@
 pub mod platform;
 pub mod report;
 pub mod topology;
+pub mod wait;
--- a/crates/walnutmoor/src/command/mod.rs
+++ b/crates/walnutmoor/src/command/mod.rs
@@ -108,7 +108,7 @@
         return Ok(());
     };
     let settings = mesh::settings::Settings::read(&path)?;
-    mesh::run(settings, path)
+    mesh::node::run(settings, path)
 }
 
 fn with_settings(
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -19,6 +19,8 @@
 | [`peer`] | the other end of that way |
 | [`frame`] | what travels between nodes |
 | [`serve`] | brings work to the instance beside this node |
+| [`run`](mod@run) | one run at the instance |
+| [`belief`] | what is believed of the instance |
 | [`instance`] | speaks HTTP with that instance |
 | [`control`] | heartbeats, readiness and metrics |
 | [`store`] | the platform's store: desired state and directory |
@@ -33,6 +35,7 @@
 ```
 */
 
+pub mod belief;
 pub mod control;
 pub mod dispatch;
 pub mod frame;
@@ -42,10 +45,9 @@
 pub mod link;
 pub mod node;
 pub mod peer;
+pub mod run;
 pub mod serve;
 pub mod settings;
 pub mod state;
 pub mod store;
 pub mod wire;
-
-pub use self::node::run;
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -0,0 +1,122 @@
+/*!
+One run: a call on its way to the instance beside this node, and what its
+answer is worth.
+*/
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
+use walnutmoor_core::{error::Kind, id::CallId, time::Millis};
+use walnutmoor_platform::header::{self, Verdict};
+
+use super::{
+    frame::{Call, Reply},
+    instance::Outcome,
+    serve::{Parent, RETRY_MIN},
+    state::State,
+    wire,
+};
+
+/// Brings a call to the instance and its reply to whoever waits.
+pub async fn run(state: Rc<State>, id: CallId) {
+    let serve = &state.serve;
+    let taken = {
+        let mut jobs = serve.jobs.borrow_mut();
+        let job = jobs.get_mut(&id);
+        job.and_then(|job| Some((job.call.take()?, job.due())))
+    };
+    let Some((call, due)) = taken else {
+        return;
+    };
+    let now = state.now();
+    if due <= now {
+        finish(&state, id, not_run(Kind::Deadline, false), false);
+        return;
+    }
+    if call.repeat || call.echo {
+        serve.repeated.set(serve.repeated.get() + 1);
+    }
+    if call.echo && !call.repeat {
+        serve.repeats.borrow_mut().echo(now);
+    } else if !call.repeat {
+        serve.repeats.borrow_mut().first(now);
+    }
+    let parent =
+        Parent { priority: call.priority, repeat: call.repeat || call.echo };
+    serve.parents.borrow_mut().insert(call.attempt.clone(), parent);
+    serve.arrivals.set(serve.arrivals.get() + 1);
+    let instance = serve.instance();
+    let (attempt, effect) = (call.attempt.clone(), call.effect);
+    let Some(request) = request(call, due.since(now), &instance) else {
+        finish(&state, id, not_run(Kind::Malformed, false), false);
+        return;
+    };
+    let clock = || state.now();
+    let outcome = serve.pool.send(clock, request, &attempt, effect).await;
+    let answered = matches!(outcome, Outcome::Answer(..));
+    let reply = reply(&state, outcome);
+    finish(&state, id, reply, answered);
+}
+
+fn finish(state: &Rc<State>, id: CallId, reply: Reply, answered: bool) {
+    let Some(job) = state.serve.jobs.borrow_mut().remove(&id) else {
+        return;
+    };
+    // Room is made first, so that the load that travels with the answer is
+    // that of the next moment.
+    state.serve.end(state, id, &job.attempt, answered);
+    if let Some(sink) = job.sink {
+        sink.reply(state, reply);
+    }
+}
+
+fn not_run(kind: Kind, reached: bool) -> Reply {
+    Reply::NotRun { kind, retry: RETRY_MIN, reached }
+}
+
+fn request(
+    call: Call,
+    left: Millis,
+    instance: &str,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = wire::unpack(call.headers);
+    header::address(&mut headers, left, instance, call.caller.as_str());
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method.parse().ok()?;
+    *request.uri_mut() = call.path.parse().ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+fn reply(state: &Rc<State>, outcome: Outcome) -> Reply {
+    let (verdict, status, headers, body) = match outcome {
+        Outcome::Answer(verdict, status, headers, body) => {
+            (verdict, status, headers, body)
+        }
+        Outcome::Unreachable => {
+            state.serve.suspend(state);
+            return not_run(Kind::Unreachable, false);
+        }
+        Outcome::Broken(_) => return Reply::Unknown(Kind::Broken),
+    };
+    match verdict {
+        Verdict::Genuine => answered(status, headers, body),
+        // No sign of overload: the instance is never given more than it has
+        // slots, so what it turns away it would turn away at any load.
+        Verdict::NotRun => not_run(Kind::Overloaded, true),
+        Verdict::Misdirected => {
+            state.serve.replaced(state);
+            not_run(Kind::Unreachable, true)
+        }
+        Verdict::Foreign => Reply::Unknown(Kind::Broken),
+    }
+}
+
+fn answered(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> Reply {
+    header::strip_hop(&mut headers);
+    headers.remove(http::header::CONTENT_LENGTH);
+    let headers = wire::pack(&headers);
+    Reply::Answered { status: status.as_u16(), headers, body }
+}
--- a/crates/walnutmoor/tests/process/fixture.rs
+++ b/crates/walnutmoor/tests/process/fixture.rs
@@ -1,8 +1,6 @@
 //! Nodes, backend servers and a platform, built by functions.
 
-use std::{
-    future::Future, net::SocketAddr, path::Path, sync::Arc, time::Duration,
-};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use serde_json::Value;
 use walnutmoor::wire;
@@ -20,31 +18,7 @@
     platform::Platform,
 };
 
-/// How long a condition may take to come true. Generous: a slow machine
-/// must reach the same verdict as a fast one.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-/// Runs a test on a runtime of its own.
-pub fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(test);
-}
-
-/// Waits until a condition holds.
-pub async fn until<F: Future<Output = bool>>(
-    what: &str,
-    mut holds: impl FnMut() -> F,
-) {
-    let deadline = tokio::time::Instant::now() + PATIENCE;
-    while !holds().await {
-        assert!(tokio::time::Instant::now() < deadline, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
+pub use walnutmoor_standin::wait::{run, until};
 
 /// A backend server and its node.
 pub struct Pair {
