mesh: the directory is watched in batches; lines about beliefs are bounded too

And a fault that repeats itself (no descriptors left) wrote 50 lines a second with no bound but the ring.

--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -38,6 +38,11 @@
 /// Lines about routine in a second, out of the same.
 const ROUTINE_A_SECOND: u32 = 5;
 
+/// Lines about what the process is or believes in a second. A restart of 86
+/// nodes at once brings some 200 in all; more in a second would be a fault
+/// that repeats itself.
+const CHANGES_A_SECOND: u32 = 100;
+
 /// What a line tells.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -76,6 +81,25 @@
 }
 
 impl Event {
+    const ALL: [Event; EVENTS] = [
+        Event::Start,
+        Event::Stop,
+        Event::Reload,
+        Event::Lost,
+        Event::Regained,
+        Event::Desired,
+        Event::Directory,
+        Event::Instance,
+        Event::Answered,
+        Event::Refused,
+        Event::Unknown,
+        Event::Retry,
+        Event::Canceled,
+        Event::Admission,
+        Event::Counters,
+        Event::Fault,
+    ];
+
     /// The name in the log.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -119,6 +143,7 @@
     second: Cell<u64>,
     lines: Cell<u32>,
     routine: Cell<u32>,
+    changes: Cell<u32>,
 }
 
 impl Journal {
@@ -150,11 +175,18 @@
             second: Cell::new(0),
             lines: Cell::new(0),
             routine: Cell::new(0),
+            changes: Cell::new(0),
         }
     }
 
     /// A line about what the process is or believes.
     pub fn change(&self, now: Millis, event: Event, fields: &[Field<'_>]) {
+        self.turn(now);
+        self.changes.set(self.changes.get() + 1);
+        if self.changes.get() > CHANGES_A_SECOND {
+            self.dropped.borrow_mut()[event.index()] += 1;
+            return;
+        }
         self.line(now, event, None, fields);
     }
 
@@ -197,12 +229,18 @@
         }
     }
 
-    fn spend(&self, now: Millis, event: Event) -> bool {
+    /// Begins a new second.
+    fn turn(&self, now: Millis) {
         let second = now.0 / 1_000;
         if self.second.replace(second) != second {
             self.lines.set(0);
             self.routine.set(0);
+            self.changes.set(0);
         }
+    }
+
+    fn spend(&self, now: Millis, event: Event) -> bool {
+        self.turn(now);
         if event == Event::Answered {
             self.routine.set(self.routine.get() + 1);
             return self.routine.get() <= ROUTINE_A_SECOND;
@@ -248,19 +286,8 @@
 }
 
 fn counts(dropped: &[u64; EVENTS]) -> Value {
-    let all = [
-        Event::Answered,
-        Event::Refused,
-        Event::Unknown,
-        Event::Retry,
-        Event::Canceled,
-        Event::Admission,
-        Event::Instance,
-        Event::Directory,
-        Event::Fault,
-    ];
     let mut map = Map::new();
-    for event in all {
+    for event in Event::ALL {
         let count = dropped[event.index()];
         if count > 0 {
             map.insert(event.as_str().into(), count.into());
--- a/crates/walnutmoor/src/mesh/store.rs
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -44,6 +44,11 @@
 /// noticed within this.
 const PAUSE_MAX: Millis = Millis(800);
 
+/// The pause after a change in the directory before it is watched on. When
+/// many nodes register at once each watcher then makes some calls, not one
+/// for every node; links are opened this much later at most.
+const GATHER: Duration = Duration::from_millis(300);
+
 /// Idle time before a connection is probed, and between probes. With
 /// [`PROBES`] a silent connection is found within 2 s.
 const PROBE: Duration = Duration::from_secs(1);
@@ -262,6 +267,9 @@
                         change(&state, each);
                     }
                     since = news.revision;
+                    if kind == Kind::Node && !news.changes.is_empty() {
+                        sleep(GATHER).await;
+                    }
                 }
                 // The history is gone: read all again, at once.
                 Err(Error::Status(410)) => break,
