--- a/crates/walnutmoor-standin/src/mesh/caller.rs
+++ b/crates/walnutmoor-standin/src/mesh/caller.rs
@@ -57,13 +57,18 @@
 
 /// Sends bytes as they are and reads one answer.
 pub async fn raw(to: SocketAddr, text: &str) -> Option<Answer> {
+    hold(to, text).await.map(|(answer, _)| answer)
+}
+
+/// The same, and keeps the connection.
+pub async fn hold(to: SocketAddr, text: &str) -> Option<(Answer, TcpStream)> {
     let exchange = async {
         let mut stream = TcpStream::connect(to).await.ok()?;
         stream.write_all(text.as_bytes()).await.ok()?;
         let mut bytes = Vec::new();
         let (first, headers, body) = read(&mut stream, &mut bytes).await?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
-        Some(Answer { status, headers, body })
+        Some((Answer { status, headers, body }, stream))
     };
     tokio::time::timeout(PATIENCE, exchange).await.ok()?
 }
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -61,6 +61,8 @@
     pub store: SocketAddr,
     /// Its addresses.
     pub addresses: Addresses,
+    /// Files and sockets that it is told it may have.
+    pub descriptors: usize,
 }
 
 /// A node that runs.
@@ -154,7 +156,8 @@
     format!(
         "name: '{}'\npeers: '{}'\nzone: {}\nservice: {}\nserver: '{}'\n\
          callers: '{}'\nready: '{}'\ncontrol: '{}'\nmetrics: '{}'\n\
-         store: '{}'\nbounds: {{ grace: 6s }}\n",
+         store: '{}'\nbounds: {{ grace: 6s }}\n\
+         descriptors: {}\n",
         at.peers,
         at.peers,
         setup.zone,
@@ -165,5 +168,6 @@
         at.control,
         at.metrics,
         setup.store,
+        setup.descriptors,
     )
 }
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -17,6 +17,9 @@
 
 pub use walnutmoor_standin::wait::{run, until};
 
+/// Few enough that a test can use them up.
+pub const DESCRIPTORS: usize = 100;
+
 /// An instance and its node.
 pub struct Pair {
     pub node: Node,
@@ -84,6 +87,7 @@
             service: service.into(),
             store: self.store.address(),
             addresses,
+            descriptors: DESCRIPTORS,
         };
         let id = format!("i-{}", self.pairs.len());
         let Addresses { server, control, .. } = addresses;
--- a/crates/walnutmoor/tests/mesh/path.rs
+++ b/crates/walnutmoor/tests/mesh/path.rs
@@ -4,7 +4,7 @@
 use walnutmoor_platform::header;
 use walnutmoor_standin::mesh::{caller, instance::Mood};
 
-use crate::fixture::{World, headers, is_promise, run, until};
+use crate::fixture::{DESCRIPTORS, World, headers, is_promise, run, until};
 
 #[test]
 fn a_request_reaches_the_instance_of_another_node_unchanged() {
@@ -118,3 +118,29 @@
         assert!(answer.body.contains(line), "{}", answer.body);
     });
 }
+
+#[test]
+fn callers_are_asked_to_close_before_descriptors_run_out() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let at = world.pairs[0].node.addresses().callers;
+        let mut held = Vec::new();
+
+        let mut asked = 0;
+        for n in 0..DESCRIPTORS {
+            let text = format!(
+                "GET /browse/x HTTP/1.1\r\nhost: shop.example\r\n{}: h{n}\r\n\
+                 \r\n",
+                header::ATTEMPT
+            );
+            let (answer, stream) = caller::hold(at, &text).await.unwrap();
+            assert_eq!(answer.status, 200);
+            let close = answer.headers.get(http::header::CONNECTION);
+            asked += usize::from(close.is_some_and(|c| c == "close"));
+            held.push(stream);
+        }
+
+        assert!(asked > DESCRIPTORS / 2, "{asked}");
+        assert!(asked < DESCRIPTORS, "{asked}");
+    });
+}
