--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -7,3 +7,4 @@
 mod fixture;
 mod leaving;
 mod path;
+mod resume;
