--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -27,8 +27,8 @@
     wire::{self, Answer},
 };
 
-/// Callers' requests under way at most. With 12 KB each they take 36 MB of
-/// the 260 MB that a node has.
+/// Callers' requests under way at most. An estimate, not measured: at 12 KB
+/// each they would take 36 MB of the 260 MB that a node has.
 const UNDER_WAY_MAX: usize = 3_000;
 
 /// Bytes of bodies held for callers at most, out of the same.
