soak: nodes as processes under faults; an instance that said goodbye stays away

Its node had been told to end and started again; the new life asked for the health, which an instance that serves on for its last seconds still calls good, and took it up again.

Change: a node tells its peers which instance has left; they remember it and tell the node's next life before they send it any call. No call of the store. If every node dies at once nobody remembers; then only health tells.

Also: settings advertise and memory; bodies held follow the memory given.

--- a/crates/walnutmoor-standin/src/lib.rs
+++ b/crates/walnutmoor-standin/src/lib.rs
@@ -9,6 +9,7 @@
 - [`load`] is an open-loop load generator.
 - [`measure`] runs a scenario and prints its figures.
 - [`mesh`] has the platform's store, instances, callers and nodes.
+- [`soak`] runs nodes under faults from outside and checks what was promised.
 - [`wait`] waits for conditions.
 - [`drive`] reads events as JSON lines and prints the core's actions.
 
@@ -32,5 +33,6 @@
 pub mod oracle;
 pub mod platform;
 pub mod report;
+pub mod soak;
 pub mod topology;
 pub mod wait;
--- a/crates/walnutmoor-standin/src/mesh/caller.rs
+++ b/crates/walnutmoor-standin/src/mesh/caller.rs
@@ -44,6 +44,15 @@
     headers: &[(HeaderName, String)],
     body: String,
 ) -> Option<Answer> {
+    raw(to, &text(method, path, headers, &body)).await
+}
+
+fn text(
+    method: Method,
+    path: &str,
+    headers: &[(HeaderName, String)],
+    body: &str,
+) -> String {
     let mut text = format!("{method} {path} HTTP/1.1\r\n");
     if !headers.iter().any(|(name, _)| name == http::header::HOST) {
         text.push_str("host: node\r\n");
@@ -52,7 +61,46 @@
         text.push_str(&format!("{name}: {value}\r\n"));
     }
     text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
-    raw(to, &text).await
+    text
+}
+
+/// A connection that a caller keeps for many requests.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+    closes: bool,
+}
+
+impl Connection {
+    /// Opens one; `None` if nobody accepts it.
+    pub async fn open(to: SocketAddr) -> Option<Connection> {
+        let stream = TcpStream::connect(to).await.ok()?;
+        Some(Connection { stream, bytes: Vec::new(), closes: false })
+    }
+
+    /// True if the other side has said that it takes no more on it.
+    pub fn closes(&self) -> bool {
+        self.closes
+    }
+
+    /// Sends a request; `None` if there is no whole answer to it.
+    pub async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, String)],
+        body: &str,
+    ) -> Option<Answer> {
+        let text = text(method, path, headers, body);
+        self.stream.write_all(text.as_bytes()).await.ok()?;
+        let whole = read(&mut self.stream, &mut self.bytes).await;
+        let (first, headers, body) = whole?;
+        let status = first.split(' ').nth(1)?.parse().ok()?;
+        let said = headers.get(http::header::CONNECTION);
+        self.closes = said.is_some_and(|said| said == "close");
+        Some(Answer { status, headers, body })
+    }
 }
 
 /// Sends bytes as they are and reads one answer.
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -17,7 +17,9 @@
 use http::HeaderMap;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::AbortHandle,
+    time::Instant,
 };
 use walnutmoor_core::{id::Service, time::Millis};
 use walnutmoor_platform::{
@@ -66,8 +68,23 @@
     draining: AtomicBool,
     silent: AtomicBool,
     runs: Mutex<BTreeMap<String, u32>>,
+    arrivals: Mutex<Vec<Arrival>>,
     cut: AtomicU64,
     callers: Mutex<Vec<String>>,
+    tasks: Mutex<Vec<AbortHandle>>,
+}
+
+/// A request that reached an instance.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The id of the attempt.
+    pub id: String,
+    /// The instance's service.
+    pub service: Service,
+    /// When it came.
+    pub at: Instant,
+    /// True if it ran.
+    pub ran: bool,
 }
 
 /// The pause between heartbeats.
@@ -88,7 +105,7 @@
         address: SocketAddr,
         control: SocketAddr,
     ) -> Arc<Instance> {
-        let listener = TcpListener::bind(address).await.expect("a port");
+        let listener = listen(address);
         let instance = Arc::new(Instance {
             id: id.to_string(),
             service: service.parse().expect("a service name"),
@@ -101,14 +118,47 @@
             draining: AtomicBool::new(false),
             silent: AtomicBool::new(false),
             runs: Mutex::default(),
+            arrivals: Mutex::default(),
             cut: AtomicU64::new(0),
             callers: Mutex::default(),
+            tasks: Mutex::default(),
         });
-        tokio::spawn(accept(instance.clone(), listener));
-        tokio::spawn(beat(instance.clone()));
+        let accept = tokio::spawn(accept(instance.clone(), listener));
+        let beat = tokio::spawn(beat(instance.clone()));
+        instance.keep([accept.abort_handle(), beat.abort_handle()]);
         instance
     }
 
+    fn keep(&self, tasks: impl IntoIterator<Item = AbortHandle>) {
+        let mut kept = self.tasks.lock().expect("no holder panics");
+        kept.retain(|task| !task.is_finished());
+        kept.extend(tasks);
+    }
+
+    /// Ends it at once: what it runs is lost, and its address is free.
+    pub fn stop(&self) {
+        for task in self.tasks.lock().expect("no holder panics").drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Every request that reached it, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().expect("no holder panics").clone()
+    }
+
+    fn arrive(&self, request: &caller::Request, ran: bool) {
+        let id = header::attempt(&request.headers).unwrap_or_default();
+        let arrival = Arrival {
+            id: id.to_string(),
+            service: self.service.clone(),
+            at: Instant::now(),
+            ran,
+        };
+        let mut arrivals = self.arrivals.lock().expect("no holder panics");
+        arrivals.push(arrival);
+    }
+
     /// Changes how it treats requests.
     pub fn set_mood(&self, mood: Mood) {
         *self.mood.lock().expect("no holder panics") = mood;
@@ -179,6 +229,7 @@
     }
 
     fn note(&self, request: &caller::Request) {
+        self.arrive(request, true);
         let id = header::attempt(&request.headers).unwrap_or_default();
         let mut runs = self.runs.lock().expect("no holder panics");
         *runs.entry(id.to_string()).or_default() += 1;
@@ -194,6 +245,14 @@
     }
 }
 
+/// Listens at an address at which another instance may just have ended.
+fn listen(address: SocketAddr) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("a socket option");
+    socket.bind(address).expect("a port");
+    socket.listen(1_024).expect("a listener")
+}
+
 async fn beat(instance: Arc<Instance>) {
     while !instance.silent.load(Ordering::Relaxed) {
         instance.report().await;
@@ -203,7 +262,8 @@
 
 async fn accept(instance: Arc<Instance>, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(instance.clone(), stream));
+        let task = tokio::spawn(serve(instance.clone(), stream));
+        instance.keep([task.abort_handle()]);
     }
 }
 
@@ -238,6 +298,7 @@
     }
     let mood = *instance.mood.lock().expect("no holder panics");
     if mood == Mood::Sheds {
+        instance.arrive(request, false);
         let said = format!("{}: 1\r\n", header::NOT_RUN);
         return write(stream, "503 Service Unavailable", &said, "").await;
     }
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -53,6 +53,8 @@
 pub struct Setup {
     /// The program.
     pub program: PathBuf,
+    /// Where other nodes reach it, if not at its own address.
+    pub advertise: Option<SocketAddr>,
     /// Its zone.
     pub zone: String,
     /// The service of its instance.
@@ -61,8 +63,12 @@
     pub store: SocketAddr,
     /// Its addresses.
     pub addresses: Addresses,
+    /// Where it reaches its instance, if not at the instance's own address.
+    pub server: Option<SocketAddr>,
     /// Files and sockets that it is told it may have.
     pub descriptors: usize,
+    /// The platform's bounds, as name and text.
+    pub bounds: Vec<(String, String)>,
 }
 
 /// A node that runs.
@@ -117,6 +123,11 @@
         debug_assert!(status.is_ok());
     }
 
+    /// True if the process is there no more.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// True once it has ended by itself with success.
     pub fn has_ended_well(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(s)) if s.success())
@@ -153,21 +164,26 @@
 
 fn settings(setup: &Setup) -> String {
     let at = &setup.addresses;
+    let pair = |(name, value): &(String, String)| format!("{name}: '{value}'");
+    let bounds: Vec<String> = setup.bounds.iter().map(pair).collect();
     format!(
-        "name: '{}'\npeers: '{}'\nzone: {}\nservice: {}\nserver: '{}'\n\
+        "name: '{}'\npeers: '{}'\nadvertise: '{}'\nzone: {}\n\
+         service: {}\nserver: '{}'\n\
          callers: '{}'\nready: '{}'\ncontrol: '{}'\nmetrics: '{}'\n\
-         store: '{}'\nbounds: {{ grace: 6s }}\n\
+         store: '{}'\nbounds: {{ {} }}\n\
          descriptors: {}\n",
         at.peers,
         at.peers,
+        setup.advertise.unwrap_or(at.peers),
         setup.zone,
         setup.service,
-        at.server,
+        setup.server.unwrap_or(at.server),
         at.callers,
         at.ready,
         at.control,
         at.metrics,
         setup.store,
+        bounds.join(", "),
         setup.descriptors,
     )
 }
--- a/crates/walnutmoor-standin/src/mesh/store.rs
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -4,7 +4,6 @@
 
 use std::{
     collections::BTreeMap,
-    convert::Infallible,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -49,6 +48,7 @@
     data: Mutex<Data>,
     changed: Notify,
     down: AtomicBool,
+    mute: AtomicBool,
     calls: AtomicU64,
 }
 
@@ -68,6 +68,7 @@
             data: Mutex::default(),
             changed: Notify::new(),
             down: AtomicBool::new(false),
+            mute: AtomicBool::new(false),
             calls: AtomicU64::new(0),
         });
         tokio::spawn(accept(store.clone(), listener));
@@ -90,6 +91,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Does what it is told and loses the answer, or answers again.
+    pub fn set_mute(&self, mute: bool) {
+        self.mute.store(mute, Ordering::Relaxed);
+    }
+
     /// Forgets its history: watches are told to begin anew.
     pub fn compact(&self) {
         let mut data = self.lock();
@@ -240,12 +246,28 @@
     reply
 }
 
+impl Store {
+    /// Answers a call, or breaks the connection after it.
+    async fn serve(&self, request: Request<Incoming>) -> Result<Reply, Lost> {
+        let reply = self.answer(request).await;
+        match self.mute.load(Ordering::Relaxed) {
+            true => Err(Lost),
+            false => Ok(reply),
+        }
+    }
+}
+
+/// An answer that the store has lost.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer is lost")]
+struct Lost;
+
 async fn accept(store: Arc<Store>, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         let store = store.clone();
         let service = service_fn(move |request| {
             let store = store.clone();
-            async move { Ok::<_, Infallible>(store.answer(request).await) }
+            async move { store.serve(request).await }
         });
         tokio::spawn(
             http1::Builder::new()
--- /dev/null
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -0,0 +1,41 @@
+//! Nodes as processes under seeded faults: a short run, and every seed that
+//! failed before.
+
+use std::{path::PathBuf, time::Duration};
+
+use walnutmoor_standin::{
+    soak::{Config, run},
+    wait,
+};
+
+fn play(seed: u64, seconds: u64) {
+    wait::run(async move {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_walnutmoor-standin"));
+        let length = Duration::from_secs(seconds);
+
+        let report = run(&Config::new(program, seed).length(length)).await;
+
+        assert_eq!(report.breaches, [], "seed {seed}");
+        let served = report.ends.get(&200).copied().unwrap_or(0);
+        assert!(served > 100, "seed {seed}: only {served} were served");
+    });
+}
+
+#[test]
+fn promises_hold_under_a_short_run_of_faults() {
+    play(7, 8);
+}
+
+#[test]
+fn seeds_that_failed_before_hold() {
+    let seeds = include_str!("../testdata/soak-seeds.txt");
+    let lines = seeds.lines().filter(|line| !line.starts_with('#'));
+    for line in lines {
+        let mut words = line.split(' ').map(str::parse);
+        let (Some(Ok(seed)), Some(Ok(seconds))) = (words.next(), words.next())
+        else {
+            panic!("no seed and seconds: {line}");
+        };
+        play(seed, seconds);
+    }
+}
--- a/crates/walnutmoor/src/mesh/belief.rs
+++ b/crates/walnutmoor/src/mesh/belief.rs
@@ -3,7 +3,9 @@
 
 Heartbeats, goodbyes, a health check and refused connections tell of it. A
 lifetime of an instance that has said that it leaves never takes work again,
-whatever comes late.
+whatever comes late, and also where this node is restarted meanwhile: other
+nodes remember what it told them, and tell its next life before they send it
+any call.
 */
 
 use std::rc::Rc;
@@ -81,6 +83,26 @@
         self.changed(state, "goodbye");
     }
 
+    /// Instances that have left, as others were told by a former life of
+    /// this node.
+    pub fn bury(&self, state: &Rc<State>, instances: Vec<String>) {
+        let mut known = self.known.borrow_mut();
+        let mine = known.as_mut().filter(|k| instances.contains(&k.id));
+        let was = mine.is_some_and(|known| std::mem::take(&mut known.ready));
+        drop(known);
+        self.former.borrow_mut().extend(instances);
+        if was {
+            self.changed(state, "a former life of this node");
+        }
+    }
+
+    /// The id of the instance, if it has left.
+    pub fn departed(&self) -> Option<String> {
+        let known = self.known.borrow();
+        let left = known.as_ref().filter(|k| !k.ready && !k.id.is_empty());
+        left.map(|known| known.id.clone())
+    }
+
     /// A health check found the instance.
     pub fn found(
         &self,
@@ -93,6 +115,7 @@
             return;
         }
         let id = instance.to_string();
+        let ready = ready && !self.former.borrow().contains(&id);
         let known = Known { id, slots, sequence: 0, ready };
         *self.known.borrow_mut() = Some(known);
         self.changed(state, "health check");
@@ -127,6 +150,9 @@
             _ => bulkhead.close(),
         }
         drop(bulkhead);
+        if let Some(instance) = self.departed() {
+            state.announce_departure(&instance);
+        }
         let known = known.unwrap_or_default();
         let fields = [
             ("instance", known.id.into()),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -56,6 +56,11 @@
     Fetch,
     /// The desired state, as the store holds it.
     Desired(Revision, Bytes),
+    /// The instance with this id, beside the sender, has said that it leaves.
+    Departed(String),
+    /// The instances with these ids, beside the receiver, have said so to a
+    /// former life of it.
+    Former(Vec<String>),
 }
 
 /// Who speaks.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -28,11 +28,12 @@
 };
 
 /// Callers' requests under way at most. An estimate, not measured: at 12 KB
-/// each they would take 36 MB of the 260 MB that a node has.
+/// each they would take 36 MB, a quarter of the least that a node is given.
 const UNDER_WAY_MAX: usize = 3_000;
 
-/// Bytes of bodies held for callers at most, out of the same.
-const HELD_MAX: usize = 96 << 20;
+/// The part of a node's memory that bodies held for callers may take. Each is
+/// in memory up to twice, as it waits to be written to another node.
+const HELD_PART: f64 = 0.3;
 
 /// When a caller may come back that met a node which does not know the
 /// desired state yet; reading it takes some tens of milliseconds.
@@ -237,10 +238,10 @@
     if length > table.limits.body {
         return Err(Kind::TooLarge);
     }
-    if state.held.get() + length > HELD_MAX {
+    let room = held_max(state).saturating_sub(state.held.get());
+    if length > room {
         return Err(Kind::Full);
     }
-    let room = HELD_MAX - state.held.get();
     let limit = table.limits.body.min(room);
     match Limited::new(body, limit).collect().await {
         Ok(body) => {
@@ -259,6 +260,12 @@
     }
 }
 
+/// Bytes of bodies held for callers at most.
+fn held_max(state: &State) -> usize {
+    let all = (state.settings.memory << 20) as f64;
+    (all * HELD_PART) as usize
+}
+
 /// A refusal of a request that was not even tried.
 fn not_run(kind: Kind) -> Refusal {
     let refusal = Refusal::new(kind, Ran::No);
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -283,6 +283,15 @@
         // Comes first, so that the peer has seen no later call.
         let _ = out.send(Frame::Query(ids));
     }
+    // A new life of the peer must not take up an instance again that has
+    // left, whatever its health says: it may serve on for some seconds.
+    let former = state.departed(link.node);
+    if !former.is_empty() {
+        let _ = out.send(Frame::Former(former));
+    }
+    if let Some(instance) = state.serve.departed() {
+        let _ = out.send(Frame::Departed(instance));
+    }
     let _ = out.send(Frame::Ping(state.revision()));
     *link.out.borrow_mut() = Some(out);
     tokio::select! {
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -263,6 +263,8 @@
                 link.send(Frame::Fetch);
             }
         }
+        Frame::Departed(instance) => state.note_departed(hello.node, instance),
+        Frame::Former(instances) => state.serve.bury(state, instances),
         Frame::Fetch => {
             if let Some(desired) = state.desired() {
                 session.send(desired);
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -25,6 +25,11 @@
     1_024
 }
 
+/// Megabytes that a process beside an instance is commonly given.
+fn memory() -> usize {
+    256
+}
+
 /// All settings.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,6 +38,10 @@
     pub name: String,
     /// Where other nodes reach it, by TCP.
     pub peers: SocketAddr,
+    /// The address that other nodes are told for `peers`, where it differs
+    /// from the one that the node listens on; it is also the node's name
+    /// among them.
+    pub advertise: Option<SocketAddr>,
     /// Its availability zone.
     pub zone: Zone,
     /// The service of the instance beside it.
@@ -52,6 +61,9 @@
     /// Files and sockets that the process may have open.
     #[serde(default = "descriptors")]
     pub descriptors: usize,
+    /// Megabytes that the process may take.
+    #[serde(default = "memory")]
+    pub memory: usize,
     /// The platform's bounds by name.
     #[serde(default)]
     pub bounds: BTreeMap<String, String>,
@@ -79,6 +91,11 @@
         crate::settings::yaml("settings", text)
     }
 
+    /// The address by which other nodes know this one.
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.peers)
+    }
+
     /// The platform's bounds that concern this node.
     pub fn bounds(&self) -> Bounds {
         Bounds::parse(
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -4,6 +4,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     rc::Rc,
 };
 
@@ -74,6 +75,8 @@
     table: RefCell<Option<Rc<Table>>>,
     raw: RefCell<Bytes>,
     behind: Cell<Option<(Revision, Millis)>>,
+    /// Instances that have left, by the node that told so.
+    departed: RefCell<Map<NodeId, VecDeque<String>>>,
     /// The longest time that a caller of each route ever had.
     longest: RefCell<Map<String, Millis>>,
     rng: RefCell<SmallRng>,
@@ -85,6 +88,10 @@
 /// milliseconds; this bounds the extra delay when it does not.
 const FETCH_AFTER: Millis = Millis(200);
 
+/// Instances that have left, kept for each node. One that has left is gone
+/// within a minute, and its node seldom sees a second go before.
+const DEPARTED_MAX: usize = 4;
+
 /// A caller with less than this part of the longest time, in hundredths,
 /// has spent some of it on an earlier try.
 const RETURNS_UNDER: u64 = 98;
@@ -94,7 +101,7 @@
     pub fn new(settings: Settings, journal: Journal) -> Rc<State> {
         let mut rng: SmallRng = rand::make_rng();
         let life = Incarnation(rng.random());
-        let me = NodeId(settings.peers);
+        let me = NodeId(settings.address());
         let balance = Balance::new(settings.zone.clone());
         let serve = Serve::new(&settings);
         Rc::new(State {
@@ -114,6 +121,7 @@
             table: RefCell::new(None),
             raw: RefCell::new(Bytes::new()),
             behind: Cell::new(None),
+            departed: RefCell::new(Map::default()),
             longest: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
             begun: Instant::now(),
@@ -236,6 +244,34 @@
         }
     }
 
+    /// Tells every linked node that the own instance has left, so that a
+    /// next life of this node can be told.
+    pub fn announce_departure(&self, instance: &str) {
+        for link in self.links() {
+            link.send(Frame::Departed(instance.to_string()));
+        }
+    }
+
+    /// The instance beside a node has left.
+    pub fn note_departed(&self, node: NodeId, instance: String) {
+        let mut departed = self.departed.borrow_mut();
+        let ids = departed.entry(node).or_default();
+        if ids.contains(&instance) {
+            return;
+        }
+        if ids.len() == DEPARTED_MAX {
+            ids.pop_front();
+        }
+        ids.push_back(instance);
+    }
+
+    /// Instances that have left, as a node told before it ended.
+    pub fn departed(&self, node: NodeId) -> Vec<String> {
+        let departed = self.departed.borrow();
+        let ids = departed.get(&node).into_iter().flatten();
+        ids.cloned().collect()
+    }
+
     /// What this node says of itself on a new link.
     pub fn hello(&self) -> Hello {
         let up = |link: &Rc<Link>| link.is_up().then_some(link.node);
@@ -277,6 +313,7 @@
             return;
         };
         link.close();
+        self.departed.borrow_mut().remove(&node);
         self.balance.borrow_mut().leave(node);
         let fields = [("gone", node.to_string().into())];
         self.journal.change(self.now(), Event::Directory, &fields);
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -87,7 +87,10 @@
             service: service.into(),
             store: self.store.address(),
             addresses,
+            advertise: None,
+            server: None,
             descriptors: DESCRIPTORS,
+            bounds: vec![("grace".into(), "6s".into())],
         };
         let id = format!("i-{}", self.pairs.len());
         let Addresses { server, control, .. } = addresses;
--- a/crates/walnutmoor/tests/mesh/leaving.rs
+++ b/crates/walnutmoor/tests/mesh/leaving.rs
@@ -63,6 +63,39 @@
     });
 }
 
+#[test]
+fn a_node_restarted_beside_an_instance_that_said_goodbye_does_not_open_it() {
+    run(async {
+        let mut world = World::start(&["front", "desk", "desk"]).await;
+        // Its health still says that it is well.
+        assert_eq!(world.pairs[1].instance.leave().await, 200);
+
+        world.pairs[1].node.restart();
+        until("it has asked for the health", || async {
+            world.pairs[1].node.log().contains("health check")
+        })
+        .await;
+        until("the others reach it", || async {
+            let log = world.pairs[0].node.log();
+            let peer = world.pairs[1].node.addresses().peers.to_string();
+            let links = log.lines().filter(|line| {
+                line.contains("\"lost\"") || line.contains("\"regained\"")
+            });
+            let mut links = links.filter(|line| line.contains(&peer));
+            links.next_back().is_some_and(|line| line.contains("regained"))
+        })
+        .await;
+        let before = world.pairs[1].instance.total();
+        for n in 0..20 {
+            let id = format!("gone-{n}");
+            let answer = world.send(0, "order", &id).await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+
+        assert_eq!(world.pairs[1].instance.total(), before);
+    });
+}
+
 #[test]
 fn a_node_that_is_told_to_end_cuts_no_request() {
     run(async {
