link: links without calls are pinged once a second; one read a frame

Links were pinged four times a second whether or not calls were under way, and frames were read into what room was left.

Change: QUIET holds for links with calls, IDLE (1 s) for the others; a ping that is unanswered for 200 ms stops new work and for 750 ms ends the link.

--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -18,8 +18,11 @@
 ```
 */
 
+use std::io;
+
 use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use tokio::{io::AsyncReadExt, net::tcp::OwnedReadHalf};
 use walnutmoor_core::{
     bulkhead::Load,
     error::Kind,
@@ -158,6 +161,24 @@
     out.extend_from_slice(&body);
 }
 
+/// Room made for each read. Most answers fit. A buffer whose frames were taken
+/// has some hundred bytes left; without this most frames took two reads, as a
+/// trace of a loaded node's system calls shows.
+const ROOM: usize = 8 << 10;
+
+/// Reads what has come; 0 at the end of the connection.
+///
+/// # Errors
+///
+/// If the connection breaks.
+pub async fn fill(
+    read: &mut OwnedReadHalf,
+    bytes: &mut BytesMut,
+) -> io::Result<usize> {
+    bytes.reserve(ROOM);
+    read.read_buf(bytes).await
+}
+
 /// Takes the first whole frame; `None` if more bytes are needed.
 ///
 /// # Errors
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -16,7 +16,7 @@
 
 use bytes::BytesMut;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -54,19 +54,25 @@
 /// reached again within this.
 const PAUSE_MAX: Duration = Duration::from_millis(800);
 
-/// A link on which nothing was heard for this long is pinged.
-pub const QUIET: Millis = Millis(250);
+/// A link with calls under way on which nothing was heard for this long is
+/// pinged, and pinged again after the same time.
+const QUIET: Millis = Millis(250);
 
-/// A link on which nothing was heard for this long, though it was pinged,
-/// gets nothing new. Calls that were sent on to a node that had lost its power
-/// could not be told from those that it had begun; this halves the time in
-/// which there are any. Lost packets are sent again after 200 ms, so a link
-/// that only loses some is seldom taken for silent.
-const SUSPECT: Millis = Millis(450);
+/// The same for a link without calls. Whoever changes tells all links at once,
+/// so this bounds how old the load of an instance may be that nobody uses, and
+/// a link that turns out dead. Four times [`QUIET`]: with 12 nodes at rest
+/// pings were as many as requests.
+const IDLE: Millis = Millis(1_000);
 
-/// A link on which nothing was heard for this long is dead: three pings
-/// went unanswered.
-const SILENT: Millis = Millis(1_000);
+/// A link whose ping is unanswered for this long gets nothing new. Calls that
+/// were sent on to a node that had lost its power could not be told from those
+/// that it had begun; this halves the time in which there are any. Lost packets
+/// are sent again after 200 ms.
+const SUSPECT: Millis = Millis(200);
+
+/// A link whose ping is unanswered for this long is dead, as are the ones
+/// after it.
+const DEAD: Millis = Millis(750);
 
 /// The pause between looks at a link.
 pub const LOOK: Millis = Millis(125);
@@ -91,7 +97,8 @@
     last: Cell<u64>,
     life: Cell<Option<Incarnation>>,
     heard: Cell<Millis>,
-    pinged: Cell<Millis>,
+    /// The first ping that was not answered, and the last.
+    unanswered: Cell<Option<(Millis, Millis)>>,
     suspect: Cell<bool>,
     broken: Notify,
     task: RefCell<Option<AbortHandle>>,
@@ -107,7 +114,7 @@
             last: Cell::new(0),
             life: Cell::new(None),
             heard: Cell::new(Millis(0)),
-            pinged: Cell::new(Millis(0)),
+            unanswered: Cell::new(None),
             suspect: Cell::new(false),
             broken: Notify::new(),
             task: RefCell::new(None),
@@ -173,22 +180,33 @@
         // This process itself stood still: what came meanwhile is unread.
         if paused {
             self.heard.set(now);
+            self.unanswered.set(None);
         }
-        let silent = now.since(self.heard.get());
-        if silent >= SILENT {
-            self.broken.notify_one();
+        let Some((first, last)) = self.unanswered.get() else {
+            let busy = !self.pending.borrow().is_empty();
+            let quiet = if busy { QUIET } else { IDLE };
+            if now.since(self.heard.get()) >= quiet {
+                self.ping(state, now, now);
+            }
             return;
+        };
+        let waited = now.since(first);
+        if waited >= DEAD {
+            return self.broken.notify_one();
         }
-        if silent >= SUSPECT {
+        if waited >= SUSPECT {
             self.doubt(state, now);
         }
-        let pinged = now.since(self.pinged.get());
-        if silent >= QUIET && pinged >= QUIET {
-            self.pinged.set(now);
-            self.send(Frame::Ping(state.revision()));
+        if now.since(last) >= QUIET {
+            self.ping(state, first, now);
         }
     }
 
+    fn ping(&self, state: &State, first: Millis, now: Millis) {
+        self.unanswered.set(Some((first, now)));
+        self.send(Frame::Ping(state.revision()));
+    }
+
     /// Sends nothing new here until something is heard.
     fn doubt(&self, state: &State, now: Millis) {
         if self.suspect.replace(true) {
@@ -207,6 +225,7 @@
     fn hear(&self, state: &State) {
         let now = state.now();
         self.heard.set(now);
+        self.unanswered.set(None);
         if !self.suspect.replace(false) {
             return;
         }
@@ -276,7 +295,7 @@
             Some(_) => return Err(io::ErrorKind::InvalidData.into()),
             None => {}
         }
-        if read.read_buf(&mut bytes).await? == 0 {
+        if frame::fill(&mut read, &mut bytes).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
@@ -295,6 +314,7 @@
     drop(balance);
     state.report(link.node, hello.load);
     link.heard.set(now);
+    link.unanswered.set(None);
     link.suspect.set(false);
     let fields = [
         ("peer", link.node.to_string().into()),
@@ -396,7 +416,7 @@
         {
             take(state, link, frame);
         }
-        if read.read_buf(&mut bytes).await? == 0 {
+        if frame::fill(&mut read, &mut bytes).await? == 0 {
             return Ok(());
         }
         link.hear(state);
@@ -411,9 +431,7 @@
         }
         Frame::Pong(revision, load) => {
             state.report(link.node, load);
-            if state.is_behind(revision) {
-                link.send(Frame::Fetch);
-            }
+            state.told(revision, link.node);
         }
         Frame::Desired(revision, raw) => {
             state.adopt(revision, raw, "peer");
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -157,6 +157,7 @@
         for link in state.links() {
             link.check(&state, now, paused);
         }
+        state.catch_up();
         state.serve.pool.sweep(now);
         let siblings = state.balance.borrow().count(&state.settings.service);
         state.serve.share_slack(siblings);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -15,7 +15,6 @@
 
 use bytes::BytesMut;
 use tokio::{
-    io::AsyncReadExt,
     net::{
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -197,7 +196,7 @@
             Some(_) => return Err(io::ErrorKind::InvalidData.into()),
             None => {}
         }
-        if read.read_buf(bytes).await? == 0 {
+        if frame::fill(read, bytes).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
@@ -216,7 +215,7 @@
         {
             take(state, session, frame, &hello);
         }
-        match timeout(IDLE, read.read_buf(&mut bytes)).await {
+        match timeout(IDLE, frame::fill(&mut read, &mut bytes)).await {
             Ok(Ok(0)) => return Ok(()),
             Ok(Ok(_)) => {}
             Ok(Err(error)) => return Err(error),
@@ -257,11 +256,7 @@
         Frame::Ping(revision) => {
             let load = state.serve.load(state.now());
             session.send(Frame::Pong(state.revision(), load));
-            if state.is_behind(revision)
-                && let Some(link) = state.link(hello.node)
-            {
-                link.send(Frame::Fetch);
-            }
+            state.told(revision, hello.node);
         }
         Frame::Departed(instance) => state.note_departed(hello.node, instance),
         Frame::Former(instances) => state.serve.bury(state, instances),
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -74,7 +74,7 @@
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
     table: RefCell<Option<Rc<Table>>>,
     raw: RefCell<Bytes>,
-    behind: Cell<Option<(Revision, Millis)>>,
+    behind: Cell<Option<Behind>>,
     /// Instances that have left, by the node that told so.
     departed: RefCell<Map<NodeId, VecDeque<String>>>,
     /// The longest time that a caller of each route ever had.
@@ -83,6 +83,16 @@
     begun: Instant,
 }
 
+/// A newer desired state than the own one.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    revision: Revision,
+    /// When a peer first told of it, or was last asked for it.
+    since: Millis,
+    /// Who told last.
+    peer: NodeId,
+}
+
 /// How long a node waits for its own watch to bring a desired state of which
 /// a peer has told, before it asks the peer. A watch brings it within some
 /// milliseconds; this bounds the extra delay when it does not.
@@ -204,21 +214,47 @@
         }
     }
 
-    /// A peer has told of a revision. True if it is to be asked for it.
+    /// True if there is a newer desired state than the own one.
     pub fn is_behind(&self, revision: Revision) -> bool {
-        if revision <= self.revision() {
-            self.behind.set(None);
-            return false;
+        revision > self.revision()
+    }
+
+    /// A peer has told which revision it has.
+    pub fn told(&self, revision: Revision, peer: NodeId) {
+        if !self.is_behind(revision) {
+            return;
         }
-        let now = self.now();
         let since = match self.behind.get() {
-            Some((known, since)) if known == revision => since,
-            _ => now,
+            Some(behind) if behind.revision >= revision => behind.since,
+            _ => self.now(),
         };
-        self.behind.set(Some((revision, since)));
-        let due = now.since(since) >= FETCH_AFTER;
+        self.behind.set(Some(Behind { revision, since, peer }));
         // A node without any desired state serves nobody: no time to lose.
-        due || self.revision() == Revision(0)
+        if self.revision() == Revision(0) {
+            self.fetch(peer);
+        }
+    }
+
+    /// Asks a peer for the newer desired state that it told of, if the own
+    /// watch has not brought it meanwhile.
+    pub fn catch_up(&self) {
+        let Some(behind) = self.behind.get() else {
+            return;
+        };
+        if !self.is_behind(behind.revision) {
+            return self.behind.set(None);
+        }
+        let now = self.now();
+        if now.since(behind.since) >= FETCH_AFTER {
+            self.behind.set(Some(Behind { since: now, ..behind }));
+            self.fetch(behind.peer);
+        }
+    }
+
+    fn fetch(&self, peer: NodeId) {
+        if let Some(link) = self.link(peer) {
+            link.send(Frame::Fetch);
+        }
     }
 
     /// A node has told the load of its instance.
