store: the directory is read now and then, not watched

Ruled out: watching by some nodes only (others would hear of new nodes from them, later than now). Reads after the own record is written find every node that registered before, and the later of two opens the link that makes it known to the other, so nothing needs to be pushed.

Change: register, read, read again every 15 s as the store had it some seconds ago, which costs a tenth. A node that is gone from it and down is forgotten. The desired state is watched for 30 s a call, as long as the store holds one.

--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -90,7 +90,6 @@
     spawn_local(ingress::listen(state.clone(), callers));
     spawn_local(store::desired(state.clone()));
     spawn_local(store::directory(state.clone()));
-    spawn_local(store::register(state.clone()));
     spawn_local(tick(state.clone()));
     spawn_local(ask(state.clone()));
     spawn_local(count(state.clone()));
--- a/crates/walnutmoor/src/mesh/store.rs
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -1,10 +1,13 @@
 /*!
 The platform's store: the desired state, and the directory of nodes.
 
-Each is read once and then watched by a long poll, which costs the store one
-call for each change instead of one for each look. A node writes its own
-record once; what its instance does travels on links and never through the
-store.
+The desired state is read once and then watched by a long poll, which costs
+the store one call for each change instead of one for each look. A node writes
+its own record once, and only then reads those of others: of two nodes the one
+that reads later finds the other, and the link that it opens makes it known
+there. So the directory needs no watch; it is read again now and then, as it
+was some seconds ago, for nodes that are gone. What instances do travels on
+links and never through the store.
 */
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -22,6 +25,7 @@
     time::{sleep, timeout},
 };
 use walnutmoor_core::{
+    digest::Set,
     id::{NodeId, Revision, Service, Zone},
     time::Millis,
 };
@@ -29,9 +33,9 @@
 
 use super::{journal::Event, state::State};
 
-/// How long the store may hold a watch. Longer spares calls; a dead
-/// connection is found by keep-alive probes, not by this.
-const WATCH: Millis = Millis(20_000);
+/// How long the store may hold a watch: as long as it does. A dead connection
+/// is found by keep-alive probes, not by this.
+const WATCH: Millis = Millis(30_000);
 
 /// How long a call may take besides what the store holds it: the store takes
 /// 4 ms, and some hundreds when it is slow.
@@ -44,10 +48,9 @@
 /// noticed within this.
 const PAUSE_MAX: Millis = Millis(800);
 
-/// The pause after a change in the directory before it is watched on. When
-/// many nodes register at once each watcher then makes some calls, not one
-/// for every node; links are opened this much later at most.
-const GATHER: Duration = Duration::from_millis(300);
+/// The pause between looks at the directory, give or take half of it. A node
+/// that was missed, or is gone, is noticed within this.
+const LOOK: Millis = Millis(15_000);
 
 /// Idle time before a connection is probed, and between probes. With
 /// [`PROBES`] a silent connection is found within 2 s.
@@ -160,12 +163,14 @@
     async fn list(
         &mut self,
         kind: Kind,
+        stale: bool,
     ) -> Result<(Vec<Object>, Revision), Error> {
         let mut objects = Vec::new();
         let mut first = None;
         loop {
             let last = objects.last().map(|o: &Object| o.name.clone());
-            let read = Read::List { after: last.unwrap_or_default() };
+            let after = last.unwrap_or_default();
+            let read = Read::List { after, stale };
             let page = store::page(&self.read(kind, &read).await?)?;
             // A watch goes on from the first page, so that no change
             // between two pages is missed.
@@ -232,96 +237,92 @@
     }
 }
 
-/// Follows a kind for ever: its objects once, and then each change.
-async fn follow(
-    state: Rc<State>,
-    kind: Kind,
-    what: &'static str,
-    whole: impl Fn(&Rc<State>, &[Object]),
-    change: impl Fn(&Rc<State>, &store::Change),
-) {
+/// Keeps the desired state in force: reads it, and then each change.
+pub async fn desired(state: Rc<State>) {
     let mut client = Client::new(state.settings.store);
-    let mut watchman = Watchman::new(what);
+    let mut watchman = Watchman::new("desired state");
     loop {
-        let mut since = match client.list(kind).await {
+        match client.list(Kind::Desired, false).await {
             Ok((objects, revision)) => {
                 watchman.good(&state);
-                whole(&state, &objects);
-                revision
-            }
-            Err(error) => {
-                watchman.bad(&state, &error).await;
-                continue;
+                objects.iter().for_each(|object| adopt(&state, object));
+                watch(&state, &mut client, &mut watchman, revision).await;
             }
+            Err(error) => watchman.bad(&state, &error).await,
+        }
+    }
+}
+
+/// Takes changes until the watch can't go on.
+async fn watch(
+    state: &Rc<State>,
+    client: &mut Client,
+    watchman: &mut Watchman,
+    mut since: Revision,
+) {
+    loop {
+        let read = Read::Watch { since, wait: WATCH };
+        let news = match client.read(Kind::Desired, &read).await {
+            Ok(body) => store::news(&body).map_err(Error::from),
+            Err(error) => Err(error),
         };
-        loop {
-            let read = Read::Watch { since, wait: WATCH };
-            let news = match client.read(kind, &read).await {
-                Ok(body) => store::news(&body).map_err(Error::from),
-                Err(error) => Err(error),
-            };
-            match news {
-                Ok(news) => {
-                    watchman.good(&state);
-                    for each in &news.changes {
-                        change(&state, each);
-                    }
-                    since = news.revision;
-                    if kind == Kind::Node && !news.changes.is_empty() {
-                        sleep(GATHER).await;
-                    }
-                }
-                // The history is gone: read all again, at once.
-                Err(Error::Status(410)) => break,
-                Err(error) => {
-                    watchman.bad(&state, &error).await;
-                    break;
-                }
+        match news {
+            Ok(news) => {
+                watchman.good(state);
+                let there = news.changes.iter().filter(|c| !c.removed);
+                there.for_each(|change| adopt(state, &change.object));
+                since = news.revision;
             }
+            // The history is gone: read all again, at once.
+            Err(Error::Status(410)) => return,
+            Err(error) => return watchman.bad(state, &error).await,
         }
     }
 }
 
-/// Keeps the desired state in force.
-pub async fn desired(state: Rc<State>) {
-    let adopt = |state: &Rc<State>, object: &Object| {
-        if store::is_desired(object) {
-            state.adopt(object.revision, object.spec.clone(), "store");
-        }
-    };
-    let whole = move |state: &Rc<State>, objects: &[Object]| {
-        for object in objects {
-            adopt(state, object);
-        }
-    };
-    let change = move |state: &Rc<State>, change: &store::Change| {
-        if !change.removed {
-            adopt(state, &change.object);
-        }
-    };
-    let what = "desired state";
-    follow(state, Kind::Desired, what, whole, change).await;
+fn adopt(state: &State, object: &Object) {
+    if store::is_desired(object) {
+        state.adopt(object.revision, object.spec.clone(), "store");
+    }
 }
 
-/// Keeps the directory of nodes.
+/// Registers this node, and keeps the directory of nodes.
 pub async fn directory(state: Rc<State>) {
-    let whole = |state: &Rc<State>, objects: &[Object]| {
-        for object in objects {
-            if let Some(record) = record(state, object) {
-                state.learn(record.node);
+    let mut client = Client::new(state.settings.store);
+    let mut watchman = Watchman::new("directory");
+    let mut registered = false;
+    // What others have written just before must not be missed the first time.
+    let mut stale = false;
+    loop {
+        if !registered {
+            registered = register(&state, &mut client).await;
+        }
+        match client.list(Kind::Node, stale).await {
+            Ok((objects, _)) => {
+                watchman.good(&state);
+                compare(&state, &objects);
+                stale = registered;
+                let pause = if registered { LOOK } else { PAUSE_MAX };
+                // Stores close a connection that is idle for as long.
+                client.disconnect();
+                sleep(Duration::from_millis(state.spread(pause).0)).await;
             }
+            Err(error) => watchman.bad(&state, &error).await,
         }
-    };
-    let change = |state: &Rc<State>, change: &store::Change| {
-        let Some(record) = record(state, &change.object) else {
-            return;
-        };
-        match change.removed {
-            true => state.forget(record.node),
-            false => state.learn(record.node),
+    }
+}
+
+/// Opens links to nodes that were found, and closes those that are down to
+/// nodes that are there no more.
+fn compare(state: &Rc<State>, objects: &[Object]) {
+    let records = objects.iter().filter_map(|object| record(state, object));
+    let nodes: Set<NodeId> = records.map(|record| record.node).collect();
+    nodes.iter().for_each(|node| state.learn(*node));
+    for link in state.links() {
+        if !link.is_up() && !nodes.contains(&link.node) {
+            state.forget(link.node);
         }
-    };
-    follow(state, Kind::Node, "directory", whole, change).await;
+    }
 }
 
 fn record(state: &State, object: &Object) -> Option<Record> {
@@ -340,34 +341,28 @@
     state.me.to_string().replace(':', "-")
 }
 
-/// Writes this node's record, until the store has it.
-pub async fn register(state: Rc<State>) {
+/// Writes this node's record; false if it is not known to be written.
+async fn register(state: &State, client: &mut Client) -> bool {
     let record = Record {
         node: state.me,
         zone: state.settings.zone.clone(),
         service: state.settings.service.clone(),
     };
-    let name = name(&state);
-    let mut client = Client::new(state.settings.store);
-    let mut watchman = Watchman::new("registration");
-    loop {
-        let create = store::create(Kind::Node, &name, &record);
-        let mut result = client.call(create, CALL_WITHIN).await;
-        if matches!(result, Ok((StatusCode::CONFLICT, _))) {
-            let replace = store::replace(Kind::Node, &name, &record);
-            result = client.call(replace, CALL_WITHIN).await;
-        }
-        match result {
-            Ok((status, _)) if status.is_success() => {
-                return watchman.good(&state);
-            }
-            Ok((status, _)) => {
-                let error = Error::Status(status.as_u16());
-                watchman.bad(&state, &error).await;
-            }
-            Err(error) => watchman.bad(&state, &error).await,
-        }
+    let name = name(state);
+    let create = store::create(Kind::Node, &name, &record);
+    let mut result = client.call(create, CALL_WITHIN).await;
+    if matches!(result, Ok((StatusCode::CONFLICT, _))) {
+        let replace = store::replace(Kind::Node, &name, &record);
+        result = client.call(replace, CALL_WITHIN).await;
     }
+    let error = match result {
+        Ok((status, _)) if status.is_success() => return true,
+        Ok((status, _)) => Error::Status(status.as_u16()),
+        Err(error) => error,
+    };
+    let why = format!("registration: {error}");
+    state.journal.change(state.now(), Event::Fault, &[("why", why.into())]);
+    false
 }
 
 /// Removes this node's record: its instance has left for good.
