--- a/crates/walnutmoor-core/src/node/mod.rs
+++ b/crates/walnutmoor-core/src/node/mod.rs
@@ -36,6 +36,7 @@
 mod event;
 mod issue;
 mod options;
+mod outcome;
 mod serve;
 mod stat;
 mod tickets;
