--- a/crates/walnutmoor/tests/mesh/desired.rs
+++ b/crates/walnutmoor/tests/mesh/desired.rs
@@ -1,6 +1,7 @@
 //! The desired state and the directory.
 
 use walnutmoor_core::table::Effect;
+use walnutmoor_standin::soak::proxy::Mode;
 
 use crate::fixture::{World, desired, route, routes, run, until};
 
@@ -66,6 +67,44 @@
     });
 }
 
+#[test]
+fn a_node_cut_off_from_the_store_learns_a_change_from_its_peers() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        let mut next = routes();
+        next.push(route("search", Effect::Idempotent, &[("desk", 1)]));
+
+        // Neither side sees the connection end.
+        world.pairs[0].store.set(Mode::Silent);
+        world.store.write_desired(&desired(2, &next));
+
+        world.served(0, "search", "cut-off").await;
+        let log = world.pairs[0].node.log();
+        assert!(log.contains("\"source\":\"peer\""));
+    });
+}
+
+#[test]
+fn a_node_that_has_left_for_good_is_forgotten() {
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        let gone = world.pairs[2].node.addresses().peers;
+
+        assert_eq!(world.pairs[2].instance.leave().await, 200);
+        world.pairs[2].node.signal("TERM");
+
+        until("its record is removed", || async {
+            world.store.nodes().len() == 2
+        })
+        .await;
+        until("the others close their links to it", || async {
+            let log = world.pairs[0].node.log();
+            log.contains(&format!("\"gone\":\"{gone}\""))
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_split_is_kept_to_its_shares() {
     run(async {
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -14,6 +14,7 @@
     node::{Addresses, Node, Setup},
     store::Store,
 };
+use walnutmoor_standin::soak::proxy::Proxy;
 
 pub use walnutmoor_standin::wait::{run, until};
 
@@ -23,6 +24,8 @@
 /// An instance and its node.
 pub struct Pair {
     pub node: Node,
+    /// Stands between the node and the store.
+    pub store: Arc<Proxy>,
     pub instance: Arc<Instance>,
 }
 
@@ -81,11 +84,12 @@
     /// Starts one more pair.
     pub async fn add(&mut self, service: &str) {
         let addresses = Addresses::draw();
+        let store = Proxy::start(self.store.address()).await;
         let setup = Setup {
             program: PathBuf::from(env!("CARGO_BIN_EXE_walnutmoor")),
             zone: "a".into(),
             service: service.into(),
-            store: self.store.address(),
+            store: store.address(),
             addresses,
             advertise: None,
             server: None,
@@ -96,7 +100,7 @@
         let Addresses { server, control, .. } = addresses;
         let instance = Instance::start(&id, service, server, control).await;
         let node = Node::start(&setup);
-        self.pairs.push(Pair { node, instance });
+        self.pairs.push(Pair { node, store, instance });
     }
 
     /// Waits until all nodes are ready and know each other.
