--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -14,8 +14,8 @@
 The least urgent of the routes is cut first, and a more urgent one only when
 nothing is left to cut below it and the demand of the most urgent alone is too
 much. A part of the less urgent is always let in, and where it alone made the
-demand too high, claims were cut for it: with one of three instances left, 0.73
-of the claims were served. Calls that an instance makes are never cut
+demand too high, claims were cut for it: on a day that loses two of three
+instances 0.861 of the claims were served so, and 0.926 are now. Calls that an instance makes are never cut
 here: refusing one wastes the request that made it.
 
 What it brings, by the replay in `tests/overload.rs` at 1.3 times what fits:
--- a/crates/walnutmoor/tests/mesh/desired.rs
+++ b/crates/walnutmoor/tests/mesh/desired.rs
@@ -79,8 +79,14 @@
         world.store.write_desired(&desired(2, &next));
 
         world.served(0, "search", "cut-off").await;
-        let log = world.pairs[0].node.log();
-        assert!(log.contains("\"source\":\"peer\""));
+        // A thread writes the log, some milliseconds after the answer.
+        let adopted = || {
+            let log = world.pairs[0].node.log();
+            let line = log.lines().find(|l| l.contains("\"version\":2"));
+            line.map(str::to_string)
+        };
+        until("the log tells of it", || async { adopted().is_some() }).await;
+        assert!(adopted().unwrap().contains("\"source\":\"peer\""));
     });
 }
 
