connection: requests sent ahead are served at once, answered in order

Change: a codec without IO (`http1`, heads by httparse), a connection that reads ahead within bounds (`mesh::connection`), and what may be under way decided in the core (`pipeline`). What may run only once is alone on its connection; the last answer begun is the one that says close.

Tests: core pipeline, http1 (data and fuzz), mesh pipeline (ten cases). On the code before, five of the ten fail (quick ones behind a slow one, odd framing behind a good request, a caller that does not read, one that leaves, a node told to end); the other five pass on both, as they state what must hold in either way.

--- a/crates/walnutmoor-core/src/error.rs
+++ b/crates/walnutmoor-core/src/error.rs
@@ -77,6 +77,8 @@
     Malformed = ("malformed", 400),
     /// The body is longer than the settings allow.
     TooLarge = ("too_large", 413),
+    /// The head is longer than the settings allow.
+    HeadTooLarge = ("head_too_large", 431),
     /// No class of that name is in force.
     UnknownClass = ("unknown_class", 404),
     /// No backend server of that service is known.
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod member;
 pub mod node;
 pub mod once;
+pub mod pipeline;
 pub mod platform;
 pub mod queue;
 pub mod repeat;
--- a/crates/walnutmoor-standin/src/mesh/caller.rs
+++ b/crates/walnutmoor-standin/src/mesh/caller.rs
@@ -47,7 +47,8 @@
     raw(to, &text(method, path, headers, &body)).await
 }
 
-fn text(
+/// The bytes of a request.
+pub fn text(
     method: Method,
     path: &str,
     headers: &[(HeaderName, String)],
@@ -92,8 +93,17 @@
         headers: &[(HeaderName, String)],
         body: &str,
     ) -> Option<Answer> {
-        let text = text(method, path, headers, body);
-        self.stream.write_all(text.as_bytes()).await.ok()?;
+        self.write(&text(method, path, headers, body)).await?;
+        self.read().await
+    }
+
+    /// Sends bytes as they are; `None` if the connection is closed.
+    pub async fn write(&mut self, text: &str) -> Option<()> {
+        self.stream.write_all(text.as_bytes()).await.ok()
+    }
+
+    /// Reads the next answer; `None` if there is no whole one.
+    pub async fn read(&mut self) -> Option<Answer> {
         let whole = read(&mut self.stream, &mut self.bytes).await;
         let (first, headers, body) = whole?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -5,7 +5,7 @@
 */
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -64,6 +64,7 @@
     control: SocketAddr,
     mood: Mutex<Mood>,
     time: AtomicU64,
+    held: Mutex<BTreeSet<String>>,
     sequence: AtomicU64,
     draining: AtomicBool,
     silent: AtomicBool,
@@ -90,6 +91,9 @@
 /// The pause between heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
 
+/// The pause between looks at whether a held run was released.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// How soon an instance forgets an idle connection, if it does.
 const FORGETS_AFTER: Duration = Duration::from_millis(600);
 
@@ -114,6 +118,7 @@
             control,
             mood: Mutex::new(Mood::Well),
             time: AtomicU64::new(5),
+            held: Mutex::default(),
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             silent: AtomicBool::new(false),
@@ -169,6 +174,32 @@
         self.time.store(time.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Lets the run of a request last until it is released.
+    pub fn hold(&self, attempt: &str) {
+        let mut held = self.held.lock().expect("no holder panics");
+        held.insert(attempt.to_string());
+    }
+
+    /// Ends a run that was held.
+    pub fn release(&self, attempt: &str) {
+        let mut held = self.held.lock().expect("no holder panics");
+        held.remove(attempt);
+    }
+
+    fn is_held(&self, attempt: &str) -> bool {
+        let held = self.held.lock().expect("no holder panics");
+        held.contains(attempt)
+    }
+
+    /// Takes the time that a run takes.
+    async fn work(&self, attempt: &str) {
+        let time = self.time.load(Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(time)).await;
+        while self.is_held(attempt) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Says from now on that it is leaving, and finishes what it has.
     pub async fn drain(&self) -> u16 {
         self.draining.store(true, Ordering::Relaxed);
@@ -343,10 +374,10 @@
     request: &caller::Request,
 ) -> bool {
     instance.note(request);
-    let time = Duration::from_millis(instance.time.load(Ordering::Relaxed));
+    let id = header::attempt(&request.headers).unwrap_or_default();
     let mut byte = [0];
     tokio::select! {
-        () = tokio::time::sleep(time) => true,
+        () = instance.work(id) => true,
         read = stream.read(&mut byte) => {
             // A caller sends nothing while its request runs, so this is the
             // end of the connection.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -3,29 +3,28 @@
 answers them.
 */
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
-
-use bytes::Bytes;
-use http::{HeaderMap, Request, header as names, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::BytesMut;
+use http::{Method, header as names};
+use tokio::net::TcpListener;
 use walnutmoor_core::{
     bulkhead,
     error::{Kind, Ran, Refusal},
-    table::Table,
+    table::{Effect, Route},
     throttle::Ended,
     time::Millis,
 };
 use walnutmoor_platform::header;
 
 use super::{
+    connection,
     dispatch::{self, End, Finished},
     journal::Event,
     state::{Phase, State},
     wire::{self, Answer},
 };
+use crate::http1::{Head, body::Framing};
 
 /// Callers' requests under way at most. An estimate, not measured: at 12 KB
 /// each they would take 36 MB, a quarter of the least that a node is given.
@@ -45,10 +44,6 @@
 /// this a node ran out of descriptors and read nobody for four seconds.
 const CONNECTIONS_PART: f64 = 0.35;
 
-/// How long a connection may wait for a request where the operator sets no
-/// limit yet.
-const IDLE: Duration = Duration::from_secs(60);
-
 /// When a caller may come back that admission refused, as a part of the
 /// route's target: soon enough that an answer at the second try still lies
 /// within it. The spread keeps callers from coming together.
@@ -62,7 +57,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(state.clone(), stream));
+                let serve = connection::serve(state.clone(), stream);
+                tokio::task::spawn_local(serve);
             }
             Err(error) => {
                 let fields = [("why", error.to_string().into())];
@@ -73,45 +69,36 @@
     }
 }
 
-async fn serve(state: Rc<State>, stream: TcpStream) {
-    // Only a delay would follow.
-    let _ = stream.set_nodelay(true);
-    let limits = state.table().map(|table| table.limits);
-    let idle = limits.map_or(IDLE, |limits| {
-        let longest = limits.idle.0.max(limits.head_time.0);
-        Duration::from_millis(longest + 1_000)
-    });
-    let counted = state.clone();
-    let service = service_fn(move |request| {
-        let state = state.clone();
-        async move { Ok::<_, Infallible>(take(state, request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle);
-    builder.auto_date_header(false);
-    let open = &counted.connections;
-    open.set(open.get() + 1);
-    // A caller that breaks off is no fault of this node.
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-    open.set(open.get() - 1);
-}
-
 /// True if callers are to close their connections after an answer.
-fn is_crowded(state: &State) -> bool {
+pub(super) fn is_crowded(state: &State) -> bool {
     let all = state.settings.descriptors as f64;
     let crowded = state.connections.get() as f64 > all * CONNECTIONS_PART;
     crowded || state.phase.get() != Phase::Serving
 }
 
 /// Counts a request for as long as it lasts, and notes when its caller has
-/// left: the whole task is then dropped.
-struct Stay {
+/// left: whatever is done for it is then dropped.
+pub(super) struct Stay {
     state: Rc<State>,
     attempt: String,
     route: String,
     since: Millis,
     held: usize,
-    over: bool,
+    is_over: bool,
+}
+
+impl Stay {
+    fn new(state: &Rc<State>, attempt: &str) -> Stay {
+        state.under_way.set(state.under_way.get() + 1);
+        Stay {
+            state: state.clone(),
+            attempt: attempt.to_string(),
+            route: String::new(),
+            since: state.now(),
+            held: 0,
+            is_over: false,
+        }
+    }
 }
 
 impl Drop for Stay {
@@ -119,7 +106,7 @@
         let state = &self.state;
         state.under_way.set(state.under_way.get() - 1);
         state.held.set(state.held.get() - self.held);
-        if self.over {
+        if self.is_over {
             return;
         }
         metrics::counter!("walnutmoor_canceled_total").increment(1);
@@ -130,56 +117,164 @@
     }
 }
 
-async fn take(state: Rc<State>, request: Request<Incoming>) -> Answer {
-    let since = state.now();
-    state.under_way.set(state.under_way.get() + 1);
-    let attempt = header::attempt(request.headers());
-    let mut stay = Stay {
-        attempt: attempt.unwrap_or_default().to_string(),
-        state: state.clone(),
-        route: String::new(),
-        since,
-        held: 0,
-        over: false,
-    };
-    let mut answer = match admit(&state, &mut stay, request).await {
-        Ok(request) => {
-            let finished = dispatch::run(&state, &request).await;
-            conclude(&state, &stay, &request, finished)
+/// A request that is turned away before it was read whole.
+pub(super) struct Turned {
+    /// Its answer.
+    pub(super) answer: Answer,
+    /// Its method.
+    pub(super) method: Method,
+    /// Bytes of its body that may be passed over; `None` if the connection
+    /// is to close instead.
+    pub(super) rest: Option<usize>,
+    /// Its stay, until the answer is written.
+    pub(super) stay: Stay,
+}
+
+/// The answer to bytes that are no request.
+pub(super) fn unreadable(state: &Rc<State>, kind: Kind) -> Turned {
+    let mut stay = Stay::new(state, "");
+    let answer = turn_away(state, &mut stay, &not_run(kind));
+    Turned { answer, method: Method::GET, rest: None, stay }
+}
+
+/// A request whose head was read.
+pub(super) struct Arrival {
+    stay: Stay,
+    head: Head,
+    route: Arc<Route>,
+    body: BytesMut,
+    body_max: usize,
+}
+
+impl Arrival {
+    /// Finds the route of a request by its head.
+    pub(super) fn open(
+        state: &Rc<State>,
+        head: Head,
+    ) -> Result<Arrival, Box<Turned>> {
+        let attempt = header::attempt(&head.headers).unwrap_or_default();
+        let mut stay = Stay::new(state, attempt);
+        let body_max = state.table().unwrap_or_default().limits.body;
+        match look_up(state, &stay, &head) {
+            Ok(route) => {
+                stay.route = route.name.clone();
+                let body = BytesMut::new();
+                Ok(Arrival { stay, head, route, body, body_max })
+            }
+            Err(kind) => {
+                let answer = turn_away(state, &mut stay, &not_run(kind));
+                let Head { method, expects, closes, .. } = head;
+                let closes = kind == Kind::TooLarge || expects || closes;
+                let rest = (!closes).then_some(body_max);
+                Err(Box::new(Turned { answer, method, rest, stay }))
+            }
         }
-        Err(refusal) => turn_away(&state, &stay, &refusal),
-    };
-    stay.over = true;
-    if is_crowded(&state) {
-        let close = http::HeaderValue::from_static("close");
-        answer.headers_mut().insert(names::CONNECTION, close);
     }
-    answer
+
+    /// Adds bytes of the body.
+    pub(super) fn extend(
+        &mut self,
+        state: &State,
+        data: &[u8],
+    ) -> Result<(), Kind> {
+        if self.body.len() + data.len() > self.body_max {
+            return Err(Kind::TooLarge);
+        }
+        if state.held.get() + data.len() > held_max(state) {
+            return Err(Kind::Full);
+        }
+        self.body.extend_from_slice(data);
+        self.stay.held += data.len();
+        state.held.set(state.held.get() + data.len());
+        Ok(())
+    }
+
+    /// Gives the request up before its body is whole.
+    pub(super) fn turn_away(
+        mut self: Box<Arrival>,
+        state: &Rc<State>,
+        kind: Kind,
+    ) -> Turned {
+        let answer = turn_away(state, &mut self.stay, &not_run(kind));
+        let method = self.head.method.clone();
+        Turned { answer, method, rest: None, stay: self.stay }
+    }
+
+    /// The connection closes, and this counts as not read.
+    pub(super) fn leave_unread(mut self: Box<Arrival>) {
+        self.stay.is_over = true;
+    }
+
+    /// True, once, if the caller waits to be told to send the body.
+    pub(super) fn must_be_told(&mut self) -> bool {
+        std::mem::take(&mut self.head.expects) && self.body.is_empty()
+    }
+
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.route.effect == Effect::Idempotent
+    }
+
+    pub(super) fn closes(&self) -> bool {
+        self.head.closes
+    }
+
+    pub(super) fn method(&self) -> &Method {
+        &self.head.method
+    }
+
+    /// Brings the request to its end.
+    pub(super) async fn serve(
+        mut self: Box<Arrival>,
+        state: &Rc<State>,
+    ) -> (Answer, Stay) {
+        let answer = match admit(state, &mut self) {
+            Ok(request) => {
+                let finished = dispatch::run(state, &request).await;
+                conclude(state, &self.stay, &request, finished)
+            }
+            Err(refusal) => turn_away(state, &mut self.stay, &refusal),
+        };
+        self.stay.is_over = true;
+        (answer, self.stay)
+    }
 }
 
-/// Reads a request and finds its route.
-async fn admit(
-    state: &Rc<State>,
-    stay: &mut Stay,
-    request: Request<Incoming>,
-) -> Result<dispatch::Request, Refusal> {
-    let table = state.table().ok_or_else(|| not_run(Kind::Starting))?;
+/// The route of a request, if its body may be read.
+fn look_up(
+    state: &State,
+    stay: &Stay,
+    head: &Head,
+) -> Result<Arc<Route>, Kind> {
+    let table = state.table().ok_or(Kind::Starting)?;
     if state.phase.get() == Phase::Finishing {
-        return Err(not_run(Kind::Leaving));
+        return Err(Kind::Leaving);
     }
     if state.under_way.get() > UNDER_WAY_MAX {
-        return Err(not_run(Kind::Full));
+        return Err(Kind::Full);
     }
     if stay.attempt.is_empty() {
-        return Err(not_run(Kind::Malformed));
+        return Err(Kind::Malformed);
+    }
+    let route = host(head).and_then(|h| table.find(h, head.uri.path()));
+    let route = route.ok_or(Kind::NoRoute)?.clone();
+    if let Framing::Length(length) = head.framing {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        if length > table.limits.body {
+            return Err(Kind::TooLarge);
+        }
+        if length > held_max(state).saturating_sub(state.held.get()) {
+            return Err(Kind::Full);
+        }
     }
-    let (mut head, body) = request.into_parts();
-    let route = host(&head).and_then(|h| table.find(h, head.uri.path()));
-    let route = route.ok_or_else(|| not_run(Kind::NoRoute))?.clone();
-    stay.route = route.name.clone();
-    let body = read(state, stay, &table, &head.headers, body)
-        .await
-        .map_err(not_run)?;
+    Ok(route)
+}
+
+/// Decides on a request that was read whole.
+fn admit(
+    state: &Rc<State>,
+    arrival: &mut Arrival,
+) -> Result<dispatch::Request, Refusal> {
+    let Arrival { stay, head, route, body, .. } = arrival;
     let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
     let parent = state.serve.parent(state.now(), &stay.attempt);
     if parent.is_none() {
@@ -195,7 +290,7 @@
         Some(parent) => bulkhead::urgency(parent.priority, true),
         None => bulkhead::urgency(route.priority, false),
     };
-    let service = state.splitter.borrow_mut().pick(&route);
+    let service = state.splitter.borrow_mut().pick(route);
     header::prepare(&mut head.headers);
     Ok(dispatch::Request {
         urgency,
@@ -204,62 +299,27 @@
         service: service.ok_or_else(|| not_run(Kind::UnknownService))?,
         attempt: stay.attempt.clone(),
         method: head.method.to_string(),
-        path: path(&head),
+        path: path(head),
         headers: wire::pack(&head.headers),
-        body,
+        body: std::mem::take(body).freeze(),
         deadline: stay.since + left.min(route.timeout),
         caller_deadline: stay.since + left,
-        route,
+        route: route.clone(),
     })
 }
 
-fn host(head: &Parts) -> Option<&str> {
+fn host(head: &Head) -> Option<&str> {
     match head.uri.host() {
         Some(host) => Some(host),
         None => head.headers.get(names::HOST)?.to_str().ok(),
     }
 }
 
-fn path(head: &Parts) -> String {
+fn path(head: &Head) -> String {
     let path = head.uri.path_and_query();
     path.map_or("/", |path| path.as_str()).to_string()
 }
 
-async fn read(
-    state: &State,
-    stay: &mut Stay,
-    table: &Table,
-    headers: &HeaderMap,
-    body: Incoming,
-) -> Result<Bytes, Kind> {
-    let length = headers.get(names::CONTENT_LENGTH);
-    let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
-    let length: usize = length.unwrap_or(0);
-    if length > table.limits.body {
-        return Err(Kind::TooLarge);
-    }
-    let room = held_max(state).saturating_sub(state.held.get());
-    if length > room {
-        return Err(Kind::Full);
-    }
-    let limit = table.limits.body.min(room);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => {
-            let body = body.to_bytes();
-            stay.held = body.len();
-            state.held.set(state.held.get() + body.len());
-            Ok(body)
-        }
-        Err(error) if error.is::<LengthLimitError>() => {
-            match limit < table.limits.body {
-                true => Err(Kind::Full),
-                false => Err(Kind::TooLarge),
-            }
-        }
-        Err(_) => Err(Kind::Malformed),
-    }
-}
-
 /// Bytes of bodies held for callers at most.
 fn held_max(state: &State) -> usize {
     let all = (state.settings.memory << 20) as f64;
@@ -277,7 +337,8 @@
     }
 }
 
-fn turn_away(state: &Rc<State>, stay: &Stay, refusal: &Refusal) -> Answer {
+fn turn_away(state: &Rc<State>, stay: &mut Stay, refusal: &Refusal) -> Answer {
+    stay.is_over = true;
     let kind = refusal.kind;
     metrics::counter!("walnutmoor_refused_total", "kind" => kind.as_str())
         .increment(1);
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -13,6 +13,8 @@
 | [`settings`] | the settings file |
 | [`node`] | starts the tasks, and ends them in order |
 | [`state`] | what the tasks share |
+| [`connection`] | a caller's connection, its requests at once and in order |
+| [`output`] | bytes that wait to be written to a caller |
 | [`ingress`] | takes callers' requests and answers them |
 | [`dispatch`] | finds the instance for a request, again if need be |
 | [`link`] | the way to one other node |
@@ -36,6 +38,7 @@
 */
 
 pub mod belief;
+pub mod connection;
 pub mod control;
 pub mod dispatch;
 pub mod frame;
@@ -44,6 +47,7 @@
 pub mod journal;
 pub mod link;
 pub mod node;
+pub mod output;
 pub mod peer;
 pub mod run;
 pub mod serve;
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -30,6 +30,25 @@
     256
 }
 
+/// What a node reads ahead of its answers on one caller's connection.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ReadAhead {
+    /// Requests that are under way at once.
+    pub requests: usize,
+    /// Bytes that are read and not decoded yet. A longer head is read whole
+    /// where the operator allows it.
+    pub bytes: usize,
+}
+
+impl Default for ReadAhead {
+    /// Estimates, not measured: more requests than callers were seen to
+    /// send at once, and bytes for about as many heads.
+    fn default() -> ReadAhead {
+        ReadAhead { requests: 16, bytes: 32 << 10 }
+    }
+}
+
 /// All settings.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -64,6 +83,9 @@
     /// Megabytes that the process may take.
     #[serde(default = "memory")]
     pub memory: usize,
+    /// What is read ahead of the answers on a caller's connection.
+    #[serde(default)]
+    pub read_ahead: ReadAhead,
     /// The platform's bounds by name.
     #[serde(default)]
     pub bounds: BTreeMap<String, String>,
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -69,6 +69,8 @@
     pub connections: Cell<usize>,
     /// Bytes of bodies held for callers.
     pub held: Cell<usize>,
+    /// Bytes that were read from callers and not decoded.
+    pub ahead: Cell<usize>,
     links: RefCell<Map<NodeId, Rc<Link>>>,
     /// Other nodes that have linked to this one.
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
@@ -126,6 +128,7 @@
             under_way: Cell::new(0),
             connections: Cell::new(0),
             held: Cell::new(0),
+            ahead: Cell::new(0),
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
             table: RefCell::new(None),
--- a/crates/walnutmoor/src/mesh/wire.rs
+++ b/crates/walnutmoor/src/mesh/wire.rs
@@ -4,14 +4,13 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
-use http_body_util::Full;
 use walnutmoor_core::{error::Kind, time::Millis};
 use walnutmoor_platform::header;
 
 use super::frame::Headers;
 
 /// An answer to a caller.
-pub type Answer = Response<Full<Bytes>>;
+pub type Answer = Response<Bytes>;
 
 /// Headers as they travel between nodes.
 pub fn pack(headers: &HeaderMap) -> Headers {
@@ -38,7 +37,7 @@
 
 /// An instance's answer, for the caller.
 pub fn answer(status: u16, headers: Headers, body: Bytes) -> Answer {
-    let mut answer = Response::new(Full::new(body));
+    let mut answer = Response::new(body);
     let status = StatusCode::from_u16(status);
     *answer.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     *answer.headers_mut() = unpack(headers);
@@ -68,7 +67,7 @@
 
 fn plain(status: u16, kind: Kind) -> Answer {
     let body = Bytes::from_static(kind.as_str().as_bytes());
-    let mut answer = Response::new(Full::new(body));
+    let mut answer = Response::new(body);
     let status = StatusCode::from_u16(status);
     *answer.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let text = HeaderValue::from_static("text/plain");
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -7,4 +7,5 @@
 mod fixture;
 mod leaving;
 mod path;
+mod pipeline;
 mod resume;
