--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -6,17 +6,19 @@
 have used everything above. Refusing a part of them at the way in costs
 less and lets the rest finish.
 
-Two things are learned. *Which* routes lead to the service that is short: those
-whose requests run and fail while it turns urgent work away. *How much*
-to refuse: instances tell how much urgent work they are asked for, as a part of
-what they can do, so a cut goes at once to about what fits.
-
-The least urgent of the routes is cut first, and a more urgent one only when
-nothing is left to cut below it and the demand of the most urgent alone is too
-much. A part of the less urgent is always let in, and where it alone made the
-demand too high, claims were cut for it: on a day that loses two of three
-instances 0.861 of the claims were served so, and 0.926 are now. Calls that an instance makes are never cut
-here: refusing one wastes the request that made it.
+Two things are learned. *Which* routes lead to the service that is short: each
+answer brings along how long its runs held slots, by service; before any has
+come, those whose requests run and fail while that service turns work away.
+*How much* fits: instances tell how much work they are asked for, as a part of
+what they can do. For the less urgent, what is let in goes at once to what
+fits, reckoned from the demand and from what was let in while it arose.
+
+The most urgent is cut only when nothing is left to cut below it and the
+demand of the most urgent alone is too much. A part of the less urgent is
+always let in, and where it alone made the demand too high, claims were cut for
+it: on a day that loses two of three instances 0.861 of the claims were served
+so, and 0.926 are now. Calls that an instance makes are never cut here:
+refusing one wastes the request that made it.
 
 What it brings, by the replay in `tests/overload.rs` at 1.3 times what fits:
 of 53,824 lookups 32,512 fail half-way without it, and fewer than a tenth of
@@ -39,11 +41,12 @@
 ```
 */
 
-use std::collections::VecDeque;
+mod gauge;
+
+use gauge::{AIM, FLOOR, Gauge, URGENT};
 
 use crate::{
     balance::{Pressure, Pressures},
-    bulkhead,
     digest::Map,
     footprint::{Footprint, Key},
 };
@@ -62,8 +65,8 @@
 /// calm times.
 const SHARES_AT: f64 = 0.06;
 
-/// Demand above which a part is cut. Found, with the next ones, by replaying
-/// loads of two to four times what fits.
+/// Demand above which a part of the most urgent is cut. Found, with the next
+/// ones, by replaying loads of two to four times what fits.
 const CUT_AT: f64 = 1.02;
 
 /// Demand from which a service counts as full. Below it failures have other
@@ -76,27 +79,10 @@
 /// The demand that a share of failures hides.
 const HIDDEN: f64 = 0.3;
 
-/// Demand up to which more is let in. The gap to [`CUT_AT`] is wider than
+/// Demand up to which more of the most urgent is let in. The gap to [`CUT_AT`] is wider than
 /// the noise of a second of arrivals.
 const RAISE_AT: f64 = 0.95;
 
-/// What admission aims at: just under all that can be done.
-const AIM: f64 = 1.0;
-
-/// The least part of a service that the less urgent get: their reserve there.
-const KEPT: f64 = 0.15;
-
-/// Steps over which what was let in is averaged to be compared with the
-/// demand that followed from it. A request makes its calls in the second after
-/// it was let in, and demand is counted over half a second. Without this a
-/// cut was repeated before its effect was seen, and what was let in went up
-/// and down between 0.1 and 0.6 while 0.4 fitted.
-const PAST: usize = 5;
-
-/// The part of the way to what fits that is gone up in a step. Down it is
-/// gone at once: work that can't be finished harms what can.
-const UP: f64 = 0.3;
-
 /// The least and the most that one cut leaves.
 const CUT: (f64, f64) = (0.7, 0.95);
 
@@ -113,32 +99,9 @@
 /// refused come back once.
 const RETURNS: f64 = 1.5;
 
-/// The part that is let in at the least, so that no class starves and the
-/// way back is found.
-const FLOOR: f64 = 0.08;
-
-/// The last priority of those that matter most.
-const URGENT: u8 = 1;
-
 /// What is left of the counts after a step.
 const DECAY: f64 = 0.8;
 
-/// Reserves that are taken off what the most urgent can have.
-const URGENT_RESERVES: usize = 2;
-
-/// Demand of the less urgent at the least, so that none divides by nothing.
-const LEAST: f64 = 0.01;
-
-/// How fast what a route takes is learned: half is forgotten after some 14
-/// answers.
-const LEARN: f64 = 0.05;
-
-/// What counts as everything let in.
-const ALL: f64 = 0.995;
-
-/// The least count that says anything.
-const COUNT_MIN: f64 = 4.0;
-
 /// Steps in which nothing is cut again: the effect of a cut shows once the
 /// requests that were let in before it have made their calls.
 const SETTLE: u8 = 2;
@@ -147,125 +110,6 @@
 /// is no longer taken to lead to the service that was short: 10 s.
 const FORGET: u8 = 50;
 
-#[derive(Debug)]
-struct Gauge {
-    priority: u8,
-    served: f64,
-    starved: f64,
-    open: f64,
-    /// What was let in over the last steps, the newest at the back.
-    past: VecDeque<f64>,
-    /// Steps for which the route is still taken to share in the trouble.
-    shares: u8,
-    /// Milliseconds of a slot that a request takes of services below the one
-    /// that it goes to, as far as any was answered.
-    takes: Map<Key, f64>,
-    /// The same of the service that it goes to; there may be several in turn.
-    own: Map<Key, f64>,
-}
-
-impl Gauge {
-    fn new(priority: u8) -> Gauge {
-        Gauge {
-            priority,
-            served: 0.0,
-            starved: 0.0,
-            open: 1.0,
-            past: VecDeque::new(),
-            shares: 0,
-            takes: Map::default(),
-            own: Map::default(),
-        }
-    }
-
-    fn failing(&self) -> f64 {
-        let count = self.served + self.starved;
-        match count < COUNT_MIN {
-            true => 0.0,
-            false => self.starved / count,
-        }
-    }
-
-    fn is_urgent(&self) -> bool {
-        self.priority <= URGENT
-    }
-
-    /// What was let in when the demand of now began.
-    fn past(&self) -> f64 {
-        match self.past.is_empty() {
-            true => self.open,
-            false => self.past.iter().sum::<f64>() / self.past.len() as f64,
-        }
-    }
-
-    fn remember(&mut self) {
-        if self.past.len() == PAST {
-            self.past.pop_front();
-        }
-        self.past.push_back(self.open);
-    }
-
-    /// Goes towards letting in so many times what led to the demand of now.
-    fn fit(&mut self, factor: f64) {
-        let aim = (self.past() * factor).clamp(FLOOR, 1.0);
-        match aim < self.open {
-            true => self.open = aim,
-            false => self.open += (aim - self.open) * UP,
-        }
-        if self.open > ALL {
-            self.open = 1.0;
-        }
-    }
-
-    fn learn(&mut self, footprint: &Footprint, own: Key) {
-        for key in footprint.keys() {
-            let span = footprint.span(key).0 as f64;
-            let takes = match key == own {
-                true => &mut self.own,
-                false => &mut self.takes,
-            };
-            let known = takes.entry(key).or_insert(span);
-            *known += (span - *known) * LEARN;
-        }
-    }
-
-    /// How many times what it lets in now fits: that of the service that is
-    /// shortest among those that it leads to, or of the worst one while it
-    /// is not known where it leads.
-    fn factor(&self, pressures: &Pressures, hidden: f64) -> f64 {
-        let of = |p: &Pressure| factor(p, p.demand.max(hidden));
-        if self.takes.is_empty() {
-            return of(&pressures.worst);
-        }
-        let met = self.takes.keys();
-        let met = met.filter_map(|key| pressures.by_service.get(key));
-        met.map(of).fold(f64::INFINITY, f64::min)
-    }
-
-    /// True if the demand of the least urgent is to be fitted here.
-    fn is_fitted(&self) -> bool {
-        let known = !self.takes.is_empty();
-        !self.is_urgent() && (known || self.shares > 0)
-    }
-
-    fn can_be_cut(&self) -> bool {
-        self.shares > 0 && self.open > FLOOR
-    }
-}
-
-/// How many times the demand of calls for the less urgent fits.
-///
-/// What is asked for directly is counted up to its reserve. Without this the
-/// whole reserve was kept free, and a seventh of the slots lay idle where few
-/// ask directly.
-fn factor(pressure: &Pressure, demand: f64) -> f64 {
-    let all = demand * bulkhead::room(1);
-    let urgent = pressure.urgent * bulkhead::room(URGENT_RESERVES);
-    let room = 1.0 - pressure.direct.min(KEPT);
-    let supply = (AIM * room - urgent).max(KEPT);
-    supply / (all - urgent).max(LEAST)
-}
-
 /// What is let in after a step with this much room.
 fn raised(open: f64, room: f64) -> f64 {
     (open + open * room * RAISE + RAISE_MIN).min(1.0)
