--- a/crates/walnutmoor-core/src/bulkhead/load.rs
+++ b/crates/walnutmoor-core/src/bulkhead/load.rs
@@ -11,8 +11,8 @@
 /// no way in cuts anything.
 const NEWS_FROM: u16 = 700;
 
-/// The change of demand, in thousandths, that is told. A second of arrivals
-/// at a busy instance varies by about half of it.
+/// The change of demand, in thousandths, that is told. An estimate, not
+/// measured.
 const NEWS_STEP: u16 = 100;
 
 /// What other nodes are told of an instance.
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -299,8 +299,9 @@
 /// Listens at an address at which another instance may just have ended.
 ///
 /// The address may be taken for a moment: by the instance before, whose tasks
-/// end a little after they were told to, or by a process that is being
-/// started, which holds all sockets of its parent until it runs its program.
+/// end a little after they were told to. Fresh addresses were seen taken as
+/// well; a process that is being started may hold its parent's sockets until
+/// it runs its program, but no probe has shown that this was the cause.
 async fn listen(address: SocketAddr) -> TcpListener {
     let mut tries = 0;
     loop {
