balance, course, throttle: no second try in vain; what repeats can't carry is not begun

Change: failures are weighed by what was seen of an instance; a run that lacked a call is not tried at a sibling; instances tell what they turn away and how much of their repeats is left, and the way in refuses requests that may run only once whose lot would get none; the last service grants 0.85 of the ratio (0.7 before).

--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -25,6 +25,13 @@
 ```
 */
 
+mod pressure;
+mod server;
+
+pub use pressure::{Pressure, Pressures};
+
+use server::{Failures, Server};
+
 use crate::{
     bulkhead::{Load, RANKS},
     course::Scope,
@@ -38,14 +45,6 @@
 /// it a quiet day of 12 nodes carried 0.013 GB between zones.
 const STAY: f64 = 0.25;
 
-/// How fast the share of failures follows: half of it is forgotten after
-/// some 14 requests.
-const FAIL_STEP: f64 = 0.05;
-
-/// The share of failures that an instance keeps at most in this node's
-/// eyes, so that some requests go on to tell when it has recovered.
-const FAIL_MAX: f64 = 0.95;
-
 /// One request in so many goes to the next instance in turn instead of the
 /// cheapest. What is known of an instance is learned from its answers, so one
 /// that was slow or failing would never be seen to have recovered.
@@ -63,10 +62,6 @@
 /// are asked first; where all fail as often, the nearest is asked again.
 const WARY: f64 = 0.4;
 
-/// How much longer than the mean one run in a hundred takes. On a calm day
-/// half of the reservations took 212 ms and 99 in 100 less than 621 ms.
-const LONG: f64 = 3.0;
-
 /// What it costs, in shares of what staying in the zone may cost, to send a
 /// request where a long run would miss its timeout. With it a request leaves
 /// the zone of a slow instance; on a quiet day of 12 nodes, of 14,450 requests
@@ -86,36 +81,6 @@
     pub again: bool,
 }
 
-/// How hard a service is pressed.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Pressure {
-    /// Urgent work that is asked for, as a part of what can be done.
-    pub demand: f64,
-    /// The same of the requests that matter most alone.
-    pub urgent: f64,
-    /// Work of the least urgent that is asked for directly, as a part of all
-    /// that can be done.
-    pub direct: f64,
-    /// True if an instance turns urgent work away.
-    pub pressed: bool,
-}
-
-/// How hard all services are pressed.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Pressures {
-    /// The worst of each kind, over all services.
-    pub worst: Pressure,
-    /// By service.
-    pub by_service: Map<Key, Pressure>,
-}
-
-impl From<Pressure> for Pressures {
-    /// One service of which nobody knows the name.
-    fn from(worst: Pressure) -> Pressures {
-        Pressures { worst, by_service: Map::default() }
-    }
-}
-
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -125,19 +90,6 @@
     None,
 }
 
-#[derive(Debug)]
-struct Server {
-    zone: Zone,
-    load: Load,
-    reported: bool,
-    /// Requests that this node has under way there.
-    under_way: usize,
-    /// The same, when the last report came.
-    under_way_then: usize,
-    failing: f64,
-    down_until: Millis,
-}
-
 /// What a node knows of the instances of all services.
 #[derive(Debug)]
 pub struct Balance {
@@ -166,15 +118,7 @@
             }
             self.leave(id);
         }
-        let server = Server {
-            zone: zone.clone(),
-            load: Load::default(),
-            reported: false,
-            under_way: 0,
-            under_way_then: 0,
-            failing: 0.0,
-            down_until: Millis(0),
-        };
+        let server = Server::new(zone.clone());
         self.servers.insert(id, (service.clone(), server));
         self.services.entry(service.clone()).or_default().push(id);
     }
@@ -195,12 +139,7 @@
         let Some((_, server)) = self.servers.get_mut(&id) else {
             return false;
         };
-        let known = server.reported && server.load.accepting;
-        let changed = known != load.accepting;
-        server.load = load;
-        server.reported = true;
-        server.under_way_then = server.under_way;
-        changed
+        server.report(load)
     }
 
     /// A node can't be reached until then.
@@ -223,12 +162,7 @@
         let Some((_, server)) = self.servers.get_mut(&id) else {
             return;
         };
-        server.under_way = server.under_way.saturating_sub(1);
-        server.under_way_then = server.under_way_then.min(server.under_way);
-        if let Some(failed) = failed {
-            let target = if failed { FAIL_MAX } else { 0.0 };
-            server.failing += (target - server.failing) * FAIL_STEP;
-        }
+        server.done(failed);
     }
 
     /// Chooses an instance that is not among `tried`.
@@ -258,24 +192,25 @@
         let explores = self.turn.is_multiple_of(EXPLORE);
         let first = self.turn / EXPLORE;
         let usual = self.usual(ids, rank);
+        let failing = self.failures(ids).usual();
         let mut best: Option<(f64, NodeId)> = None;
         for at in 0..ids.len() {
             let id = ids[(at + first) % ids.len()];
             let Some((_, server)) = self.servers.get(&id) else {
                 continue;
             };
-            let usable = server.reported && server.load.accepting;
-            if !usable || server.down_until > now || !scope.allows(id) {
+            if !server.is_usable(now) || !scope.allows(id) {
                 continue;
             }
             let wary = scope.wary.contains(&id);
-            let sound = want.again || server.failing < EXPLORE_MAX;
+            let failing = server.failures.share_beside(failing);
+            let sound = want.again || failing < EXPLORE_MAX;
             let idle = server.load.waits[rank] == 0;
             if explores && sound && idle && !wary {
                 return Choice::Send(id);
             }
             let floor = if wary { WARY } else { 0.0 };
-            let failing = server.failing.max(floor);
+            let failing = failing.max(floor);
             let takes = server.takes(rank).unwrap_or(usual);
             let mut cost = server.cost(rank, takes);
             cost += failing * want.target.0 as f64;
@@ -317,6 +252,8 @@
             worst.urgent = worst.urgent.max(pressure.urgent);
             worst.direct = worst.direct.max(pressure.direct);
             worst.pressed |= pressure.pressed;
+            worst.shed = worst.shed.max(pressure.shed);
+            worst.spent = worst.spent.max(pressure.spent);
             pressures.by_service.insert(Key::of(service), pressure);
         }
         pressures
@@ -332,32 +269,54 @@
             sum.urgent += f64::from(load.urgent) / 1_000.0 * limit;
             sum.direct += f64::from(load.direct) / 1_000.0 * limit;
             sum.pressed |= load.pressed;
+            sum.shed += f64::from(load.shed) / 1_000.0 * limit;
+            sum.spent += (1.0 - f64::from(load.repeats) / 1_000.0) * limit;
             room += limit;
         }
         if room > 0.0 {
             sum.demand /= room;
             sum.urgent /= room;
             sum.direct /= room;
+            sum.shed /= room;
+            sum.spent /= room;
         }
         sum
     }
 
+    /// What is known of the failures of these instances together.
+    fn failures(&self, ids: &[NodeId]) -> Failures {
+        let servers = ids.iter().filter_map(|id| self.servers.get(id));
+        let mut sum = Failures::default();
+        servers.for_each(|(_, server)| sum.add(server.failures));
+        sum
+    }
+
     /// True if a request that this instance failed is likely to fare better
     /// at another one.
     ///
     /// Where all instances of a service fail alike, the cause lies deeper,
-    /// and trying again only adds to it.
+    /// and trying again only adds to it. A node of a large service has used
+    /// few of its instances, and those that it has not used prove nothing: a
+    /// sibling helps if enough was seen of it to know it sound, and otherwise
+    /// all siblings are judged by what was seen of them together.
     pub fn may_help(&self, id: NodeId) -> bool {
         let Some((service, here)) = self.servers.get(&id) else {
             return true;
         };
         let ids = self.services.get(service).into_iter().flatten();
         let others = ids.filter(|other| **other != id);
-        let mut failing = others
-            .filter_map(|other| self.servers.get(other))
-            .filter(|(_, other)| other.load.accepting)
-            .map(|(_, other)| other.failing);
-        failing.any(|f| f < HELP_AT || f < here.failing / 2.0)
+        let others = others.filter_map(|other| self.servers.get(other));
+        let accepting = others.filter(|(_, other)| other.load.accepting);
+        let mut all = Failures::default();
+        let bound = HELP_AT.max(here.failures.share() / 2.0);
+        for (_, other) in accepting {
+            let failures = other.failures;
+            if failures.is_known() && failures.share() < bound {
+                return true;
+            }
+            all.add(failures);
+        }
+        all.share() < bound
     }
 
     /// The load that a node's instance last reported.
@@ -375,30 +334,3 @@
         self.servers.iter().map(|(id, (service, _))| (*id, service))
     }
 }
-
-impl Server {
-    /// True if a long run of this rank would not end in time.
-    fn misses(&self, rank: usize, due: Millis) -> bool {
-        let wait = f64::from(self.load.waits[rank]);
-        let takes = f64::from(self.load.takes[rank]);
-        wait + takes * LONG > due.0 as f64
-    }
-
-    /// How long work of a rank takes here, once any has come back.
-    fn takes(&self, rank: usize) -> Option<f64> {
-        let takes = self.load.takes[rank];
-        (takes > 0).then_some(f64::from(takes))
-    }
-
-    /// The milliseconds until a request of this rank comes back, if it runs
-    /// for so long.
-    fn cost(&self, rank: usize, takes: f64) -> f64 {
-        let load = &self.load;
-        let limit = f64::from(load.limit.max(1));
-        let unseen = self.under_way.saturating_sub(self.under_way_then);
-        let held = f64::from(load.held) + unseen as f64;
-        let over = (held + 1.0 - limit).max(0.0).min(unseen as f64 + 1.0);
-        let wait = f64::from(load.waits[rank]) + over * takes / limit;
-        wait + takes
-    }
-}
--- a/crates/walnutmoor-core/src/bulkhead/load.rs
+++ b/crates/walnutmoor-core/src/bulkhead/load.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RANKS;
+use crate::{repeat::Repeats, time::Millis};
 
 /// Demand, in thousandths, from which all nodes are told of changes: below it
 /// no way in cuts anything.
@@ -39,9 +40,24 @@
     /// Work of the least urgent that is asked for, in thousandths of all that
     /// the instance can do.
     pub direct: u16,
+    /// The part of the burst of repeats that is left, in thousandths.
+    pub repeats: u16,
+    /// The share of what reaches the instance that it turns away, in
+    /// thousandths.
+    pub shed: u16,
 }
 
 impl Load {
+    /// Adds what the instance turns away and what repeats are left for it.
+    pub fn with_repeats(self, now: Millis, repeats: &Repeats) -> Load {
+        let thousandths = |part: f64| (part * 1_000.0) as u16;
+        Load {
+            repeats: thousandths(repeats.level(now)),
+            shed: thousandths(repeats.shed()),
+            ..self
+        }
+    }
+
     /// True if a way in would decide otherwise than by what it was told.
     ///
     /// The load pattern: a service far down is short of slots while most ways
--- a/crates/walnutmoor-core/src/course.rs
+++ b/crates/walnutmoor-core/src/course.rs
@@ -60,6 +60,25 @@
     Denied,
 }
 
+/// The least status of an answer that tells of a failure.
+const FAILURE: u16 = 500;
+
+impl Word {
+    /// What an instance's answer says; `starved` tells whether the run lacked
+    /// a call that was turned away further down.
+    ///
+    /// The load pattern: a service deep in the graph turns work away, so runs
+    /// above it fail. A sibling would make the same calls to the same
+    /// service, and all of its calls count as repeats there: they take the
+    /// allowance from the calls that could still be saved by one.
+    pub fn of_answer(status: u16, starved: bool) -> Word {
+        match status >= FAILURE && !starved {
+            true => Word::Failed,
+            false => Word::Served,
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
--- a/crates/walnutmoor-core/src/footprint.rs
+++ b/crates/walnutmoor-core/src/footprint.rs
@@ -20,6 +20,7 @@
 footprint.add(Key::of(&parts), Millis(15));
 footprint.add(Key::of(&parts), Millis(20));
 assert_eq!(footprint.span(Key::of(&parts)), Millis(35));
+assert_eq!(footprint.runs(Key::of(&parts)), 2);
 ```
 */
 
@@ -53,10 +54,19 @@
     }
 }
 
-/// Slot time by service.
+/// What was met of one service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+struct Met {
+    key: Key,
+    /// Milliseconds of a slot.
+    span: u32,
+    runs: u16,
+}
+
+/// Slot time and runs by service.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Footprint {
-    spans: Vec<(Key, u32)>,
+    met: Vec<Met>,
     starved: bool,
 }
 
@@ -64,24 +74,25 @@
     /// Adds a run at a service.
     pub fn add(&mut self, key: Key, span: Millis) {
         let span = u32::try_from(span.0).unwrap_or(u32::MAX);
-        let known = self.spans.iter().position(|(known, _)| *known == key);
+        self.extend(Met { key, span, runs: 1 });
+    }
+
+    fn extend(&mut self, more: Met) {
+        let known = self.met.iter().position(|met| met.key == more.key);
         match known {
             Some(at) => {
-                let sum = &mut self.spans[at].1;
-                *sum = sum.saturating_add(span);
-            }
-            None if self.spans.len() < SERVICES_MAX => {
-                self.spans.push((key, span));
+                let met = &mut self.met[at];
+                met.span = met.span.saturating_add(more.span);
+                met.runs = met.runs.saturating_add(more.runs);
             }
+            None if self.met.len() < SERVICES_MAX => self.met.push(more),
             None => {}
         }
     }
 
     /// Adds all of another one.
     pub fn merge(&mut self, other: &Footprint) {
-        for (key, span) in &other.spans {
-            self.add(*key, Millis(u64::from(*span)));
-        }
+        other.met.iter().for_each(|met| self.extend(*met));
         self.starved |= other.starved;
     }
 
@@ -97,12 +108,20 @@
 
     /// The slot time at a service.
     pub fn span(&self, key: Key) -> Millis {
-        let known = self.spans.iter().find(|(known, _)| *known == key);
-        Millis(known.map_or(0, |(_, span)| u64::from(*span)))
+        Millis(self.find(key).map_or(0, |met| u64::from(met.span)))
+    }
+
+    /// The runs at a service.
+    pub fn runs(&self, key: Key) -> u16 {
+        self.find(key).map_or(0, |met| met.runs)
     }
 
     /// The services that it tells of.
     pub fn keys(&self) -> impl Iterator<Item = Key> {
-        self.spans.iter().map(|(key, _)| *key)
+        self.met.iter().map(|met| met.key)
+    }
+
+    fn find(&self, key: Key) -> Option<&Met> {
+        self.met.iter().find(|met| met.key == key)
     }
 }
--- a/crates/walnutmoor-core/src/repeat.rs
+++ b/crates/walnutmoor-core/src/repeat.rs
@@ -68,8 +68,13 @@
 }
 
 impl Asker {
+    /// True if its lot is among the first part of all.
+    pub(crate) fn is_among(self, part: f64) -> bool {
+        self.lot.part() < part
+    }
+
     /// The part of the burst that must be left for this one.
-    fn needs(self) -> f64 {
+    pub(crate) fn needs(self) -> f64 {
         match usize::from(self.rank) < URGENT {
             true => self.lot.part() * (1.0 - KEPT),
             false => (1.0 - KEPT) + self.lot.part() * KEPT,
@@ -89,6 +94,10 @@
 /// The least size of the burst, so that a quiet instance can repeat at all.
 const BURST_MIN: f64 = 3.0;
 
+/// How fast the share of what the instance turns away follows: half of it is
+/// forgotten after some 34 requests, a fraction of a second under load.
+const SHED_STEP: f64 = 0.02;
+
 /// How many repeats there may be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
@@ -199,13 +208,14 @@
     /// Repeats of the burst that are spent, and when they were counted.
     spent: f64,
     counted: Millis,
+    shed: f64,
 }
 
 impl Repeats {
     /// Nothing was counted yet.
     pub fn new(config: Config) -> Repeats {
         let buckets = VecDeque::new();
-        Repeats { config, buckets, spent: 0.0, counted: Millis(0) }
+        Repeats { config, buckets, spent: 0.0, counted: Millis(0), shed: 0.0 }
     }
 
     /// Counts a first request.
@@ -244,6 +254,30 @@
         true
     }
 
+    /// The part of the burst that is left at this moment; those who need more
+    /// get no repeat.
+    pub fn level(&self, now: Millis) -> f64 {
+        if self.left(now) == 0 {
+            return 0.0;
+        }
+        let allowance = self.allowance(now);
+        let burst = (allowance.own * BURST).max(BURST_MIN);
+        let spent = self.spent - self.accrued(now, allowance.own);
+        (1.0 - spent / burst).clamp(0.0, 1.0)
+    }
+
+    /// Counts a request that reached the instance, which may have turned it
+    /// away.
+    pub fn arrived(&mut self, turned_away: bool) {
+        let target = f64::from(u8::from(turned_away));
+        self.shed += (target - self.shed) * SHED_STEP;
+    }
+
+    /// The share of what reaches the instance that it turns away.
+    pub fn shed(&self) -> f64 {
+        self.shed
+    }
+
     /// Counts a request of a run that is itself a repeat. It is not asked
     /// for: turning it away would waste that run. What it takes is missing
     /// for other repeats.
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -35,12 +35,14 @@
     throttle.ended("lookups", 2, Ended::Starved);
 }
 let pressed = true;
-throttle.step(Pressure { demand: 1.5, urgent: 0.8, direct: 0.1, pressed });
+let none = Pressure::default();
+throttle.step(Pressure { demand: 1.5, urgent: 0.8, pressed, ..none });
 assert!(!throttle.admits("lookups", false, 0.99));
 assert!(throttle.admits("claims", false, 0.99));
 ```
 */
 
+mod cover;
 mod gauge;
 
 use gauge::{AIM, FLOOR, Gauge, URGENT};
@@ -49,6 +51,7 @@
     balance::{Pressure, Pressures},
     digest::Map,
     footprint::{Footprint, Key},
+    repeat::Asker,
 };
 
 /// How a request ended that was let in.
@@ -140,6 +143,13 @@
         draw < gauge.open * preference
     }
 
+    /// True if a request that may run only once is likely to come to its
+    /// end: by itself, or with the repeats that are left for it.
+    pub fn carries(&self, route: &str, asker: Asker) -> bool {
+        let gauge = self.routes.get(route);
+        gauge.is_none_or(|gauge| gauge.cover.is_enough(asker))
+    }
+
     /// The part of a route that is let in.
     pub fn part(&self, route: &str) -> f64 {
         self.routes.get(route).map_or(1.0, |gauge| gauge.open)
@@ -215,6 +225,7 @@
             gauge.shares = gauge.shares.saturating_sub(1);
             gauge.served *= DECAY;
             gauge.starved *= DECAY;
+            gauge.cover.adjust(&pressures);
         }
         self.settle = self.settle.saturating_sub(1);
         let mut changed = self.adjust(Gauge::is_fitted, |gauge| {
--- a/crates/walnutmoor-core/src/throttle/gauge.rs
+++ b/crates/walnutmoor-core/src/throttle/gauge.rs
@@ -4,6 +4,7 @@
 
 use std::collections::VecDeque;
 
+use super::cover::Cover;
 use crate::{
     balance::{Pressure, Pressures},
     bulkhead,
@@ -71,6 +72,8 @@
     pub(super) takes: Map<Key, f64>,
     /// The same of the service that it goes to; there may be several in turn.
     pub(super) own: Map<Key, f64>,
+    /// Whether the repeats that are left bring its requests to their end.
+    pub(super) cover: Cover,
 }
 
 impl Gauge {
@@ -84,6 +87,7 @@
             shares: 0,
             takes: Map::default(),
             own: Map::default(),
+            cover: Cover::default(),
         }
     }
 
@@ -131,7 +135,10 @@
             let span = footprint.span(key).0 as f64;
             let takes = match key == own {
                 true => &mut self.own,
-                false => &mut self.takes,
+                false => {
+                    self.cover.learn(key, footprint.runs(key), LEARN);
+                    &mut self.takes
+                }
             };
             let known = takes.entry(key).or_insert(span);
             *known += (span - *known) * LEARN;
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -22,11 +22,7 @@
         waits: [wait; 4],
         takes: [takes; 4],
         limit: 10,
-        held: 0,
-        pressed: false,
-        direct: 0,
-        demand: 0,
-        urgent: 0,
+        ..Load::default()
     }
 }
 
@@ -199,3 +195,40 @@
 
     assert!((20..=200).contains(&got), "{got} of 3,200");
 }
+
+/// Many instances, of which this node has used only the first few.
+fn wide(used: u16, failing: impl Fn(u16) -> bool) -> Balance {
+    let mut balance = Balance::new("a".parse().unwrap());
+    for port in 1..=34 {
+        balance.join(id(port), &desk(), &"a".parse().unwrap());
+        balance.report(id(port), load(20, 0));
+    }
+    for port in 1..=used {
+        for _ in 0..20 {
+            balance.done(id(port), Some(failing(port)));
+        }
+    }
+    balance
+}
+
+#[test]
+fn siblings_that_were_never_used_are_not_taken_to_be_sound() {
+    let balance = wide(4, |_| true);
+
+    assert!(!balance.may_help(id(1)));
+}
+
+#[test]
+fn one_sound_sibling_among_many_helps() {
+    let balance = wide(4, |port| port < 4);
+
+    assert!(balance.may_help(id(1)));
+}
+
+#[test]
+fn the_first_failure_at_a_node_that_knows_little_may_be_tried_elsewhere() {
+    let mut balance = wide(0, |_| false);
+    balance.done(id(1), Some(true));
+
+    assert!(balance.may_help(id(1)));
+}
--- a/crates/walnutmoor-core/tests/course.rs
+++ b/crates/walnutmoor-core/tests/course.rs
@@ -120,3 +120,10 @@
 
     assert_eq!(sent, Some(12));
 }
+
+#[test]
+fn a_run_that_lacked_a_call_is_not_tried_at_a_sibling() {
+    assert_eq!(Word::of_answer(500, true), Word::Served);
+    assert_eq!(Word::of_answer(500, false), Word::Failed);
+    assert_eq!(Word::of_answer(200, false), Word::Served);
+}
--- a/crates/walnutmoor-core/tests/replay/mod.rs
+++ b/crates/walnutmoor-core/tests/replay/mod.rs
@@ -16,9 +16,10 @@
 };
 use walnutmoor_core::{
     balance::{Balance, Choice, Want},
-    bulkhead::{Bulkhead, Next, Offer, Work, urgency},
+    bulkhead::{Bulkhead, Load, Next, Offer, Work, urgency},
     course::{Course, Step, Word},
     digest::Map,
+    footprint::{Footprint, Key},
     id::{CallId, NodeId, Service},
     repeat::{Asker, Config, Lot, Repeats},
     throttle::{Ended, Throttle},
@@ -99,9 +100,18 @@
     pub sheds: f64,
     /// Who gets repeats.
     pub deal: Deal,
+    /// Whether ways in turn away claims that repeats would not carry.
+    pub covered: bool,
+    /// Whether the service has many instances.
+    pub wide: bool,
 }
 
 impl Plan {
+    /// Instances of each service, and ways in.
+    fn count(&self) -> usize {
+        if self.wide { MANY } else { COUNT }
+    }
+
     /// When the requests arrive that are counted.
     fn counted(&self) -> Range<Millis> {
         match self.sheds > 0.0 {
@@ -136,6 +146,8 @@
 
 /// Instances of each service, and ways in.
 const COUNT: usize = 3;
+/// The same where there are many.
+const MANY: usize = 26;
 const SLOTS: u32 = 48;
 /// Run times in milliseconds.
 const DESK_TIME: u64 = 40;
@@ -224,23 +236,33 @@
     Repeats::new(Config::new().leaf(0.14, 0.17).slack(4.0).earlier(0.9))
 }
 
+/// What a request of a class takes of parts.
+fn footprint(class: Class) -> Footprint {
+    let mut footprint = Footprint::default();
+    for _ in 0..class.calls() {
+        footprint.add(Key::of(&service()), Millis(CALL_TIME));
+    }
+    footprint
+}
+
 fn service() -> Service {
     "parts".parse().unwrap()
 }
 
 impl Loop {
     pub fn new(plan: Plan, seed: u64) -> Loop {
+        let count = plan.count();
         let mut ways = Vec::new();
-        for way in 0..COUNT {
+        for way in 0..count {
             let zone = |n| format!("z{n}").parse().unwrap();
             let mut balance = Balance::new(zone(way));
-            for at in 0..COUNT {
+            for at in 0..count {
                 balance.join(node(at), &service(), &zone(at));
             }
             ways.push((balance, Throttle::new()));
         }
         let mut parts = Vec::new();
-        for _ in 0..COUNT {
+        for _ in 0..count {
             let mut bulkhead = Bulkhead::new();
             bulkhead.open(SLOTS);
             parts.push(bulkhead);
@@ -253,7 +275,7 @@
             requests: Map::default(),
             ways,
             parts,
-            repeats: (0..COUNT).map(|_| repeats()).collect(),
+            repeats: (0..count).map(|_| repeats()).collect(),
             arrivals: (0, 0),
             rng: ChaCha8Rng::seed_from_u64(seed),
             tallies: Map::default(),
@@ -324,24 +346,30 @@
     }
 
     fn admit(&mut self, class: Class) {
-        let way = (self.rng.next_u64() % COUNT as u64) as usize;
+        let count = self.plan.count();
+        let way = (self.rng.next_u64() % count as u64) as usize;
         let draw = self.draw();
         let since = self.now;
         if let Some(tally) = self.tally(since, class) {
             tally.asked += 1;
         }
-        let open = self.ways[way].1.admits(class.name(), false, draw);
-        if self.plan.throttled && !open {
+        self.serial += 1;
+        let id = self.serial;
+        let lot = Lot::of(&id.to_string());
+        let throttle = &self.ways[way].1;
+        let open = throttle.admits(class.name(), false, draw);
+        let asker = Asker { rank: class.priority(), lot };
+        let lost = self.plan.covered
+            && class == Class::Claim
+            && !throttle.carries(class.name(), asker);
+        if lost || self.plan.throttled && !open {
             if let Some(tally) = self.tally(since, class) {
                 tally.refused += 1;
             }
             return;
         }
-        self.serial += 1;
-        let id = self.serial;
         let left = class.calls().max(1);
         let course = Course::new(ATTEMPTS, true);
-        let lot = Lot::of(&id.to_string());
         let request = Request { class, way, since, left, course, lot };
         self.requests.insert(id, request);
         match class {
@@ -432,6 +460,7 @@
     }
 
     fn parts_shed(&mut self, id: u64, at: usize) {
+        self.repeats[at].arrived(true);
         self.parts[at].finish(self.now, CallId(id), false);
         self.drive(at);
         self.moved(id, at, Word::TurnedAway);
@@ -450,9 +479,15 @@
         }
     }
 
+    /// What an instance tells.
+    fn load(&self, at: usize) -> Load {
+        let load = self.parts[at].load(self.now);
+        load.with_repeats(self.now, &self.repeats[at])
+    }
+
     /// The way in hears the load of an instance.
     fn hear(&mut self, id: u64, at: usize, failed: Option<bool>) {
-        let load = self.parts[at].load(self.now);
+        let load = self.load(at);
         if let Some(request) = self.requests.get(&id) {
             let balance = &mut self.ways[request.way].0;
             balance.report(node(at), load);
@@ -461,6 +496,7 @@
     }
 
     fn parts_done(&mut self, id: u64, at: usize) {
+        self.repeats[at].arrived(false);
         self.parts[at].finish(self.now, CallId(id), true);
         self.drive(at);
         self.hear(id, at, Some(false));
@@ -497,6 +533,12 @@
             let ended = if good { Ended::Served } else { Ended::Starved };
             let throttle = &mut self.ways[way].1;
             throttle.ended(class.name(), class.priority(), ended);
+            if good && self.plan.covered {
+                let own = Key::of(&"desk".parse().unwrap());
+                let footprint = footprint(class);
+                let priority = class.priority();
+                throttle.learn(class.name(), priority, &footprint, own);
+            }
         }
         let in_time = self.now.since(since) <= class.target();
         let Some(tally) = self.tally(since, class) else {
@@ -514,14 +556,14 @@
     /// adjust.
     fn step(&mut self) {
         self.push(Millis(10), Event::Step);
-        for at in 0..COUNT {
+        for at in 0..self.plan.count() {
             self.drive(at);
         }
         if !self.now.0.is_multiple_of(200) {
             return;
         }
-        for at in 0..COUNT {
-            let load = self.parts[at].load(self.now);
+        for at in 0..self.plan.count() {
+            let load = self.load(at);
             for (balance, _) in &mut self.ways {
                 balance.report(node(at), load);
             }
--- a/crates/walnutmoor-core/tests/shedding.rs
+++ b/crates/walnutmoor-core/tests/shedding.rs
@@ -22,6 +22,7 @@
         inherited: true,
         sheds: SHEDS,
         deal,
+        ..Plan::default()
     };
     Loop::new(plan, 5).play_with_repeats()
 }
@@ -44,3 +45,30 @@
         assert!(share < ALLOWED, "{deal:?} {share}");
     }
 }
+
+/// Many instances of the service that sheds, each with the load of one of
+/// three.
+fn play_wide(covered: bool) -> (Map<Class, Tally>, f64) {
+    let plan = Plan {
+        rate: RATE * 26 / 3,
+        throttled: true,
+        inherited: true,
+        sheds: SHEDS,
+        covered,
+        wide: true,
+        ..Plan::default()
+    };
+    Loop::new(plan, 5).play_with_repeats()
+}
+
+#[test]
+fn claims_that_repeats_do_not_carry_are_refused_before_they_run() {
+    let (without, _) = play_wide(false);
+    let (with, share) = play_wide(true);
+
+    let before = without[&Class::Claim];
+    let after = with[&Class::Claim];
+    assert!(after.failed * 3 < before.failed, "{after:?} {before:?}");
+    assert!(after.in_time * 10 > before.in_time * 9, "{after:?} {before:?}");
+    assert!(share < ALLOWED, "{share}");
+}
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -261,10 +261,12 @@
 fn judge(state: &State, node: NodeId, reply: &Reply) -> Word {
     let mut balance = state.balance.borrow_mut();
     let (word, failed) = match reply {
-        Reply::Answered { status, .. } if *status < 500 => {
-            (Word::Served, Some(false))
+        Reply::Answered { status, footprint, .. } => {
+            let starved = footprint.is_starved();
+            let word = Word::of_answer(*status, starved);
+            // A run that lacked a call tells nothing of its instance.
+            (word, (!starved).then_some(word == Word::Failed))
         }
-        Reply::Answered { .. } => (Word::Failed, Some(true)),
         Reply::NotRun { reached: true, .. } => (Word::TurnedAway, Some(true)),
         Reply::NotRun { kind: Kind::Budget, .. } => (Word::Denied, None),
         Reply::NotRun { .. } => (Word::Refused, None),
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -12,6 +12,7 @@
     bulkhead,
     error::{Kind, Ran, Refusal},
     footprint::Key,
+    repeat::{Asker, Lot},
     table::{Effect, Route},
     throttle::Ended,
     time::Millis,
@@ -281,14 +282,10 @@
     let Arrival { stay, head, route, body, .. } = arrival;
     let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
     let parent = state.serve.parent(state.now(), &stay.attempt);
-    if parent.is_none() {
-        let returns = state.returns(&route.name, left);
-        let draw = state.draw();
-        if !state.throttle.borrow().admits(&route.name, returns, draw) {
-            let span = route.target.0 as f64 * RETRY_CUT;
-            let refusal = Refusal::new(Kind::Overloaded, Ran::No);
-            return Err(refusal.retry_after(Millis(span as u64)));
-        }
+    if parent.is_none() && !is_let_in(state, &stay.attempt, route, left) {
+        let span = route.target.0 as f64 * RETRY_CUT;
+        let refusal = Refusal::new(Kind::Overloaded, Ran::No);
+        return Err(refusal.retry_after(Millis(span as u64)));
     }
     let service = state.splitter.borrow_mut().pick(route);
     let service = service.ok_or_else(|| not_run(Kind::UnknownService))?;
@@ -317,6 +314,26 @@
     })
 }
 
+/// Whether admission lets a caller's request in that has so much time left.
+fn is_let_in(
+    state: &State,
+    attempt: &str,
+    route: &Route,
+    left: Millis,
+) -> bool {
+    let returns = state.returns(&route.name, left);
+    let throttle = state.throttle.borrow();
+    if !throttle.admits(&route.name, returns, state.draw()) {
+        return false;
+    }
+    // A caller may try again what is idempotent, whatever has become of it.
+    if route.effect == Effect::Idempotent {
+        return true;
+    }
+    let lot = Lot::of(header::root(attempt));
+    throttle.carries(&route.name, Asker { rank: route.priority, lot })
+}
+
 fn host(head: &Head) -> Option<&str> {
     match head.uri.host() {
         Some(host) => Some(host),
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -60,6 +60,8 @@
     let clock = || state.now();
     let outcome = serve.pool.send(clock, request, &attempt, effect).await;
     let answered = matches!(outcome, Outcome::Answer(..));
+    let turned_away = matches!(outcome, Outcome::Answer(Verdict::NotRun, ..));
+    serve.repeats.borrow_mut().arrived(turned_away);
     let mut footprint = serve.footprint(&attempt);
     let service = &state.settings.service;
     footprint.add(Key::of(service), state.now().since(now));
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -48,16 +48,20 @@
 
 /// The same two for an instance whose runs make no calls: no tree follows
 /// from a repeat there, so only the unevenness of the calls that arrive from
-/// repeats above must be allowed for.
-const LEAF_PART: f64 = 0.7;
+/// repeats above must be allowed for. What is left of the ratio is for
+/// repeats that a restarted node has forgotten and for load that moves
+/// between instances. While all 26 instances of such a service turned away
+/// 0.55 for 8.5 s, 300 more of 7,722 claims of the day were served with these
+/// than with 0.7 and 0.85 (one run each).
+const LEAF_PART: f64 = 0.85;
 
 /// The same with the calls of repeated runs; see [`LEAF_PART`].
-const LEAF_TOTAL_PART: f64 = 0.85;
+const LEAF_TOTAL_PART: f64 = 0.93;
 
 /// The part of the first requests of the window before that counts. The
 /// platform counts them all; work that moves between instances is counted
 /// twice here for that long.
-const EARLIER_PART: f64 = 0.8;
+const EARLIER_PART: f64 = 0.9;
 
 /// The part of the platform's slack that all instances of a service allow
 /// together; the rest covers restarts.
@@ -205,7 +209,8 @@
 
     /// What other nodes are told.
     pub fn load(&self, now: Millis) -> Load {
-        self.bulkhead.borrow().load(now)
+        let load = self.bulkhead.borrow().load(now);
+        load.with_repeats(now, &self.repeats.borrow())
     }
 
     /// Work under way, running and waiting.
