watcher, link: a few nodes watch the store; what idle links cost is bounded

Ruled out: reading the directory, which is two pages every 15 s. Change: two nodes of a zone watch, ranked by a hash at each node by what it reaches; one that the store turns away says so and is passed over. A new link names eight nodes. A node sends 40 idle pings a second at the most. The directory is read less often where it is long.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod throttle;
 pub mod ticket;
 pub mod time;
+pub mod watcher;
 pub mod witness;
 
 /// The types that most modules and most embedders need.
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -55,8 +55,9 @@
     Answer(CallId, Reply, Load),
     /// Are you there? Carries the desired state that the sender has.
     Ping(Revision),
-    /// I am. Carries the same, and the load.
-    Pong(Revision, Load),
+    /// I am. Carries the same, whether the sender reaches the store, and the
+    /// load.
+    Pong(Revision, bool, Load),
     /// Send me your desired state.
     Fetch,
     /// The desired state, as the store holds it.
@@ -82,7 +83,7 @@
     pub revision: Revision,
     /// The load of its instance.
     pub load: Load,
-    /// Other nodes that it knows.
+    /// Some other nodes that it knows.
     pub known: Vec<NodeId>,
 }
 
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -32,15 +32,16 @@
 use walnutmoor_core::{
     digest::Map,
     error::Kind,
-    id::{CallId, Incarnation, NodeId},
+    id::{CallId, Incarnation, NodeId, Zone},
     table::Effect,
     time::Millis,
+    watcher,
 };
 
 use super::{
     frame::{self, Call, Frame, Hello, Reply},
     journal::Event,
-    state::State,
+    state::{Source, State},
 };
 
 /// How long opening a connection and the first frames may take. A round
@@ -58,11 +59,22 @@
 /// pinged, and pinged again after the same time.
 const QUIET: Millis = Millis(250);
 
-/// The same for a link without calls. Whoever changes tells all links at once,
-/// so this bounds how old the load of an instance may be that nobody uses, and
-/// a link that turns out dead. Four times [`QUIET`]: twelve nodes at rest took
-/// 1.19 processor seconds in 46 s with it, and 1.60 with [`QUIET`] for all.
-const IDLE: Millis = Millis(1_000);
+/// The same for a link without calls, at the least. Whoever changes tells all
+/// links at once, so this bounds how old the load of an instance may be that
+/// nobody uses, and a link that turns out dead. Four times [`QUIET`]: twelve
+/// nodes at rest took 1.19 processor seconds in 46 s with it, and 1.60 with
+/// [`QUIET`] for all.
+const IDLE_MIN: Millis = Millis(1_000);
+
+/// Idle links that a node pings in a second at the most, so that what they
+/// cost does not grow with the fleet. A call on a link that has died since is
+/// found within [`SUSPECT`] all the same.
+const PINGS_A_SECOND: u64 = 40;
+
+/// How long a link without calls is left alone, where there are so many.
+pub fn idle(links: usize) -> Millis {
+    Millis(links as u64 * 1_000 / PINGS_A_SECOND).max(IDLE_MIN)
+}
 
 /// A link whose ping is unanswered for this long gets nothing new. Calls that
 /// were sent on to a node that had lost its power could not be told from those
@@ -100,6 +112,12 @@
     /// The first ping that was not answered, and the last.
     unanswered: Cell<Option<(Millis, Millis)>>,
     suspected: Cell<bool>,
+    /// Its place among the nodes of its zone.
+    rank: watcher::Rank,
+    /// The zone of the other node, once it has told.
+    zone: RefCell<Option<Zone>>,
+    /// Whether the other node reaches the store, as far as it has told.
+    is_able: Cell<bool>,
     broken: Notify,
     task: RefCell<Option<AbortHandle>>,
 }
@@ -116,6 +134,9 @@
             heard: Cell::new(Millis(0)),
             unanswered: Cell::new(None),
             suspected: Cell::new(false),
+            rank: watcher::Rank::of(node),
+            zone: RefCell::new(None),
+            is_able: Cell::new(true),
             broken: Notify::new(),
             task: RefCell::new(None),
         });
@@ -130,6 +151,14 @@
         self.out.borrow().is_some()
     }
 
+    /// The place of the other node, if it is in this zone, can be reached and
+    /// reaches the store.
+    pub fn watcher(&self, zone: &Zone) -> Option<watcher::Rank> {
+        let reached = self.is_up() && !self.suspected.get();
+        let here = self.zone.borrow().as_ref() == Some(zone);
+        (reached && here && self.is_able.get()).then_some(self.rank)
+    }
+
     /// Ends the link for good.
     pub fn close(&self) {
         if let Some(task) = self.task.borrow_mut().take() {
@@ -173,7 +202,13 @@
     }
 
     /// Looks after the link; called every [`LOOK`] or so.
-    pub fn check(&self, state: &State, now: Millis, paused: bool) {
+    pub fn check(
+        &self,
+        state: &State,
+        now: Millis,
+        idle: Millis,
+        paused: bool,
+    ) {
         if !self.is_up() {
             return;
         }
@@ -184,7 +219,7 @@
         }
         let Some((first, last)) = self.unanswered.get() else {
             let busy = !self.pending.borrow().is_empty();
-            let quiet = if busy { QUIET } else { IDLE };
+            let quiet = if busy { QUIET } else { idle };
             if now.since(self.heard.get()) >= quiet {
                 self.ping(state, now, now);
             }
@@ -316,6 +351,7 @@
     link.heard.set(now);
     link.unanswered.set(None);
     link.suspected.set(false);
+    *link.zone.borrow_mut() = Some(hello.zone.clone());
     let fields = [
         ("peer", link.node.to_string().into()),
         ("service", hello.service.as_str().into()),
@@ -429,12 +465,13 @@
             state.report(link.node, load);
             link.settle(id, reply);
         }
-        Frame::Pong(revision, load) => {
+        Frame::Pong(revision, able, load) => {
+            link.is_able.set(able);
             state.report(link.node, load);
             state.told(revision, link.node);
         }
         Frame::Desired(revision, raw) => {
-            state.adopt(revision, raw, "peer");
+            state.adopt(revision, raw, Source::Peer);
         }
         // The rest travels the other way.
         _ => {}
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -20,7 +20,7 @@
     ingress,
     instance::Outcome,
     journal::{Event, Journal},
-    link::LOOK,
+    link::{self, LOOK},
     peer,
     settings::Settings,
     state::{Phase, State},
@@ -153,8 +153,10 @@
         let now = state.now();
         let paused = now.since(last) > LOOK + PAUSED;
         last = now;
-        for link in state.links() {
-            link.check(&state, now, paused);
+        let links = state.links();
+        let idle = link::idle(links.len());
+        for link in links {
+            link.check(&state, now, idle, paused);
         }
         state.catch_up();
         state.serve.pool.sweep(now);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -38,9 +38,11 @@
     state::State,
 };
 
-/// A link on which nothing comes for this long is closed: the other node
-/// pings every quarter of a second.
-const IDLE: Duration = Duration::from_secs(5);
+/// A link on which nothing comes for this long is closed. The other node pings
+/// more often than this up to a thousand links; beyond, links that were cut
+/// off without a word are closed too early rather than kept for ever, and
+/// opened again.
+const IDLE: Duration = Duration::from_secs(30);
 
 /// How long the first frame may take.
 const HELLO_WITHIN: Duration = Duration::from_secs(1);
@@ -255,7 +257,8 @@
         }
         Frame::Ping(revision) => {
             let load = state.serve.load(state.now());
-            session.send(Frame::Pong(state.revision(), load));
+            let able = state.is_able();
+            session.send(Frame::Pong(state.revision(), able, load));
             state.told(revision, hello.node);
         }
         Frame::Departed(instance) => state.note_departed(hello.node, instance),
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use rand::{RngExt, rngs::SmallRng};
+use rand::{RngExt, rngs::SmallRng, seq::SliceRandom};
 use tokio::time::Instant;
 use walnutmoor_core::{
     balance::Balance,
@@ -20,6 +20,7 @@
     table::{Splitter, Table},
     throttle::Throttle,
     time::Millis,
+    watcher,
 };
 use walnutmoor_platform::desired;
 
@@ -78,6 +79,10 @@
     table: RefCell<Option<Rc<Table>>>,
     raw: RefCell<Bytes>,
     behind: Cell<Option<Behind>>,
+    /// Whether this node watches the desired state at the store.
+    pub watches: Cell<bool>,
+    /// Until when the store is taken to be out of reach.
+    unable_until: Cell<Millis>,
     /// The load that all nodes were told last.
     announced: Cell<Load>,
     /// Instances that have left, by the node that told so.
@@ -88,6 +93,24 @@
     begun: Instant,
 }
 
+/// Where a desired state comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// Another node.
+    Peer,
+}
+
+impl Source {
+    fn as_str(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+        }
+    }
+}
+
 /// A newer desired state than the own one.
 #[derive(Clone, Copy, Debug)]
 struct Behind {
@@ -96,13 +119,25 @@
     since: Millis,
     /// Who told last.
     peer: NodeId,
+    /// Whether a peer was asked for it.
+    asked: bool,
 }
 
-/// How long a node waits for its own watch to bring a desired state of which
-/// a peer has told, before it asks the peer. A watch brings it within some
+/// How long a node that watches waits for its own watch to bring a desired
+/// state of which a peer has told, before it asks the peer; and how long any
+/// node waits for the peer that it asked. A watch brings it within some
 /// milliseconds; this bounds the extra delay when it does not.
 const FETCH_AFTER: Millis = Millis(200);
 
+/// Nodes that are named on a new link. Whoever is missed is found in the
+/// store's directory, or named by the next one: with all of them named, what
+/// links carry at a start grows with the square of the fleet.
+const KNOWN_MAX: usize = 8;
+
+/// How long a node that the store did not answer takes itself to be cut off
+/// from it. Until then it leaves the watch to others of its zone.
+const UNABLE: Millis = Millis(5_000);
+
 /// Instances that have left, kept for each node. One that has left is gone
 /// within a minute, and its node seldom sees a second go before.
 const DEPARTED_MAX: usize = 4;
@@ -137,6 +172,8 @@
             table: RefCell::new(None),
             raw: RefCell::new(Bytes::new()),
             behind: Cell::new(None),
+            watches: Cell::new(true),
+            unable_until: Cell::new(Millis(0)),
             announced: Cell::new(Load::default()),
             departed: RefCell::new(Map::default()),
             longest: RefCell::new(Map::default()),
@@ -193,7 +230,7 @@
 
     /// Puts a desired state in force, unless it is no newer than the one
     /// that is: a process never goes back.
-    pub fn adopt(&self, revision: Revision, raw: Bytes, source: &str) {
+    pub fn adopt(&self, revision: Revision, raw: Bytes, source: Source) {
         if revision <= self.revision() {
             return;
         }
@@ -210,14 +247,18 @@
             ("revision", revision.0.into()),
             ("version", table.version.into()),
             ("routes", table.routes().count().into()),
-            ("source", source.into()),
+            ("source", source.as_str().into()),
         ];
         self.journal.change(now, Event::Desired, &fields);
         *self.table.borrow_mut() = Some(Rc::new(table));
         *self.raw.borrow_mut() = raw;
         self.splitter.borrow_mut().reset();
-        for link in self.links() {
-            link.send(Frame::Ping(revision));
+        // Those that watch tell all others. If the others told all in turn,
+        // a change would cost the square of the fleet.
+        if source == Source::Store || self.watches.get() {
+            for link in self.links() {
+                link.send(Frame::Ping(revision));
+            }
         }
     }
 
@@ -231,11 +272,13 @@
         if !self.is_behind(revision) {
             return;
         }
-        let since = match self.behind.get() {
-            Some(behind) if behind.revision >= revision => behind.since,
-            _ => self.now(),
+        let known = self.behind.get();
+        let known = known.filter(|behind| behind.revision >= revision);
+        let (since, asked) = match known {
+            Some(behind) => (behind.since, behind.asked),
+            None => (self.now(), false),
         };
-        self.behind.set(Some(Behind { revision, since, peer }));
+        self.behind.set(Some(Behind { revision, since, peer, asked }));
         // A node without any desired state serves nobody: no time to lose.
         if self.revision() == Revision(0) {
             self.fetch(peer);
@@ -252,8 +295,11 @@
             return self.behind.set(None);
         }
         let now = self.now();
-        if now.since(behind.since) >= FETCH_AFTER {
-            self.behind.set(Some(Behind { since: now, ..behind }));
+        let waits = self.watches.get() || behind.asked;
+        let patience = if waits { FETCH_AFTER } else { Millis(0) };
+        if now.since(behind.since) >= patience {
+            let asked = true;
+            self.behind.set(Some(Behind { since: now, asked, ..behind }));
             self.fetch(behind.peer);
         }
     }
@@ -284,7 +330,8 @@
         self.announced.set(load);
         self.report(self.me, load);
         for session in self.sessions.borrow().values() {
-            session.send(Frame::Pong(self.revision(), load));
+            let able = self.is_able();
+            session.send(Frame::Pong(self.revision(), able, load));
         }
     }
 
@@ -327,7 +374,6 @@
 
     /// What this node says of itself on a new link.
     pub fn hello(&self) -> Hello {
-        let up = |link: &Rc<Link>| link.is_up().then_some(link.node);
         Hello {
             node: self.me,
             life: self.life,
@@ -335,10 +381,49 @@
             service: self.settings.service.clone(),
             revision: self.revision(),
             load: self.serve.load(self.now()),
-            known: self.links().iter().filter_map(up).collect(),
+            known: self.some_known(),
         }
     }
 
+    /// A few of the nodes that this one reaches, others each time.
+    fn some_known(&self) -> Vec<NodeId> {
+        let up = |link: &Rc<Link>| link.is_up().then_some(link.node);
+        let mut known: Vec<NodeId> =
+            self.links().iter().filter_map(up).collect();
+        let count = known.len().min(KNOWN_MAX);
+        let mut rng = self.rng.borrow_mut();
+        let (some, _) = known.partial_shuffle(&mut *rng, count);
+        some.to_vec()
+    }
+
+    /// True if this node reaches the store, as far as it knows.
+    pub fn is_able(&self) -> bool {
+        self.unable_until.get() <= self.now()
+    }
+
+    /// The store has answered this node, or has not. The others are told of
+    /// a change, as they choose by it who watches.
+    pub fn note_store(&self, reached: bool) {
+        let before = self.is_able();
+        let until = match reached {
+            true => Millis(0),
+            false => self.now() + UNABLE,
+        };
+        self.unable_until.set(until);
+        if before != reached {
+            self.announce();
+        }
+    }
+
+    /// True if this node is to watch the desired state for its zone.
+    pub fn is_watcher(&self) -> bool {
+        let zone = &self.settings.zone;
+        let links = self.links();
+        let others = links.iter().filter_map(|link| link.watcher(zone));
+        let me = watcher::Rank::of(self.me);
+        watcher::is_chosen(me, self.is_able(), others)
+    }
+
     /// All links.
     pub fn links(&self) -> Vec<Rc<Link>> {
         self.links.borrow().values().cloned().collect()
--- a/crates/walnutmoor/src/mesh/store.rs
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -33,7 +33,7 @@
 
 use super::{
     journal::Event,
-    state::{Phase, State},
+    state::{Phase, Source, State},
 };
 
 /// How long the store may hold a watch: as long as it does. A dead connection
@@ -51,10 +51,14 @@
 /// noticed within this.
 const PAUSE_MAX: Millis = Millis(800);
 
-/// The pause between looks at the directory, give or take half of it. A node
-/// that was missed, or is gone, is noticed within this.
+/// The pause between looks at the directory, give or take half of it, at the
+/// least. A node that was missed, or is gone, is noticed within this.
 const LOOK: Millis = Millis(15_000);
 
+/// The pause for each record in it, so that what a node reads in a second
+/// does not grow with the fleet: some 2 KB at 120 bytes a record.
+const LOOK_EACH: Millis = Millis(50);
+
 /// Idle time before a connection is probed, and between probes. With
 /// [`PROBES`] a silent connection is found within 2 s.
 const PROBE: Duration = Duration::from_secs(1);
@@ -243,52 +247,95 @@
     }
 }
 
-/// Keeps the desired state in force: reads it, and then each change.
+/// The pause before a node that has just begun asks whether others watch:
+/// its links are open by then.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// The pause between looks whether this node is to watch.
+const LOOK_WATCH: Duration = Duration::from_millis(125);
+
+/// Keeps the desired state in force: reads it, and then each change, for as
+/// long as this node is one of those that watch.
 pub async fn desired(state: Rc<State>) {
     let mut client = Client::new(state.settings.store);
     let mut watchman = Watchman::new("desired state");
+    let mut since = None;
     loop {
-        match client.list(Kind::Desired, false).await {
-            Ok((objects, revision)) => {
+        let read = match since {
+            Some(revision) => changes(&state, &mut client, revision).await,
+            None => all(&state, &mut client).await,
+        };
+        match read {
+            Ok(revision) => {
                 watchman.good(&state);
-                objects.iter().for_each(|object| adopt(&state, object));
-                watch(&state, &mut client, &mut watchman, revision).await;
+                state.note_store(true);
+                since = Some(revision);
             }
-            Err(error) => watchman.bad(&state, &error).await,
+            // The history is gone: read all again, at once.
+            Err(Error::Status(410)) => since = None,
+            Err(error) => {
+                since = None;
+                state.note_store(false);
+                watchman.bad(&state, &error).await;
+            }
+        }
+        if !must_watch(&state) {
+            client.disconnect();
+            rest(&state).await;
+            since = None;
         }
     }
 }
 
-/// Takes changes until the watch can't go on.
-async fn watch(
+/// Reads the desired state; the revision from which to watch it.
+async fn all(
     state: &Rc<State>,
     client: &mut Client,
-    watchman: &mut Watchman,
-    mut since: Revision,
-) {
-    loop {
-        let read = Read::Watch { since, wait: WATCH };
-        let news = match client.read(Kind::Desired, &read).await {
-            Ok(body) => store::news(&body).map_err(Error::from),
-            Err(error) => Err(error),
-        };
-        match news {
-            Ok(news) => {
-                watchman.good(state);
-                let there = news.changes.iter().filter(|c| !c.removed);
-                there.for_each(|change| adopt(state, &change.object));
-                since = news.revision;
-            }
-            // The history is gone: read all again, at once.
-            Err(Error::Status(410)) => return,
-            Err(error) => return watchman.bad(state, &error).await,
-        }
+) -> Result<Revision, Error> {
+    let (objects, revision) = client.list(Kind::Desired, false).await?;
+    objects.iter().for_each(|object| adopt(state, object));
+    Ok(revision)
+}
+
+/// Waits for the next changes; the revision from which to watch on.
+async fn changes(
+    state: &Rc<State>,
+    client: &mut Client,
+    since: Revision,
+) -> Result<Revision, Error> {
+    let read = Read::Watch { since, wait: WATCH };
+    let body = client.read(Kind::Desired, &read).await?;
+    let news = store::news(&body)?;
+    let there = news.changes.iter().filter(|change| !change.removed);
+    there.for_each(|change| adopt(state, &change.object));
+    Ok(news.revision)
+}
+
+/// True if nobody would tell this node of a change, or too few could.
+fn must_watch(state: &State) -> bool {
+    let settled = state.now().0 >= SETTLE.as_millis() as u64;
+    state.revision() == Revision(0) || (settled && state.is_watcher())
+}
+
+/// Leaves the watch to others, until this node is one of those that watch.
+async fn rest(state: &Rc<State>) {
+    set_watches(state, false);
+    while !must_watch(state) {
+        sleep(LOOK_WATCH).await;
     }
+    set_watches(state, true);
+}
+
+fn set_watches(state: &State, watches: bool) {
+    state.watches.set(watches);
+    let fields = [("watches", watches.into())];
+    state.journal.change(state.now(), Event::Desired, &fields);
 }
 
 fn adopt(state: &State, object: &Object) {
     if store::is_desired(object) {
-        state.adopt(object.revision, object.spec.clone(), "store");
+        let spec = object.spec.clone();
+        state.adopt(object.revision, spec, Source::Store);
     }
 }
 
@@ -311,7 +358,9 @@
                 // Somebody else may have removed or spoiled the own record.
                 registered = compare(&state, &objects);
                 stale = registered;
-                let pause = if registered { LOOK } else { PAUSE_MAX };
+                let look =
+                    Millis(LOOK_EACH.0 * objects.len() as u64).max(LOOK);
+                let pause = if registered { look } else { PAUSE_MAX };
                 // Stores close a connection that is idle for as long.
                 client.disconnect();
                 sleep(Duration::from_millis(state.spread(pause).0)).await;
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -9,3 +9,4 @@
 mod path;
 mod pipeline;
 mod resume;
+mod watching;
