--- a/crates/walnutmoor/tests/adopt.rs
+++ b/crates/walnutmoor/tests/adopt.rs
@@ -3,7 +3,11 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use walnutmoor::mesh::{journal::Journal, settings::Settings, state::State};
+use walnutmoor::mesh::{
+    journal::Journal,
+    settings::Settings,
+    state::{Source, State},
+};
 use walnutmoor_core::{
     id::Revision,
     table::{Effect, Limits, Route, Target},
@@ -40,10 +44,10 @@
 #[test]
 fn an_older_or_equal_revision_changes_nothing() {
     let state = state();
-    state.adopt(Revision(5), spec("new.example"), "store");
+    state.adopt(Revision(5), spec("new.example"), Source::Store);
 
     for revision in [3, 5] {
-        state.adopt(Revision(revision), spec("old.example"), "peer");
+        state.adopt(Revision(revision), spec("old.example"), Source::Peer);
 
         assert_eq!(state.revision(), Revision(5));
         assert!(has(&state, "new.example"));
@@ -54,9 +58,9 @@
 #[test]
 fn a_newer_revision_that_can_not_be_read_changes_nothing() {
     let state = state();
-    state.adopt(Revision(5), spec("new.example"), "store");
+    state.adopt(Revision(5), spec("new.example"), Source::Store);
 
-    state.adopt(Revision(6), Bytes::from_static(b"{"), "store");
+    state.adopt(Revision(6), Bytes::from_static(b"{"), Source::Store);
 
     assert_eq!(state.revision(), Revision(5));
     assert!(has(&state, "new.example"));
@@ -65,7 +69,7 @@
 #[test]
 fn a_peer_is_asked_only_once_it_is_ahead() {
     let state = state();
-    state.adopt(Revision(5), spec("new.example"), "store");
+    state.adopt(Revision(5), spec("new.example"), Source::Store);
 
     assert!(!state.is_behind(Revision(4)));
     assert!(!state.is_behind(Revision(5)));
