footprint, catch_up: trouble below travels with answers; one peer is asked for a state

A way in learned of a service that turns work away only by a link to it, up to 2.4 s late. Ruled out: pings and hellos, which are some MB of it. Change: core catch_up asks one peer and the next only after 200 ms without an answer; news of demand are gone, with their test; each answer brings along what the instances below turn away and what is left of their repeats.

--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -252,8 +252,6 @@
             worst.urgent = worst.urgent.max(pressure.urgent);
             worst.direct = worst.direct.max(pressure.direct);
             worst.pressed |= pressure.pressed;
-            worst.shed = worst.shed.max(pressure.shed);
-            worst.spent = worst.spent.max(pressure.spent);
             pressures.by_service.insert(Key::of(service), pressure);
         }
         pressures
@@ -269,16 +267,12 @@
             sum.urgent += f64::from(load.urgent) / 1_000.0 * limit;
             sum.direct += f64::from(load.direct) / 1_000.0 * limit;
             sum.pressed |= load.pressed;
-            sum.shed += f64::from(load.shed) / 1_000.0 * limit;
-            sum.spent += (1.0 - f64::from(load.repeats) / 1_000.0) * limit;
             room += limit;
         }
         if room > 0.0 {
             sum.demand /= room;
             sum.urgent /= room;
             sum.direct /= room;
-            sum.shed /= room;
-            sum.spent /= room;
         }
         sum
     }
--- a/crates/walnutmoor-core/src/balance/pressure.rs
+++ b/crates/walnutmoor-core/src/balance/pressure.rs
@@ -16,10 +16,6 @@
     pub direct: f64,
     /// True if an instance turns urgent work away.
     pub pressed: bool,
-    /// The share of what reaches the instances that they turn away.
-    pub shed: f64,
-    /// The part of the burst of repeats that is spent.
-    pub spent: f64,
 }
 
 /// How hard all services are pressed.
--- a/crates/walnutmoor-core/src/footprint.rs
+++ b/crates/walnutmoor-core/src/footprint.rs
@@ -7,6 +7,10 @@
 held slots, by service, and the way in learns it by route. It then knows which
 routes to cut before any of their requests has failed.
 
+It brings along what the instances that ran it turn away, and what is left of
+the repeats that this costs: a way in that sends nothing to a service itself
+hears of its trouble with the next answer from above it.
+
 It also brings word of a call that was turned away: a run that failed for this
 tells of a service that is short, and one that failed by itself does not.
 
@@ -61,6 +65,49 @@
     /// Milliseconds of a slot.
     span: u32,
     runs: u16,
+    state: State,
+}
+
+/// What the instances of a service turn away, and what is spent of the
+/// repeats that this costs; both in hundredths.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize,
+)]
+pub struct State {
+    shed: u8,
+    spent: u8,
+}
+
+impl State {
+    /// The share of what reaches an instance that it turns away, and the part
+    /// of its burst of repeats that is spent; both in 0 to 1.
+    pub fn new(shed: f64, spent: f64) -> State {
+        let hundredths = |part: f64| (part * 100.0).round() as u8;
+        State { shed: hundredths(shed), spent: hundredths(spent) }
+    }
+
+    /// The share that is turned away.
+    pub fn shed(self) -> f64 {
+        f64::from(self.shed) / 100.0
+    }
+
+    /// The part of the repeats that is spent.
+    pub fn spent(self) -> f64 {
+        f64::from(self.spent) / 100.0
+    }
+
+    /// The mean of two, of which the first counts so often.
+    fn mean(self, runs: u16, other: State, others: u16) -> State {
+        let of = |a: u8, b: u8| {
+            let sum = u32::from(a) * u32::from(runs)
+                + u32::from(b) * u32::from(others);
+            (sum / (u32::from(runs) + u32::from(others)).max(1)) as u8
+        };
+        State {
+            shed: of(self.shed, other.shed),
+            spent: of(self.spent, other.spent),
+        }
+    }
 }
 
 /// Slot time and runs by service.
@@ -73,8 +120,13 @@
 impl Footprint {
     /// Adds a run at a service.
     pub fn add(&mut self, key: Key, span: Millis) {
+        self.add_at(key, span, State::default());
+    }
+
+    /// Adds a run at an instance that tells this of itself.
+    pub fn add_at(&mut self, key: Key, span: Millis, state: State) {
         let span = u32::try_from(span.0).unwrap_or(u32::MAX);
-        self.extend(Met { key, span, runs: 1 });
+        self.extend(Met { key, span, runs: 1, state });
     }
 
     fn extend(&mut self, more: Met) {
@@ -83,6 +135,7 @@
             Some(at) => {
                 let met = &mut self.met[at];
                 met.span = met.span.saturating_add(more.span);
+                met.state = met.state.mean(met.runs, more.state, more.runs);
                 met.runs = met.runs.saturating_add(more.runs);
             }
             None if self.met.len() < SERVICES_MAX => self.met.push(more),
@@ -116,6 +169,12 @@
         self.find(key).map_or(0, |met| met.runs)
     }
 
+    /// What the instances of a service told of themselves; the mean of the
+    /// runs there.
+    pub fn state(&self, key: Key) -> State {
+        self.find(key).map_or(State::default(), |met| met.state)
+    }
+
     /// The services that it tells of.
     pub fn keys(&self) -> impl Iterator<Item = Key> {
         self.met.iter().map(|met| met.key)
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod balance;
 pub mod bulkhead;
 pub mod call;
+pub mod catch_up;
 pub mod chart;
 pub mod class;
 pub mod config;
--- a/crates/walnutmoor-core/src/repeat.rs
+++ b/crates/walnutmoor-core/src/repeat.rs
@@ -39,7 +39,7 @@
 
 use std::collections::VecDeque;
 
-use crate::{bulkhead::URGENT, digest, time::Millis};
+use crate::{bulkhead::URGENT, digest, footprint::State, time::Millis};
 
 /// Where a whole request stands among those of its rank; the same at every
 /// node, and for each call that is made for it.
@@ -256,7 +256,7 @@
 
     /// The part of the burst that is left at this moment; those who need more
     /// get no repeat.
-    pub fn level(&self, now: Millis) -> f64 {
+    fn level(&self, now: Millis) -> f64 {
         if self.left(now) == 0 {
             return 0.0;
         }
@@ -273,9 +273,9 @@
         self.shed += (target - self.shed) * SHED_STEP;
     }
 
-    /// The share of what reaches the instance that it turns away.
-    pub fn shed(&self) -> f64 {
-        self.shed
+    /// What the instance turns away, and what is spent for it.
+    pub fn state(&self, now: Millis) -> State {
+        State::new(self.shed, 1.0 - self.level(now))
     }
 
     /// Counts a request of a run that is itself a repeat. It is not asked
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -45,6 +45,7 @@
 mod cover;
 mod gauge;
 
+use cover::Services;
 use gauge::{AIM, FLOOR, Gauge, URGENT};
 
 use crate::{
@@ -122,6 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Throttle {
     routes: Map<String, Gauge>,
+    services: Services,
     settle: u8,
 }
 
@@ -147,7 +149,7 @@
     /// end: by itself, or with the repeats that are left for it.
     pub fn carries(&self, route: &str, asker: Asker) -> bool {
         let gauge = self.routes.get(route);
-        gauge.is_none_or(|gauge| gauge.cover.is_enough(asker))
+        gauge.is_none_or(|g| g.cover.is_enough(&self.services, asker))
     }
 
     /// The part of a route that is let in.
@@ -155,6 +157,11 @@
         self.routes.get(route).map_or(1.0, |gauge| gauge.open)
     }
 
+    /// Learns from any answer what the services that it met turn away.
+    pub fn hear(&mut self, footprint: &Footprint) {
+        self.services.learn(footprint);
+    }
+
     /// Counts the end of a request that was let in.
     pub fn ended(&mut self, route: &str, priority: u8, ended: Ended) {
         let gauge = self.gauge(route, priority);
@@ -225,7 +232,6 @@
             gauge.shares = gauge.shares.saturating_sub(1);
             gauge.served *= DECAY;
             gauge.starved *= DECAY;
-            gauge.cover.adjust(&pressures);
         }
         self.settle = self.settle.saturating_sub(1);
         let mut changed = self.adjust(Gauge::is_fitted, |gauge| {
--- a/crates/walnutmoor-core/src/throttle/cover.rs
+++ b/crates/walnutmoor-core/src/throttle/cover.rs
@@ -8,12 +8,16 @@
 once can't be tried again by its caller, who does not know how far it got.
 Refused at the way in, it has not run, and its caller comes back.
 
-Instances give repeats to whole requests by their lots, and tell how much they
-have left. The same lot is looked at here, so that what is let in is what they
+Instances give repeats to whole requests by their lots, and tell with each
+answer how much they have left. The same lot is looked at here, so that what is let in is what they
 will carry to its end.
 */
 
-use crate::{balance::Pressures, digest::Map, footprint::Key, repeat::Asker};
+use crate::{
+    digest::Map,
+    footprint::{Footprint, Key},
+    repeat::Asker,
+};
 
 /// The chance to end without any repeat from which a request is let in
 /// whatever its lot: more of those end than fail.
@@ -27,36 +31,59 @@
 /// the trouble is seen.
 const FLOOR: f64 = 0.05;
 
-/// How many runs requests of one route make at each service below it.
+/// How fast what is known of a service follows: half of it is forgotten after
+/// three answers, which is less than a second for a route in use.
+const STEP: f64 = 0.2;
+
+/// What is known of the services below, from all answers that passed here.
 #[derive(Debug, Default)]
-pub(super) struct Cover {
-    runs: Map<Key, f64>,
-    /// The part of the repeats that is spent where one is likely to be
-    /// needed.
+pub(super) struct Services(Map<Key, Known>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    shed: f64,
     spent: f64,
 }
 
+impl Services {
+    /// Learns from an answer.
+    pub(super) fn learn(&mut self, footprint: &Footprint) {
+        for key in footprint.keys() {
+            let state = footprint.state(key);
+            let known = self.0.entry(key).or_default();
+            known.shed += (state.shed() - known.shed) * STEP;
+            known.spent += (state.spent() - known.spent) * STEP;
+        }
+    }
+}
+
+/// How many runs a request of one route makes at each service below it.
+#[derive(Debug, Default)]
+pub(super) struct Cover(Map<Key, f64>);
+
 impl Cover {
     /// Learns how many runs one request made at a service.
     pub(super) fn learn(&mut self, key: Key, runs: u16, step: f64) {
         let runs = f64::from(runs);
-        let known = self.runs.entry(key).or_insert(runs);
+        let known = self.0.entry(key).or_insert(runs);
         *known += (runs - *known) * step;
     }
 
-    /// Takes what the services tell of what they turn away.
-    pub(super) fn adjust(&mut self, pressures: &Pressures) {
-        let met = self.runs.iter().filter_map(|(key, runs)| {
-            let pressure = pressures.by_service.get(key)?;
-            let likely = (1.0 - pressure.shed).powf(*runs) >= LIKELY;
-            (!likely).then_some(pressure.spent)
-        });
-        self.spent = met.fold(0.0, f64::max);
+    /// True if this request is likely to come to its end.
+    pub(super) fn is_enough(&self, services: &Services, asker: Asker) -> bool {
+        let spent = self.spent(services);
+        let left = (1.0 - spent) * DEALT;
+        spent == 0.0 || asker.needs() <= left || asker.is_among(FLOOR)
     }
 
-    /// True if this request is likely to come to its end.
-    pub(super) fn is_enough(&self, asker: Asker) -> bool {
-        let left = (1.0 - self.spent) * DEALT;
-        self.spent == 0.0 || asker.needs() <= left || asker.is_among(FLOOR)
+    /// The part of the repeats that is spent where one is likely to be
+    /// needed.
+    fn spent(&self, services: &Services) -> f64 {
+        let met = self.0.iter().filter_map(|(key, runs)| {
+            let known = services.0.get(key)?;
+            let likely = (1.0 - known.shed).powf(*runs) >= LIKELY;
+            (!likely).then_some(known.spent)
+        });
+        met.fold(0.0, f64::max)
     }
 }
--- a/crates/walnutmoor-core/tests/footprint.rs
+++ b/crates/walnutmoor-core/tests/footprint.rs
@@ -1,7 +1,7 @@
 //! What requests take of services.
 
 use walnutmoor_core::{
-    footprint::{Footprint, Key},
+    footprint::{Footprint, Key, State},
     time::Millis,
 };
 
@@ -44,3 +44,18 @@
 
     assert_eq!(footprint.keys().count(), 32);
 }
+
+#[test]
+fn what_instances_tell_of_themselves_is_averaged_over_their_runs() {
+    let mut call = Footprint::default();
+    call.add_at(key("parts"), Millis(15), State::new(0.6, 1.0));
+    call.add_at(key("parts"), Millis(15), State::new(0.4, 0.5));
+    let mut whole = Footprint::default();
+    whole.add_at(key("parts"), Millis(15), State::default());
+
+    whole.merge(&call);
+
+    assert_eq!(call.state(key("parts")), State::new(0.5, 0.75));
+    assert_eq!(whole.state(key("parts")), State::new(0.33, 0.5));
+    assert_eq!(whole.runs(key("parts")), 3);
+}
--- a/crates/walnutmoor/src/mesh/desired.rs
+++ b/crates/walnutmoor/src/mesh/desired.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use walnutmoor_core::{
+    catch_up::CatchUp,
     id::{NodeId, Revision},
     table::Table,
     time::Millis,
@@ -40,24 +41,6 @@
     }
 }
 
-/// A newer desired state than the own one.
-#[derive(Clone, Copy, Debug)]
-struct Behind {
-    revision: Revision,
-    /// When a peer first told of it, or was last asked for it.
-    since: Millis,
-    /// Who told last.
-    peer: NodeId,
-    /// Whether a peer was asked for it.
-    asked: bool,
-}
-
-/// How long a node that watches waits for its own watch to bring a desired
-/// state of which a peer has told, before it asks the peer; and how long any
-/// node waits for the peer that it asked. A watch brings it within some
-/// milliseconds; this bounds the extra delay when it does not.
-const FETCH_AFTER: Millis = Millis(200);
-
 /// How long a node that the store did not answer takes itself to be cut off
 /// from it. Until then it leaves the watch to others of its zone.
 const UNABLE: Millis = Millis(5_000);
@@ -67,7 +50,7 @@
 pub(super) struct Desired {
     table: RefCell<Option<Rc<Table>>>,
     raw: RefCell<Bytes>,
-    behind: Cell<Option<Behind>>,
+    catch_up: RefCell<CatchUp>,
     /// Whether this node watches the desired state at the store.
     pub(super) watches: Cell<bool>,
     /// Until when the store is taken to be out of reach.
@@ -80,7 +63,7 @@
         Desired {
             table: RefCell::new(None),
             raw: RefCell::new(Bytes::new()),
-            behind: Cell::new(None),
+            catch_up: RefCell::new(CatchUp::new()),
             watches: Cell::new(true),
             unable_until: Cell::new(Millis(0)),
         }
@@ -95,11 +78,8 @@
 
     /// The revision in force; 0 before the first.
     pub fn revision(&self) -> Revision {
-        self.desired
-            .table
-            .borrow()
-            .as_ref()
-            .map_or(Revision(0), |t| t.revision)
+        let table = self.desired.table.borrow();
+        table.as_ref().map_or(Revision(0), |table| table.revision)
     }
 
     /// The desired state as the store holds it, for peers that lack it.
@@ -152,44 +132,20 @@
         if !self.is_behind(revision) {
             return;
         }
-        let known = self.desired.behind.get();
-        let known = known.filter(|behind| behind.revision >= revision);
-        let (since, asked) = match known {
-            Some(behind) => (behind.since, behind.asked),
-            None => (self.now(), false),
-        };
-        self.desired.behind.set(Some(Behind { revision, since, peer, asked }));
+        let now = self.now();
+        self.desired.catch_up.borrow_mut().told(now, revision, peer);
         // A node without any desired state serves nobody: no time to lose.
         if self.revision() == Revision(0) {
-            self.fetch(peer);
+            self.catch_up();
         }
     }
 
-    /// Asks a peer for the newer desired state that it told of, if the own
-    /// watch has not brought it meanwhile.
+    /// Asks a peer for a newer desired state that it told of, if it is time.
     pub fn catch_up(&self) {
-        let Some(behind) = self.desired.behind.get() else {
-            return;
-        };
-        if !self.is_behind(behind.revision) {
-            return self.desired.behind.set(None);
-        }
-        let now = self.now();
-        let waits = self.desired.watches.get() || behind.asked;
-        let patience = if waits { FETCH_AFTER } else { Millis(0) };
-        if now.since(behind.since) >= patience {
-            let asked = true;
-            self.desired.behind.set(Some(Behind {
-                since: now,
-                asked,
-                ..behind
-            }));
-            self.fetch(behind.peer);
-        }
-    }
-
-    fn fetch(&self, peer: NodeId) {
-        if let Some(link) = self.link(peer) {
+        let watches = self.desired.watches.get();
+        let mut catch_up = self.desired.catch_up.borrow_mut();
+        let peer = catch_up.ask(self.now(), self.revision(), watches);
+        if let Some(link) = peer.and_then(|peer| self.link(peer)) {
             link.send(Frame::Fetch);
         }
     }
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -110,6 +110,9 @@
 pub(super) fn learn(state: &State, request: &dispatch::Request, end: &End) {
     let route = &request.route;
     let mut throttle = state.throttle.borrow_mut();
+    if let End::Answered { footprint, .. } = end {
+        throttle.hear(footprint);
+    }
     match end {
         End::Answered { footprint, .. } if request.inner => {
             let called = Called::Answered(footprint);
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -175,7 +175,6 @@
     let mut timer = interval(STEP);
     loop {
         timer.tick().await;
-        state.announce_news();
         let pressures = state.balance.borrow().pressures();
         let pressure = pressures.worst;
         let changed = state.throttle.borrow_mut().step(pressures);
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -64,7 +64,9 @@
     serve.repeats.borrow_mut().arrived(turned_away);
     let mut footprint = serve.footprint(&attempt);
     let service = &state.settings.service;
-    footprint.add(Key::of(service), state.now().since(now));
+    let ended = state.now();
+    let told = serve.repeats.borrow().state(ended);
+    footprint.add_at(Key::of(service), ended.since(now), told);
     let reply = reply(&state, outcome, footprint);
     finish(&state, id, reply, answered);
 }
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -209,8 +209,7 @@
 
     /// What other nodes are told.
     pub fn load(&self, now: Millis) -> Load {
-        let load = self.bulkhead.borrow().load(now);
-        load.with_repeats(now, &self.repeats.borrow())
+        self.bulkhead.borrow().load(now)
     }
 
     /// Work under way, running and waiting.
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -76,8 +76,6 @@
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
     /// The desired state.
     pub(super) desired: Desired,
-    /// The load that all nodes were told last.
-    announced: Cell<Load>,
     /// Instances that have left, by the node that told so.
     departed: RefCell<Map<NodeId, VecDeque<Lifetime>>>,
     /// The longest time that a caller of each route ever had.
@@ -123,7 +121,6 @@
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
             desired: Desired::default(),
-            announced: Cell::new(Load::default()),
             departed: RefCell::new(Map::default()),
             longest: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
@@ -178,7 +175,6 @@
     /// after a quarter of a second of silence.
     pub fn announce(&self) {
         let load = self.serve.load(self.now());
-        self.announced.set(load);
         self.report(self.me, load);
         for session in self.sessions.borrow().values() {
             let able = self.is_able();
@@ -186,15 +182,6 @@
         }
     }
 
-    /// Tells every node that has linked of the load of the own instance, if
-    /// a way in would decide otherwise by it than by what was told last.
-    pub fn announce_news(&self) {
-        let load = self.serve.load(self.now());
-        if load.is_news(&self.announced.get()) {
-            self.announce();
-        }
-    }
-
     /// Tells every linked node that the own instance has left, so that a
     /// next life of this node can be told.
     pub fn announce_departure(&self, instance: &Lifetime) {
