standin: ports are not probed while a process is being started

Cause: of some 30 runs of the mesh tests two ended with 'never: the node knows all others'; the log kept of the second shows a node that could not listen ('Address already in use'). A process holds a copy of all open sockets from its fork to its exec, so a port that one test has just probed stays taken while another test starts a node. Shown: 1,500 ports drawn beside four threads that start processes: 13, 18 and 14 could not be bound; with a lock over probes and starts 0 in three runs. Ruled out: ports that the system draws itself (32,768 and above), and other test processes (the loop ran one at a time).

--- a/crates/walnutmoor-standin/src/child.rs
+++ b/crates/walnutmoor-standin/src/child.rs
@@ -6,11 +6,14 @@
 */
 
 use std::{
-    fs,
+    fs, io,
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU16, AtomicU32, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, AtomicU32, Ordering},
+    },
 };
 
 use walnutmoor::prelude::*;
@@ -46,6 +49,28 @@
     }
 }
 
+/// Held while a process is started, and while ports are probed. A process
+/// holds a copy of all open sockets from its fork to its exec, so a port that
+/// is probed meanwhile stays taken for some milliseconds more. Of 1,500 ports
+/// that were drawn beside four threads that start processes, 13 to 18 could
+/// not be bound without this.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn starting() -> MutexGuard<'static, ()> {
+    // A test that failed while it held the lock has left nothing unfinished.
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts a program.
+///
+/// # Errors
+///
+/// If it can't be started.
+pub fn spawn(program: &mut Command) -> io::Result<Child> {
+    let _starting = starting();
+    program.spawn()
+}
+
 /// The ports of one node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Ports {
@@ -87,6 +112,7 @@
 }
 
 fn is_free(port: u16) -> bool {
+    let _starting = starting();
     TcpListener::bind(local(port)).is_ok()
         && UdpSocket::bind(local(port)).is_ok()
 }
@@ -121,16 +147,16 @@
         let file = dir.join("node.yaml");
         fs::write(&file, settings(setup, ports)).expect("a settings file");
         let log = fs::File::create(dir.join("log")).expect("a log file");
-        let child = Command::new(&setup.program[0])
+        let mut program = Command::new(&setup.program[0]);
+        let program = program
             .args(&setup.program[1..])
             .arg("node")
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the node starts");
+            .stderr(log);
+        let child = spawn(program).expect("the node starts");
         Node { child, ports, setup: setup.clone(), dir }
     }
 
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -13,7 +13,7 @@
     sync::atomic::{AtomicU32, Ordering},
 };
 
-use crate::child::Ports;
+use crate::child::{self, Ports};
 
 /// The addresses of a node.
 #[derive(Clone, Copy, Debug)]
@@ -152,14 +152,14 @@
         .append(true)
         .open(dir.join("log"))
         .expect("a log file");
-    Command::new(program)
+    let mut program = Command::new(program);
+    let program = program
         .args(["mesh", "--settings"])
         .arg(file)
         .stdin(Stdio::null())
         .stdout(log)
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("the node starts")
+        .stderr(Stdio::inherit());
+    child::spawn(program).expect("the node starts")
 }
 
 fn settings(setup: &Setup) -> String {
