--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -152,6 +152,13 @@
         gauge.is_none_or(|g| g.cover.is_enough(&self.services, asker))
     }
 
+    /// The part of the repeats that is spent where a request of this route is
+    /// likely to need one.
+    pub fn spent(&self, route: &str) -> f64 {
+        let gauge = self.routes.get(route);
+        gauge.map_or(0.0, |gauge| gauge.cover.spent(&self.services))
+    }
+
     /// The part of a route that is let in.
     pub fn part(&self, route: &str) -> f64 {
         self.routes.get(route).map_or(1.0, |gauge| gauge.open)
--- a/crates/walnutmoor-core/src/throttle/cover.rs
+++ b/crates/walnutmoor-core/src/throttle/cover.rs
@@ -78,7 +78,7 @@
 
     /// The part of the repeats that is spent where one is likely to be
     /// needed.
-    fn spent(&self, services: &Services) -> f64 {
+    pub(super) fn spent(&self, services: &Services) -> f64 {
         let met = self.0.iter().filter_map(|(key, runs)| {
             let known = services.0.get(key)?;
             let likely = (1.0 - known.shed).powf(*runs) >= LIKELY;
--- a/crates/walnutmoor-core/tests/throttle.rs
+++ b/crates/walnutmoor-core/tests/throttle.rs
@@ -306,6 +306,7 @@
 
     hear(&mut throttle, 0.02, 0.8);
 
+    assert_eq!(throttle.spent("claims"), 0.0);
     assert_eq!(carried(&throttle), 1_000);
 }
 
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -294,12 +294,14 @@
     if state.journal.has_room(now, Event::Refused) {
         let throttle = state.throttle.borrow();
         let let_in = throttle.part(&stay.route);
+        let spent = throttle.spent(&stay.route);
         let demand = state.balance.borrow().pressures().worst.demand;
         let fields = [
             ("why", kind.as_str().into()),
             ("route", stay.route.as_str().into()),
             ("let_in", let_in.into()),
             ("demand", demand.into()),
+            ("repeats_spent", spent.into()),
             ("revision", state.revision().0.into()),
         ];
         let id = &stay.attempt;
