--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -176,8 +176,8 @@
 
 /// Bytes read at once, into a buffer that all links of a thread share. Most
 /// answers fit, and with smaller reads most frames took two. A link that waits
-/// holds no buffer of its own; with one of 8 KB each, 300 nodes would hold
-/// 5 MB for links that are idle.
+/// holds no buffer of its own; with one of 8 KB each, a node that is linked
+/// both ways with 300 others would hold 5 MB (by arithmetic).
 const READ: usize = 16 << 10;
 
 thread_local! {
