accounts, quotas: who a request is from, and how much it may ask for, over all nodes

Cause: no part knew client accounts.

Accounts: a directory of digests in the core, swapped with each table; decided at the way in by the key alone; the name is a field between nodes; the desired state is sealed before it is kept or told. Quotas: one allocator an account by rendezvous, a token bucket, grants of 100 ms asked for when a request comes.

What the caps cost most: the seconds after all nodes were killed, as buckets begin with next to nothing and callers come at 1.1 times the rate.

--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -67,6 +67,16 @@
     }
 }
 
+/// The rank of work of an account that has a priority of its own, where that
+/// goes before what its route says: the first accounts' work is never behind
+/// that of others, and within an account the order of routes stays.
+pub fn account_urgency(account: u8, urgency: u8) -> u8 {
+    match account {
+        0 => urgency.min(1),
+        _ => urgency.max(1),
+    }
+}
+
 /// The first ranks, which are those of the requests that matter most.
 pub(crate) const URGENT: usize = 2;
 
--- a/crates/walnutmoor-core/src/course.rs
+++ b/crates/walnutmoor-core/src/course.rs
@@ -119,6 +119,7 @@
     reached: Vec<NodeId>,
     wary: Vec<NodeId>,
     arrivals: u32,
+    runs: u32,
     denials: u32,
     may_have_run: bool,
 }
@@ -135,6 +136,7 @@
             reached: Vec::new(),
             wary: Vec::new(),
             arrivals: 0,
+            runs: 0,
             denials: 0,
             may_have_run: false,
         }
@@ -150,6 +152,11 @@
         self.arrivals
     }
 
+    /// How often an instance has run it, or may have.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
     /// True if an instance may have run it.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -163,6 +170,7 @@
     /// Nothing was heard from this node before the request's time was over.
     pub fn give_up_on(&mut self, node: NodeId) {
         self.tried.push(node);
+        self.runs += 1;
         self.may_have_run = true;
     }
 
@@ -170,7 +178,10 @@
     pub fn take(&mut self, node: NodeId, word: Word) -> Step {
         self.tried.push(node);
         match word {
-            Word::Served => return Step::Stop,
+            Word::Served => {
+                self.runs += 1;
+                return Step::Stop;
+            }
             Word::Refused => self.shut.push(node),
             Word::Denied => {
                 self.shut.push(node);
@@ -183,6 +194,7 @@
             Word::Failed | Word::Unknown => {
                 self.arrive(node);
                 self.shut.push(node);
+                self.runs += 1;
                 self.may_have_run = true;
             }
         }
--- a/crates/walnutmoor-core/src/error.rs
+++ b/crates/walnutmoor-core/src/error.rs
@@ -127,6 +127,12 @@
     Timeout = ("timeout", 504),
     /// Its content has ended the instances that ran it.
     Poisoned = ("poisoned", 503),
+    /// The key is missing, or no account in force holds it.
+    UnknownKey = ("unknown_key", 401),
+    /// It bears no key, like an instance's own call, and no run here made it.
+    Orphaned = ("orphaned", 503),
+    /// The account has used up its quota for now.
+    OverQuota = ("over_quota", 429),
     /// The platform did not answer in time.
     PlatformDown = ("platform_down", 503),
 }
--- a/crates/walnutmoor-core/src/id.rs
+++ b/crates/walnutmoor-core/src/id.rs
@@ -49,6 +49,13 @@
     (1..=NAME_MAX).contains(&len) && text.bytes().all(|b| b.is_ascii_graphic())
 }
 
+fn is_label(text: &str) -> bool {
+    let legal = |b: u8| b.is_ascii_graphic() || b == b' ';
+    let len = text.len();
+    let trimmed = text.trim_ascii().len() == len;
+    (1..=NAME_MAX).contains(&len) && trimmed && text.bytes().all(legal)
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident, $what:literal, $legal:path) => {
         $(#[$doc])*
@@ -112,6 +119,11 @@
     /// The name of a class of work.
     Class, "class name", is_name
 }
+name! {
+    /// The name of a client account, as the operator writes it: printable
+    /// ASCII with blanks inside, which can stand in a header.
+    Account, "account name", is_label
+}
 name! {
     /// A caller's id for one whole request, the same on every attempt.
     ///
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -32,6 +32,7 @@
 ```
 */
 
+pub mod account;
 pub mod admit;
 pub mod balance;
 pub mod bulkhead;
@@ -58,6 +59,7 @@
 pub mod platform;
 pub mod poison;
 pub mod queue;
+pub mod quota;
 pub mod repeat;
 pub mod retry;
 pub mod route;
--- a/crates/walnutmoor-core/src/table.rs
+++ b/crates/walnutmoor-core/src/table.rs
@@ -3,7 +3,8 @@
 
 A request is matched by its host and the longest prefix of its path. A route
 says what may be repeated, how long a caller is kept waiting, how urgent it
-is, and to which service or services it goes.
+is, and to which service or services it goes. The client accounts of the same
+desired state come with it.
 
 # Example
 
@@ -20,6 +21,7 @@
     target: Millis(600),
     priority: 2,
     attempts: 2,
+    is_public: false,
     targets: vec![Target { service: "parts".parse().unwrap(), weight: 1 }],
 });
 let route = table.find("Parts.example:80", "/search/a?b").unwrap();
@@ -33,6 +35,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    account,
     digest::{self, Map},
     id::{Revision, Service},
     time::Millis,
@@ -75,6 +78,8 @@
     pub priority: u8,
     /// How many instances one attempt may reach.
     pub attempts: u8,
+    /// True if callers need no key.
+    pub is_public: bool,
     /// Where it goes.
     pub targets: Vec<Target>,
 }
@@ -123,6 +128,8 @@
     pub version: u64,
     /// Limits on callers.
     pub limits: Limits,
+    /// Client accounts; none if everybody may call.
+    pub accounts: account::Directory,
     hosts: Map<String, Vec<Arc<Route>>>,
     services: Map<Service, Spec>,
 }
--- /dev/null
+++ b/crates/walnutmoor-core/tests/account.rs
@@ -0,0 +1,181 @@
+//! Who a request is from, by its key.
+
+use walnutmoor_core::{
+    account::{Account, Change, Digest, Directory, Error, Key, Quota, Sender},
+    error::Kind,
+    id,
+};
+
+fn name(text: &str) -> id::Account {
+    text.parse().unwrap()
+}
+
+fn entry(account: &str, keys: &[&str]) -> (Account, Vec<Digest>) {
+    let digests = keys.iter().map(|key| Digest::of(key.as_bytes()));
+    (Account::new(name(account)), digests.collect())
+}
+
+fn directory() -> Directory {
+    let entries = [entry("acme", &["k-1", "k-2"]), entry("bolt", &["k-3"])];
+    Directory::build(entries).unwrap()
+}
+
+fn sender() -> Sender {
+    Sender::default()
+}
+
+/// The account that a request is from, or why it is refused.
+fn judge(key: Key<'_>, sender: Sender) -> Result<Option<String>, Kind> {
+    let directory = directory();
+    let account = directory.judge(key, sender)?;
+    Ok(account.map(|account| account.name.to_string()))
+}
+
+#[test]
+fn a_key_stands_for_its_account() {
+    let from = |key: &str| judge(Key::One(key.as_bytes()), sender());
+
+    assert_eq!(from("k-1"), Ok(Some("acme".into())));
+    assert_eq!(from("k-2"), Ok(Some("acme".into())));
+    assert_eq!(from("k-3"), Ok(Some("bolt".into())));
+}
+
+#[test]
+fn no_other_key_gets_in() {
+    let long = "k".repeat(100_000);
+    let odd: [&[u8]; 8] = [
+        b"",
+        b" ",
+        b"K-1",
+        b"k-1 ",
+        b"k-",
+        b"k-1,k-2",
+        b"\xff\xfe",
+        long.as_bytes(),
+    ];
+
+    for key in odd {
+        assert_eq!(judge(Key::One(key), sender()), Err(Kind::UnknownKey));
+    }
+    assert_eq!(judge(Key::Missing, sender()), Err(Kind::UnknownKey));
+    assert_eq!(judge(Key::Several, sender()), Err(Kind::UnknownKey));
+}
+
+#[test]
+fn without_accounts_everybody_may_call() {
+    let directory = Directory::default();
+
+    for key in [Key::Missing, Key::One(b"any"), Key::Several] {
+        assert_eq!(directory.judge(key, sender()), Ok(None));
+    }
+}
+
+#[test]
+fn a_public_route_needs_no_key_and_knows_a_good_one() {
+    let public = Sender { is_public: true, ..sender() };
+
+    assert_eq!(judge(Key::Missing, public), Ok(None));
+    assert_eq!(judge(Key::One(b"gone"), public), Ok(None));
+    assert_eq!(judge(Key::Several, public), Ok(None));
+    assert_eq!(judge(Key::One(b"k-1"), public), Ok(Some("acme".into())));
+}
+
+#[test]
+fn only_a_run_that_is_under_way_here_makes_calls_without_a_key() {
+    let run = Sender { is_run: true, is_like_call: true, ..sender() };
+    let alike = Sender { is_like_call: true, ..sender() };
+
+    assert_eq!(judge(Key::Missing, run), Ok(None));
+    // Nobody waits for it; but nobody is told to stay away for good.
+    assert_eq!(judge(Key::Missing, alike), Err(Kind::Orphaned));
+    assert_eq!(Kind::Orphaned.status(), 503);
+    // Whoever bears a key is a caller, whatever its id looks like.
+    assert_eq!(judge(Key::One(b"k-1"), run), Ok(Some("acme".into())));
+    assert_eq!(judge(Key::One(b"no"), run), Err(Kind::UnknownKey));
+    assert_eq!(judge(Key::Several, run), Err(Kind::UnknownKey));
+}
+
+#[test]
+fn accounts_that_contradict_each_other_are_refused_whole() {
+    let shared = [entry("acme", &["k-1"]), entry("bolt", &["k-1"])];
+    let error = Directory::build(shared).unwrap_err();
+    assert_eq!(error, Error::Shared(name("acme"), name("bolt")));
+    assert!(!error.to_string().contains("k-1"));
+
+    let twice = [entry("acme", &["k-1"]), entry("acme", &["k-2"])];
+    let error = Directory::build(twice).unwrap_err();
+    assert_eq!(error, Error::Twice(name("acme")));
+
+    let amounts =
+        [(-1.0, 0.0), (1.0, -0.5), (f64::NAN, 0.0), (1.0, f64::INFINITY)];
+    for (rate, burst) in amounts {
+        let mut account = Account::new(name("acme"));
+        account.quota = Some(Quota { rate, burst });
+        let error = Directory::build([(account, Vec::new())]).unwrap_err();
+        assert_eq!(error, Error::Amount(name("acme")));
+    }
+}
+
+#[test]
+fn a_key_may_be_listed_twice_for_one_account() {
+    let directory = Directory::build([entry("acme", &["k-1", "k-1"])]);
+
+    assert!(directory.is_ok());
+}
+
+#[test]
+fn a_change_tells_whose_keys_changed_and_how_many() {
+    let next = Directory::build([
+        entry("acme", &["k-2"]),
+        entry("bolt", &["k-3", "k-4", "k-5"]),
+        entry("calm", &["k-1"]),
+    ])
+    .unwrap();
+
+    let changes = next.changes_since(&directory());
+
+    let change = |account, added, removed| {
+        let account = name(account);
+        Change { account, added, removed }
+    };
+    let expected =
+        [change("acme", 0, 1), change("bolt", 2, 0), change("calm", 1, 0)];
+    assert_eq!(changes, expected);
+}
+
+#[test]
+fn neither_a_key_nor_its_digest_is_shown() {
+    let digest = Digest::of(b"k-1");
+
+    assert_eq!(format!("{digest:?}"), "Digest(..)");
+    let shown = format!("{:?}", directory());
+    assert!(!shown.contains("k-1") && !shown.contains(&digest.to_string()));
+    let error = "k-secret".parse::<Digest>().unwrap_err();
+    assert!(!error.to_string().contains("secret"));
+}
+
+#[test]
+fn a_digest_survives_its_text() {
+    let digest = Digest::of(b"k-1");
+
+    assert_eq!(digest.to_string().parse::<Digest>().unwrap(), digest);
+    for text in ["", "zz", &"z".repeat(64), &"é".repeat(32)] {
+        assert!(text.parse::<Digest>().is_err());
+    }
+}
+
+#[test]
+fn the_rank_of_an_account_goes_before_that_of_a_route() {
+    let urgencies =
+        |account: &Account| [0, 1, 2, 3].map(|r| account.urgency(r));
+    let plain = Account::new(name("acme"));
+    let first = plain.clone().priority(0);
+    let second = plain.clone().priority(1);
+
+    assert_eq!(urgencies(&plain), [0, 1, 2, 3]);
+    assert_eq!(urgencies(&first), [0, 1, 1, 1]);
+    assert_eq!(urgencies(&second), [1, 1, 2, 3]);
+    // Nothing of the first is behind anything of the second.
+    let last = urgencies(&first).into_iter().max();
+    assert!(last <= urgencies(&second).into_iter().min());
+}
--- a/crates/walnutmoor-core/tests/table.rs
+++ b/crates/walnutmoor-core/tests/table.rs
@@ -20,6 +20,7 @@
         target: Millis(500),
         priority: 1,
         attempts: 2,
+        is_public: false,
         targets: targets.iter().map(target).collect(),
     }
 }
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -74,6 +74,8 @@
     arrivals: Mutex<Vec<Arrival>>,
     cut: AtomicU64,
     callers: Mutex<Vec<String>>,
+    accounts: Mutex<Vec<Vec<String>>>,
+    has_seen_key: AtomicBool,
     tasks: Mutex<Vec<AbortHandle>>,
     fault: Fault,
 }
@@ -134,6 +136,8 @@
             arrivals: Mutex::default(),
             cut: AtomicU64::new(0),
             callers: Mutex::default(),
+            accounts: Mutex::default(),
+            has_seen_key: AtomicBool::new(false),
             tasks: Mutex::default(),
             fault: Fault::default(),
         });
@@ -269,6 +273,28 @@
         self.cut.load(Ordering::Relaxed)
     }
 
+    /// The accounts that each request which it ran was said to be from.
+    pub fn accounts(&self) -> Vec<Vec<String>> {
+        self.accounts.lock().expect("no holder panics").clone()
+    }
+
+    /// True if a caller's key ever came to it.
+    pub fn has_seen_key(&self) -> bool {
+        self.has_seen_key.load(Ordering::Relaxed)
+    }
+
+    fn note_account(&self, headers: &HeaderMap) {
+        let all = headers.get_all(header::ACCOUNT).iter();
+        let text = |value: &http::HeaderValue| {
+            String::from_utf8_lossy(value.as_bytes()).into_owned()
+        };
+        let mut accounts = self.accounts.lock().expect("no holder panics");
+        accounts.push(all.map(text).collect());
+        if headers.contains_key(header::KEY) {
+            self.has_seen_key.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// The services beside which its requests began.
     pub fn callers(&self) -> Vec<String> {
         self.callers.lock().expect("no holder panics").clone()
@@ -303,6 +329,8 @@
         let from = from.and_then(|v| v.to_str().ok()).unwrap_or_default();
         let mut callers = self.callers.lock().expect("no holder panics");
         callers.push(from.to_string());
+        drop(callers);
+        self.note_account(&request.headers);
     }
 
     fn is_misdirected(&self, headers: &HeaderMap) -> bool {
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -557,6 +557,7 @@
         target: Millis(500),
         priority: if effect == Effect::Once { 0 } else { 2 },
         attempts: 2,
+        is_public: false,
         targets: vec![Target { service, weight: 1 }],
     }
 }
--- a/crates/walnutmoor/src/mesh/desired.rs
+++ b/crates/walnutmoor/src/mesh/desired.rs
@@ -13,13 +13,14 @@
 
 use bytes::Bytes;
 use walnutmoor_core::{
+    account::Directory,
     catch_up::CatchUp,
     id::{NodeId, Revision},
     table::Table,
     time::Millis,
     watcher,
 };
-use walnutmoor_platform::desired;
+use walnutmoor_platform::{Error, desired};
 
 use super::{frame::Frame, journal::Event, state::State};
 
@@ -70,6 +71,17 @@
     }
 }
 
+/// Reads a desired state. What is kept of it and told to others has digests
+/// in the place of keys.
+fn read(revision: Revision, raw: Bytes) -> Result<(Table, Bytes), Error> {
+    let table = desired::decode(revision, &raw)?;
+    let raw = match table.accounts.is_empty() {
+        true => raw,
+        false => desired::seal(&raw)?.into(),
+    };
+    Ok((table, raw))
+}
+
 impl State {
     /// The table in force.
     pub fn table(&self) -> Option<Rc<Table>> {
@@ -95,14 +107,18 @@
             return;
         }
         let now = self.now();
-        let table = match desired::decode(revision, &raw) {
-            Ok(table) => table,
+        let (table, raw) = match read(revision, raw) {
+            Ok(read) => read,
             Err(error) => {
+                metrics::counter!("walnutmoor_desired_refused_total")
+                    .increment(1);
                 let fields = [("why", error.to_string().into())];
                 self.journal.change(now, Event::Fault, &fields);
                 return;
             }
         };
+        self.audit_keys(now, &table.accounts);
+        self.renew_quotas(&table.accounts);
         let fields = [
             ("revision", revision.0.into()),
             ("version", table.version.into()),
@@ -122,6 +138,23 @@
         }
     }
 
+    /// Logs whose keys have changed, never a key.
+    fn audit_keys(&self, now: Millis, accounts: &Directory) {
+        let former = self.table().unwrap_or_default();
+        // The first ones are all new.
+        if former.accounts.is_empty() {
+            return;
+        }
+        for change in accounts.changes_since(&former.accounts) {
+            let fields = [
+                ("account", change.account.as_str().into()),
+                ("keys_added", change.added.into()),
+                ("keys_removed", change.removed.into()),
+            ];
+            self.journal.change(now, Event::Keys, &fields);
+        }
+    }
+
     /// True if there is a newer desired state than the own one.
     pub fn is_behind(&self, revision: Revision) -> bool {
         revision > self.revision()
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -17,7 +17,7 @@
     course::{self, Step, Word},
     error::Kind,
     footprint::Footprint,
-    id::{CallId, NodeId, Service},
+    id::{Account, CallId, NodeId, Service},
     poison::{self, Fingerprint, Place, Standing},
     table::{Effect, Route},
     time::Millis,
@@ -48,6 +48,9 @@
     pub echo: bool,
     /// The service that it goes to.
     pub service: Service,
+    /// The client account that it is from; none if an instance made it, or
+    /// if it needs none.
+    pub account: Option<Account>,
     /// The caller's id of the attempt.
     pub attempt: String,
     /// Its content, the same for all attempts.
@@ -74,6 +77,8 @@
     pub end: End,
     /// The nodes that it was sent to, in order.
     pub tried: Vec<NodeId>,
+    /// How often an instance has run it, or may have.
+    pub runs: u32,
 }
 
 /// The end of a request.
@@ -126,7 +131,8 @@
 pub async fn run(state: &Rc<State>, request: &Request) -> Finished {
     let mut course = Course::new(&request.route);
     let end = follow(state, request, &mut course).await;
-    Finished { end, tried: course.way.tried().to_vec() }
+    let runs = course.way.runs();
+    Finished { end, tried: course.way.tried().to_vec(), runs }
 }
 
 async fn follow(
@@ -377,6 +383,7 @@
         id: CallId(0),
         service: request.service.clone(),
         caller: state.settings.service.clone(),
+        account: request.account.clone(),
         attempt: request.attempt.clone(),
         fingerprint: request.fingerprint,
         evidence: state.evidence(request.fingerprint),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -36,9 +36,10 @@
     bulkhead::Load,
     error::Kind,
     footprint::Footprint,
-    id::{CallId, Incarnation, NodeId, Revision, Service, Zone},
+    id::{Account, CallId, Incarnation, NodeId, Revision, Service, Zone},
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
+    quota::{self, Ask},
     table::Effect,
     time::Millis,
 };
@@ -75,6 +76,10 @@
     /// Requests under which instances have ended, and those that were found
     /// innocent.
     Evidence(Vec<Evidence>),
+    /// May so many requests of an account be let in?
+    Ask(Account, Ask),
+    /// So many may.
+    Granted(Account, quota::Answer),
     /// The instance beside the sender has said that it leaves.
     Departed(Lifetime),
     /// These, beside the receiver, have said so to a former life of it.
@@ -98,6 +103,8 @@
     pub load: Load,
     /// Some other nodes that it knows.
     pub known: Vec<NodeId>,
+    /// How many nodes there are, as far as it knows.
+    pub fleet: usize,
 }
 
 /// A request on its way to an instance.
@@ -109,6 +116,8 @@
     pub service: Service,
     /// The service beside which it began.
     pub caller: Service,
+    /// The client account that it is from.
+    pub account: Option<Account>,
     /// The caller's id of the attempt.
     pub attempt: String,
     /// Its content, the same for all attempts.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -11,6 +11,7 @@
 use http::{Method, header as names};
 use tokio::net::TcpListener;
 use walnutmoor_core::{
+    account::{Account, Directory, Key, Sender},
     error::{Kind, Ran, Refusal},
     poison,
     table::{Effect, Route},
@@ -22,10 +23,14 @@
     connection,
     dispatch::{self, End, Finished},
     journal::Event,
+    serve::Parent,
     state::{Phase, State},
     wire::{self, Answer},
 };
-use crate::http1::{Head, body::Framing};
+use crate::{
+    http1::{Head, body::Framing},
+    telemetry,
+};
 
 /// Callers' requests under way at most. An estimate, not measured: at 12 KB
 /// each they would take 36 MB, a quarter of the least that a node is given.
@@ -75,6 +80,7 @@
     state: Rc<State>,
     attempt: String,
     route: String,
+    account: Option<Arc<Account>>,
     since: Millis,
     held: usize,
     is_over: bool,
@@ -87,6 +93,7 @@
             state: state.clone(),
             attempt: attempt.to_string(),
             route: String::new(),
+            account: None,
             since: state.now(),
             held: 0,
             is_over: false,
@@ -94,6 +101,13 @@
     }
 }
 
+impl Stay {
+    /// The name of the account, for logs.
+    fn account(&self) -> Option<&str> {
+        self.account.as_ref().map(|account| account.name.as_str())
+    }
+}
+
 impl Drop for Stay {
     fn drop(&mut self) {
         let state = &self.state;
@@ -110,6 +124,25 @@
     }
 }
 
+/// Who a request is from.
+#[derive(Debug)]
+pub(super) enum Origin {
+    /// A caller, of this account if it needs one.
+    Caller(Option<Arc<Account>>),
+    /// A run of the instance beside this node.
+    Run(Parent),
+}
+
+impl Origin {
+    /// The account of the caller.
+    fn account(&self) -> Option<&Arc<Account>> {
+        match self {
+            Origin::Caller(account) => account.as_ref(),
+            Origin::Run(_) => None,
+        }
+    }
+}
+
 /// A request that is turned away before it was read whole.
 pub(super) struct Turned {
     /// Its answer.
@@ -135,6 +168,7 @@
     stay: Stay,
     head: Head,
     route: Arc<Route>,
+    origin: Origin,
     content: poison::Hasher,
     body: BytesMut,
     body_max: usize,
@@ -150,11 +184,20 @@
         let mut stay = Stay::new(state, attempt);
         let body_max = state.table().unwrap_or_default().limits.body;
         match look_up(state, &stay, &head) {
-            Ok(route) => {
+            Ok((route, origin)) => {
                 stay.route = route.name.clone();
-                let content = content(&head);
+                stay.account = origin.account().cloned();
+                let content = content(&head, origin.account());
                 let body = BytesMut::new();
-                Ok(Arrival { stay, head, route, content, body, body_max })
+                Ok(Arrival {
+                    stay,
+                    head,
+                    route,
+                    origin,
+                    content,
+                    body,
+                    body_max,
+                })
             }
             Err(kind) => {
                 let answer = turn_away(state, &mut stay, &not_run(kind));
@@ -223,24 +266,38 @@
         mut self: Box<Arrival>,
         state: &Rc<State>,
     ) -> (Answer, Stay) {
-        let answer = match admission::admit(state, &mut self) {
-            Ok(request) => {
-                let finished = dispatch::run(state, &request).await;
-                conclude(state, &self.stay, &request, finished)
-            }
+        let answer = match self.carry(state).await {
+            Ok(answer) => answer,
             Err(refusal) => turn_away(state, &mut self.stay, &refusal),
         };
         self.stay.is_over = true;
         (answer, self.stay)
     }
+
+    /// Lets the request in, first under its account's quota, so that one
+    /// account's flood is not taken for demand, and then as load allows.
+    async fn carry(&mut self, state: &Rc<State>) -> Result<Answer, Refusal> {
+        let account = self.origin.account().cloned();
+        let permit = state.acquire(account.as_deref()).await?;
+        let request = match admission::admit(state, self) {
+            Ok(request) => request,
+            Err(refusal) => {
+                permit.into_iter().for_each(|permit| permit.end(0));
+                return Err(refusal);
+            }
+        };
+        let finished = dispatch::run(state, &request).await;
+        permit.into_iter().for_each(|permit| permit.end(finished.runs));
+        Ok(conclude(state, &self.stay, &request, finished))
+    }
 }
 
-/// The route of a request, if its body may be read.
+/// The route of a request and who it is from, if its body may be read.
 fn look_up(
     state: &State,
     stay: &Stay,
     head: &Head,
-) -> Result<Arc<Route>, Kind> {
+) -> Result<(Arc<Route>, Origin), Kind> {
     let table = state.table().ok_or(Kind::Starting)?;
     if state.phase.get() == Phase::Finishing {
         return Err(Kind::Leaving);
@@ -253,6 +310,7 @@
     }
     let route = host(head).and_then(|h| table.find(h, head.uri.path()));
     let route = route.ok_or(Kind::NoRoute)?.clone();
+    let origin = identify(state, &table.accounts, &route, stay, head)?;
     if let Framing::Length(length) = head.framing {
         let length = usize::try_from(length).unwrap_or(usize::MAX);
         if length > table.limits.body {
@@ -262,7 +320,32 @@
             return Err(Kind::Full);
         }
     }
-    Ok(route)
+    Ok((route, origin))
+}
+
+/// Decides who a request is from, whatever it says of itself but its key.
+fn identify(
+    state: &State,
+    accounts: &Directory,
+    route: &Route,
+    stay: &Stay,
+    head: &Head,
+) -> Result<Origin, Kind> {
+    let id = &stay.attempt;
+    let key = header::key(&head.headers);
+    let sender = Sender {
+        is_public: route.is_public,
+        is_run: state.serve.is_made_here(id),
+        is_like_call: header::parent(id).is_some(),
+    };
+    let account = accounts.judge(key, sender)?.cloned();
+    // Whoever bears a key where there are accounts is a caller.
+    let may_be_run = accounts.is_empty() || key == Key::Missing;
+    let parent = match account.is_none() && may_be_run {
+        true => state.serve.parent(state.now(), id),
+        false => None,
+    };
+    Ok(parent.map_or(Origin::Caller(account), Origin::Run))
 }
 
 fn host(head: &Head) -> Option<&str> {
@@ -272,13 +355,17 @@
     }
 }
 
-/// What names a request by its head; its body follows.
-fn content(head: &Head) -> poison::Hasher {
+/// What names a request by its head; its body follows. A caller with another
+/// key of its account sends the same request.
+fn content(head: &Head, account: Option<&Arc<Account>>) -> poison::Hasher {
     let method = head.method.as_str();
     let host = host(head).unwrap_or_default();
     let path = admission::path(head);
     let [method, host, path] = [method, host, &path].map(str::as_bytes);
-    let account = header::account(&head.headers);
+    let account = match account {
+        Some(account) => account.name.as_str().as_bytes(),
+        None => header::credentials(&head.headers),
+    };
     poison::Hasher::new([method, host, path, account])
 }
 
@@ -292,9 +379,11 @@
 fn not_run(kind: Kind) -> Refusal {
     let refusal = Refusal::new(kind, Ran::No);
     match kind {
-        Kind::Starting | Kind::Leaving | Kind::Full | Kind::UnknownService => {
-            refusal.retry_after(RETRY_STARTING)
-        }
+        Kind::Starting
+        | Kind::Leaving
+        | Kind::Full
+        | Kind::Orphaned
+        | Kind::UnknownService => refusal.retry_after(RETRY_STARTING),
         _ => refusal,
     }
 }
@@ -313,6 +402,7 @@
         let fields = [
             ("why", kind.as_str().into()),
             ("route", stay.route.as_str().into()),
+            ("account", stay.account().into()),
             ("let_in", let_in.into()),
             ("demand", demand.into()),
             ("repeats_spent", spent.into()),
@@ -321,8 +411,12 @@
         let id = &stay.attempt;
         state.journal.request(now, Event::Refused, id, &fields);
     }
+    telemetry::count_account(stay.account(), kind.as_str());
     match refusal.retry_after {
-        Some(span) => wire::refuse(kind, state.spread(span)),
+        Some(span) => {
+            let span = Millis(span.0.max(RETRY_MIN.0));
+            wire::refuse(kind, state.spread(span))
+        }
         None => wire::fail(kind),
     }
 }
@@ -337,7 +431,7 @@
     request: &dispatch::Request,
     finished: Finished,
 ) -> Answer {
-    let Finished { end, tried } = finished;
+    let Finished { end, tried, .. } = finished;
     let now = state.now();
     let after = now.since(stay.since);
     let route = &request.route;
@@ -353,6 +447,7 @@
     admission::learn(state, request, &end);
     metrics::counter!("walnutmoor_requests_total", "outcome" => outcome)
         .increment(1);
+    telemetry::count_account(stay.account(), outcome);
     metrics::histogram!("walnutmoor_request_seconds").record(after.secs());
     if state.journal.has_room(now, event) {
         let last = tried.last().and_then(|n| state.balance.borrow().load(*n));
@@ -365,6 +460,7 @@
             ("rank", request.urgency.into()),
             ("wait_ms", wait.into()),
             ("route", route.name.as_str().into()),
+            ("account", stay.account().into()),
             ("service", request.service.as_str().into()),
             ("revision", state.revision().0.into()),
             ("after_ms", after.0.into()),
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -17,7 +17,7 @@
 };
 use walnutmoor_platform::header;
 
-use super::{Arrival, not_run};
+use super::{Arrival, Origin, not_run};
 use crate::{
     http1::Head,
     mesh::{
@@ -43,9 +43,13 @@
     state: &Rc<State>,
     arrival: &mut Arrival,
 ) -> Result<dispatch::Request, Refusal> {
-    let Arrival { stay, head, route, content, body, .. } = arrival;
+    let Arrival { stay, head, route, origin, content, body, .. } = arrival;
     let left = header::time_left(&head.headers).unwrap_or(TIME_LEFT);
-    let parent = state.serve.parent(state.now(), &stay.attempt);
+    let account = origin.account().cloned();
+    let parent = match origin {
+        Origin::Run(parent) => Some(*parent),
+        Origin::Caller(_) => None,
+    };
     if parent.is_none() && !is_let_in(state, &stay.attempt, route, left) {
         let span = route.target.0 as f64 * RETRY_CUT;
         let refusal = Refusal::new(Kind::Overloaded, Ran::No);
@@ -58,7 +62,8 @@
         None => {
             let key = Key::of(&service);
             let cheap = state.throttle.borrow().is_cheap(&route.name, key);
-            bulkhead::urgency(route.priority, cheap)
+            let urgency = bulkhead::urgency(route.priority, cheap);
+            account.as_ref().map_or(urgency, |a| a.urgency(urgency))
         }
     };
     header::prepare(&mut head.headers);
@@ -67,6 +72,7 @@
         inner: parent.is_some(),
         echo: parent.is_some_and(|parent| parent.repeat),
         service,
+        account: account.map(|account| account.name.clone()),
         attempt: stay.attempt.clone(),
         fingerprint: content.finish(),
         method: head.method.to_string(),
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -59,6 +59,8 @@
     Regained,
     /// A desired state came into force.
     Desired,
+    /// An account's keys have changed.
+    Keys,
     /// A node was found, or is gone.
     Directory,
     /// What is believed of the own instance changed.
@@ -94,6 +96,7 @@
         Event::Suspect,
         Event::Regained,
         Event::Desired,
+        Event::Keys,
         Event::Directory,
         Event::Instance,
         Event::Crash,
@@ -118,6 +121,7 @@
             Event::Suspect => "suspect",
             Event::Regained => "regained",
             Event::Desired => "desired",
+            Event::Keys => "keys",
             Event::Directory => "directory",
             Event::Instance => "instance",
             Event::Crash => "crash",
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -127,10 +127,15 @@
         self.out.borrow().is_some()
     }
 
+    /// True if calls can be sent and the other node answers.
+    pub fn is_sound(&self) -> bool {
+        self.is_up() && !self.suspected.get()
+    }
+
     /// The place of the other node, if it is in this zone, can be reached and
     /// reaches the store.
     pub fn watcher(&self, zone: &Zone) -> Option<watcher::Rank> {
-        let reached = self.is_up() && !self.suspected.get();
+        let reached = self.is_sound();
         let here = self.zone.borrow().as_ref() == Some(zone);
         (reached && here && self.is_able.get()).then_some(self.rank)
     }
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -108,6 +108,7 @@
     for node in &hello.known {
         state.learn(*node);
     }
+    state.quotas.hear_of(hello.fleet);
 }
 
 fn end(state: &Rc<State>, link: &Rc<Link>, why: &str) {
@@ -225,6 +226,7 @@
             state.adopt(revision, raw, Source::Peer);
         }
         Frame::Evidence(told) => state.hear(&told, PEER),
+        Frame::Granted(account, answer) => state.granted(&account, answer),
         // The rest travels the other way.
         _ => {}
     }
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -24,6 +24,7 @@
 | [`run`](mod@run) | one run at the instance |
 | [`belief`] | what is believed of the instance |
 | [`crash`] | tells that the instance has crashed |
+| [`quotas`] | asks for the quotas of accounts, and deals them |
 | [`suspicion`] | what this node believes of requests that end instances |
 | [`instance`] | speaks HTTP with that instance |
 | [`control`] | heartbeats, readiness and metrics |
@@ -53,6 +54,7 @@
 pub mod node;
 pub mod output;
 pub mod peer;
+pub mod quotas;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -162,6 +162,7 @@
         for link in links {
             link.check(&state, now, idle, paused);
         }
+        state.look_at_fleet(paused);
         state.catch_up();
         state.serve.pool.sweep(now);
         let siblings = state.balance.borrow().count(&state.settings.service);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -161,6 +161,7 @@
     }
     *session.out.borrow_mut() = Some(out);
     state.learn(hello.node);
+    state.quotas.hear_of(hello.fleet);
     let task =
         carry(state, session.clone(), (read, bytes), write, frames, hello);
     let task = tokio::task::spawn_local(task);
@@ -265,6 +266,10 @@
             session.send(Frame::Pong(state.revision(), able, load));
             state.told(revision, hello.node);
         }
+        Frame::Ask(account, ask) => {
+            let answer = state.allot(&account, ask);
+            session.send(Frame::Granted(account, answer));
+        }
         Frame::Departed(instance) => state.note_departed(hello.node, instance),
         Frame::Evidence(told) => state.hear(&told, PEER),
         Frame::Former(instances) => state.serve.note_former(state, instances),
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -11,7 +11,7 @@
 use walnutmoor_core::{
     error::Kind,
     footprint::{Footprint, Key},
-    id::CallId,
+    id::{Account, CallId},
     time::Millis,
 };
 use walnutmoor_platform::header::{self, Verdict};
@@ -121,7 +121,9 @@
     instance: &str,
 ) -> Option<Request<Full<Bytes>>> {
     let mut headers = wire::unpack(call.headers);
-    header::address(&mut headers, left, instance, call.caller.as_str());
+    let caller = call.caller.as_str();
+    let account = call.account.as_ref().map(Account::as_str);
+    header::address(&mut headers, left, instance, caller, account);
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method.parse().ok()?;
     *request.uri_mut() = call.path.parse().ok()?;
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -265,6 +265,12 @@
         !self.is_unknown() && !self.belief.borrow().is_ready()
     }
 
+    /// True if a request that the instance runs has made this one.
+    pub fn is_made_here(&self, attempt: &str) -> bool {
+        let parent = header::parent(attempt);
+        parent.is_some_and(|id| self.runs.borrow().contains_key(id))
+    }
+
     /// The request that made this one, if the instance runs it.
     pub fn parent(&self, now: Millis, attempt: &str) -> Option<Parent> {
         let parent = header::parent(attempt)?;
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -27,6 +27,7 @@
     journal::{Event, Journal},
     link::Link,
     peer::Session,
+    quotas::Quotas,
     serve::Serve,
     settings::Settings,
     suspicion::Suspicion,
@@ -79,6 +80,8 @@
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
     /// The desired state.
     pub(super) desired: Desired,
+    /// Quotas of client accounts.
+    pub(crate) quotas: Quotas,
     /// Instances that have left, by the node that told so.
     departed: RefCell<Map<NodeId, VecDeque<Lifetime>>>,
     /// The longest time that a caller of each route ever had.
@@ -125,6 +128,7 @@
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
             desired: Desired::default(),
+            quotas: Quotas::new(settings.bounds().quota()),
             departed: RefCell::new(Map::default()),
             longest: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
@@ -224,6 +228,7 @@
             revision: self.revision(),
             load: self.serve.load(self.now()),
             known: self.some_known(),
+            fleet: self.quotas.known(),
         }
     }
 
--- a/crates/walnutmoor/src/mesh/wire.rs
+++ b/crates/walnutmoor/src/mesh/wire.rs
@@ -50,7 +50,7 @@
 /// other refusal is given for work that was not run.
 pub fn refuse(kind: Kind, retry: Millis) -> Answer {
     let status = match kind {
-        Kind::Budget => 429,
+        Kind::Budget | Kind::OverQuota => 429,
         _ => 503,
     };
     let mut answer = plain(status, kind);
@@ -62,7 +62,12 @@
 /// An answer of this node's own that promises nothing, or that no repeat
 /// would change.
 pub fn fail(kind: Kind) -> Answer {
-    plain(kind.status(), kind)
+    let mut answer = plain(kind.status(), kind);
+    if kind == Kind::UnknownKey {
+        let (name, value) = header::challenge();
+        answer.headers_mut().insert(name, value);
+    }
+    answer
 }
 
 fn plain(status: u16, kind: Kind) -> Answer {
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -5,7 +5,7 @@
 `/metrics`. The log gets a line only when a state changes.
 */
 
-use std::sync::OnceLock;
+use std::{cell::RefCell, collections::BTreeSet, sync::OnceLock};
 
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -101,9 +101,44 @@
     }
 }
 
+/// Accounts that have counters of their own; each takes some hundred bytes
+/// and a line for each outcome.
+const ACCOUNTS_MAX: usize = 256;
+
+/// The label of all accounts beyond those.
+const OTHERS: &str = "others";
+
+thread_local! {
+    static ACCOUNTS: RefCell<BTreeSet<String>> = RefCell::default();
+}
+
+/// Counts a request of an account by its outcome.
+pub fn count_account(account: Option<&str>, outcome: &'static str) {
+    let Some(account) = account else {
+        return;
+    };
+    let account = ACCOUNTS.with_borrow_mut(|known| {
+        let is_known = known.contains(account);
+        if !is_known && known.len() >= ACCOUNTS_MAX {
+            return OTHERS.to_string();
+        }
+        if !is_known {
+            known.insert(account.to_string());
+        }
+        account.to_string()
+    });
+    counter!(
+        "walnutmoor_account_requests_total",
+        "account" => account,
+        "outcome" => outcome,
+    )
+    .increment(1);
+}
+
 /// Takes what a node of the mesh knows into the metrics.
 pub fn mesh(state: &mesh::state::State) {
     let (running, waiting) = state.serve.held();
+    let (dealt, asked) = state.quotas.counts();
     let gauges = [
         ("walnutmoor_running", running),
         ("walnutmoor_queued", waiting),
@@ -111,6 +146,8 @@
         ("walnutmoor_held_bytes", state.held.get()),
         ("walnutmoor_links", state.links().len()),
         ("walnutmoor_suspects", state.suspects()),
+        ("walnutmoor_quotas_dealt", dealt),
+        ("walnutmoor_quotas_asked", asked),
         ("walnutmoor_revision", state.revision().0 as usize),
     ];
     for (name, value) in gauges {
--- a/crates/walnutmoor/tests/adopt.rs
+++ b/crates/walnutmoor/tests/adopt.rs
@@ -30,6 +30,7 @@
         target: Millis(500),
         priority: 0,
         attempts: 1,
+        is_public: false,
         targets: vec![Target { service: "desk".parse().unwrap(), weight: 1 }],
     };
     standin::desired(1, &[route], &[], &Limits::default()).into()
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -49,6 +49,7 @@
         target: Millis(1_000),
         priority: 0,
         attempts: 2,
+        is_public: false,
         targets: services.iter().map(target).collect(),
     }
 }
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 //! of instances, under kills, freezes, outages and instances that misbehave.
 //! Tests wait on conditions; none judges elapsed time.
 
+mod accounts;
 mod desired;
 mod faults;
 mod fixture;
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -42,6 +42,7 @@
             revision: Revision(0),
             load: Load::default(),
             known: Vec::new(),
+            fleet: 0,
         }))
         .await;
         assert!(matches!(end.receive().await, Frame::Hello(_)));
@@ -82,6 +83,7 @@
         id: CallId(id),
         service: "desk".parse().unwrap(),
         caller: "front".parse().unwrap(),
+        account: None,
         attempt: attempt.into(),
         fingerprint: Fingerprint::default(),
         evidence: None,
