--- a/crates/walnutmoor-core/src/quota.rs
+++ b/crates/walnutmoor-core/src/quota.rs
@@ -99,10 +99,10 @@
 const START_PART: f64 = 0.25;
 
 /// The part of the overage of a window that a bucket may hold.
-const DEPTH_PART: f64 = 0.75;
+const DEPTH_PART: f64 = 0.5;
 
 /// The part of the slack that a bucket may hold besides.
-const DEPTH_SLACK_PART: f64 = 0.5;
+const DEPTH_SLACK_PART: f64 = 0.4;
 
 impl Config {
     /// How long a grant may be used.
--- a/crates/walnutmoor-core/src/quota/lease.rs
+++ b/crates/walnutmoor-core/src/quota/lease.rs
@@ -50,6 +50,8 @@
     pub refused: Vec<(CallId, Millis)>,
     /// There is nobody to be asked: see [`Lease::alone`].
     pub alone: Vec<CallId>,
+    /// The node that was asked is not the allocator: see [`Leases::again`].
+    pub elsewhere: bool,
     /// What is to be asked next.
     pub ask: Option<Ask>,
 }
@@ -127,6 +129,14 @@
         ask
     }
 
+    /// Asks once more, if somebody still waits.
+    fn again(&mut self, now: Millis) -> Option<Ask> {
+        let (_, former) = self.asked.filter(|_| !self.waiting.is_empty())?;
+        self.returned = self.returned.saturating_add(former.returned);
+        self.spent = self.spent.saturating_add(former.spent);
+        Some(self.ask(now))
+    }
+
     /// Nobody answers. What was used may not have been heard of; what was
     /// given back may have been.
     fn give_up(&mut self, now: Millis) -> Settled {
@@ -144,7 +154,10 @@
                 self.asked = None;
                 self.settle(now, asked, ask.needed, grant)
             }
-            (Answer::Elsewhere, Some(_)) => self.give_up(now),
+            // Views of the fleet differ for a moment when it changes.
+            (Answer::Elsewhere, Some(_)) => {
+                Settled { elsewhere: true, ..Settled::default() }
+            }
             // It was given up before.
             (_, None) => Settled::default(),
         }
@@ -255,6 +268,12 @@
         self.lease(account).hear(now, answer)
     }
 
+    /// What is to be asked a moment after the answer came from a node that
+    /// was not the allocator.
+    pub fn again(&mut self, now: Millis, account: &Account) -> Option<Ask> {
+        self.lease(account).again(now)
+    }
+
     /// Nobody can be asked, or nobody answers: those that wait decide alone,
     /// as do those that come within a moment.
     pub fn give_up(&mut self, now: Millis, account: &Account) -> Settled {
--- a/crates/walnutmoor-core/tests/fleet/mod.rs
+++ b/crates/walnutmoor-core/tests/fleet/mod.rs
@@ -23,6 +23,9 @@
 /// How long a request waits for an allocator.
 const PATIENCE: Millis = Millis(150);
 
+/// The pause after an answer from a node that is not the allocator.
+const AGAIN: Millis = Millis(40);
+
 /// The pause between looks at the fleet.
 const LOOK: Millis = Millis(125);
 
@@ -49,6 +52,7 @@
     Ask { from: usize, to: usize, account: Account, ask: Ask },
     Answer { to: usize, account: Account, answer: Answer },
     Patience { node: usize, life: u32, id: CallId },
+    Again { node: usize, account: Account },
     Look(usize),
     Tell(usize),
 }
@@ -208,6 +212,7 @@
             Event::Arrive(source) => return self.arrive(*source),
             Event::Ask { to, .. } | Event::Answer { to, .. } => *to,
             Event::Patience { node, .. }
+            | Event::Again { node, .. }
             | Event::Look(node)
             | Event::Tell(node) => *node,
         };
@@ -228,6 +233,13 @@
             Event::Patience { node, life, id } => {
                 self.lose_patience(node, life, id);
             }
+            Event::Again { node, account } => {
+                let now = self.clock(node);
+                let ask = self.nodes[node].leases.again(now, &account);
+                if let Some(ask) = ask {
+                    self.ask(node, &account, ask);
+                }
+            }
             Event::Look(node) => {
                 self.look(node);
                 let next = self.now + LOOK;
@@ -365,6 +377,10 @@
         let now = self.clock(node);
         let settled = self.nodes[node].leases.hear(now, name, answer);
         let next = settled.ask;
+        if settled.elsewhere {
+            let (at, account) = (self.now + AGAIN, name.clone());
+            self.push(at, Event::Again { node, account });
+        }
         self.settle(node, settled);
         if let Some(ask) = next {
             self.ask(node, name, ask);
--- a/crates/walnutmoor-core/tests/quota.rs
+++ b/crates/walnutmoor-core/tests/quota.rs
@@ -15,6 +15,13 @@
 /// Nodes in most replays.
 const NODES: usize = 71;
 
+/// Seeds of drawn trouble; `WALNUTMOOR_FUZZ` multiplies them.
+const SEEDS: u64 = 60;
+
+/// Seeds under which a window once held too much: the bucket was so deep that
+/// two restarts of most nodes, or a cut behind a freeze, dealt it twice.
+const OVER: [u64; 3] = [200, 492, 769];
+
 /// What accounts usually ask for, as a part of their quota.
 const USUAL: f64 = 1.0 / 1.6;
 
@@ -177,9 +184,15 @@
     assert!(refused * 5 < sent, "{refused} of {sent}");
 }
 
+/// How many times as many seeds are to be drawn.
+fn fuzz() -> u64 {
+    let times = std::env::var("WALNUTMOOR_FUZZ");
+    times.ok().and_then(|times| times.parse().ok()).unwrap_or(1)
+}
+
 #[test]
 fn no_drawn_trouble_lets_a_window_hold_more() {
-    for seed in 0..60 {
+    for seed in (0..SEEDS * fuzz()).chain(OVER) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let nodes = rng.random_range(3..90);
         let mut world = World::new(Way::Granted, nodes, with_floods(), seed);
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -278,7 +278,8 @@
     /// account's flood is not taken for demand, and then as load allows.
     async fn carry(&mut self, state: &Rc<State>) -> Result<Answer, Refusal> {
         let account = self.origin.account().cloned();
-        let permit = state.acquire(account.as_deref()).await?;
+        let target = self.route.target;
+        let permit = state.acquire(account.as_deref(), target).await?;
         let request = match admission::admit(state, self) {
             Ok(request) => request,
             Err(refusal) => {
--- a/crates/walnutmoor/src/mesh/quotas.rs
+++ b/crates/walnutmoor/src/mesh/quotas.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use tokio::{sync::oneshot, time::timeout};
+use tokio::{
+    sync::oneshot,
+    time::{sleep, timeout},
+};
 use walnutmoor_core::{
     account::{Account, Directory},
     digest::Map,
@@ -32,6 +35,14 @@
 /// decided here.
 const ANSWER_WITHIN: Duration = Duration::from_millis(150);
 
+/// The pause after an answer from a node that is not the allocator. Views of
+/// the fleet agree again within a look at it.
+const ASK_AGAIN: Duration = Duration::from_millis(40);
+
+/// The longest wait for room, as a part of the route's target. A caller that
+/// is told to come back loses more than that.
+const ROOM_PART: u64 = 8;
+
 /// When a caller may come back that met a node which does not know the fleet
 /// yet; reading the directory takes some tens of milliseconds.
 const RETRY_STARTING: Millis = Millis(300);
@@ -169,17 +180,25 @@
 
 impl State {
     /// Lets a request in under its account's quota; `None` if there is none.
+    /// One that finds room soon waits for it, as its target allows.
     pub(super) async fn acquire(
         self: &Rc<State>,
         account: Option<&Account>,
+        target: Millis,
     ) -> Result<Option<Permit>, Refusal> {
         let Some(account) = account.filter(|a| a.quota.is_some()) else {
             return Ok(None);
         };
-        let verdict = match self.decide(account).await {
-            Verdict::Alone => self.decide_alone(account)?,
-            verdict => verdict,
-        };
+        let mut verdict = self.decide(account).await;
+        if let Verdict::Refuse(room) = verdict
+            && room.0 <= target.0 / ROOM_PART
+        {
+            sleep(Duration::from_millis(room.0)).await;
+            verdict = self.decide(account).await;
+        }
+        if matches!(verdict, Verdict::Alone) {
+            verdict = self.decide_alone(account)?;
+        }
         match verdict {
             Verdict::Refuse(room) => Err(over_quota(room)),
             Verdict::Go | Verdict::Alone => Ok(Some(Permit {
@@ -244,7 +263,7 @@
         }
     }
 
-    fn ask_allocator(&self, account: &id::Account, ask: Ask) {
+    fn ask_allocator(self: &Rc<State>, account: &id::Account, ask: Ask) {
         match self.quotas.place(account) {
             Some(node) if node == self.me => {
                 let answer = self.allot(account, ask);
@@ -283,7 +302,11 @@
     }
 
     /// The allocator of an account has answered.
-    pub(super) fn granted(&self, account: &id::Account, answer: Answer) {
+    pub(super) fn granted(
+        self: &Rc<State>,
+        account: &id::Account,
+        answer: Answer,
+    ) {
         let quotas = &self.quotas;
         let mut leases = quotas.leases.borrow_mut();
         let now = self.now();
@@ -293,6 +316,19 @@
         if let Some(ask) = settled.ask {
             self.ask_allocator(account, ask);
         }
+        if settled.elsewhere {
+            let (state, account) = (self.clone(), account.clone());
+            tokio::task::spawn_local(async move {
+                sleep(ASK_AGAIN).await;
+                let now = state.now();
+                let mut leases = state.quotas.leases.borrow_mut();
+                let ask = leases.again(now, &account);
+                drop(leases);
+                if let Some(ask) = ask {
+                    state.ask_allocator(&account, ask);
+                }
+            });
+        }
     }
 
     /// Follows the nodes that are reached. `paused` tells that this process
