--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -205,7 +205,10 @@
         sleep(COUNT_EVERY).await;
         let serve = &state.serve;
         let (running, waiting) = serve.held();
+        let (alone, denied) = state.quotas.totals();
         let fields = [
+            ("quota_alone", alone.into()),
+            ("quota_denied", denied.into()),
             ("under_way", state.under_way.get().into()),
             ("running", running.into()),
             ("waiting", waiting.into()),
--- a/crates/walnutmoor/src/mesh/quotas.rs
+++ b/crates/walnutmoor/src/mesh/quotas.rs
@@ -48,8 +48,8 @@
 const RETRY_STARTING: Millis = Millis(300);
 
 /// When a caller may come back that met a node without an allocator: another
-/// one is found within this.
-const RETRY_ALONE: Millis = Millis(1_000);
+/// one is mostly found within this.
+const RETRY_ALONE: Millis = Millis(300);
 
 /// What an allocator's word means for one request.
 #[derive(Clone, Copy, Debug)]
@@ -82,6 +82,10 @@
     told: Cell<usize>,
     fleet: Cell<Fleet>,
     last: Cell<u64>,
+    /// Requests that were decided on without an allocator.
+    alone: Cell<u64>,
+    /// Requests that were refused for their quota.
+    denied: Cell<u64>,
 }
 
 impl Quotas {
@@ -97,6 +101,8 @@
             told: Cell::new(0),
             fleet: Cell::default(),
             last: Cell::new(0),
+            alone: Cell::new(0),
+            denied: Cell::new(0),
         }
     }
 
@@ -116,6 +122,12 @@
         self.listed.get().max(self.told.get())
     }
 
+    /// Requests decided on without an allocator, and those that were
+    /// refused, since the start.
+    pub(super) fn totals(&self) -> (u64, u64) {
+        (self.alone.get(), self.denied.get())
+    }
+
     /// Accounts that this node deals, and that it has asked for.
     pub(crate) fn counts(&self) -> (usize, usize) {
         (self.allocator.borrow().len(), self.leases.borrow().len())
@@ -196,11 +208,16 @@
             sleep(Duration::from_millis(room.0)).await;
             verdict = self.decide(account).await;
         }
+        let quotas = &self.quotas;
         if matches!(verdict, Verdict::Alone) {
+            quotas.alone.set(quotas.alone.get() + 1);
             verdict = self.decide_alone(account)?;
         }
         match verdict {
-            Verdict::Refuse(room) => Err(over_quota(room)),
+            Verdict::Refuse(room) => {
+                quotas.denied.set(quotas.denied.get() + 1);
+                Err(over_quota(room))
+            }
             Verdict::Go | Verdict::Alone => Ok(Some(Permit {
                 state: self.clone(),
                 account: account.name.clone(),
