--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -41,8 +41,8 @@
     time::Millis,
 };
 
-/// The part of a request's target that staying in the own zone may cost. With
-/// it a quiet day of 12 nodes carried 0.013 GB between zones.
+/// The part of a request's target that staying in the own zone may cost: bytes
+/// between zones are paid for.
 const STAY: f64 = 0.25;
 
 /// One request in so many goes to the next instance in turn instead of the
