mesh: a line for each era of the store and each desired state passed over

In the incident's logs no line told which revision the store offered, nor that a node had read a desired state and left it, so the hypotheses could not be told apart from logs alone: a node returned without a word where a revision was not larger.

Now a state that is passed over is logged with its revision and version and those in force, unless it is the one in force read once more; and the header by which the store says that it lost what it had acknowledged is decoded (missing, doubled or no number: said once, nothing else changes), each change of it being a line. Counters beside both. No decision changes.

--- a/crates/walnutmoor-core/src/id.rs
+++ b/crates/walnutmoor-core/src/id.rs
@@ -176,6 +176,17 @@
     Revision, "revision"
 }
 
+number! {
+    /// How often the store has come back from an older copy of itself; 0
+    /// where it does not tell.
+    Era, "store era"
+}
+number! {
+    /// The operator's own number of a desired state; grows with each change,
+    /// also over a store that comes back from an older copy.
+    Version, "version"
+}
+
 /// A node, named by the IP address and port on which peers reach it.
 #[derive(
     Clone,
--- a/crates/walnutmoor/src/mesh/desired.rs
+++ b/crates/walnutmoor/src/mesh/desired.rs
@@ -104,18 +104,12 @@
     /// that is: a process never goes back.
     pub fn adopt(&self, revision: Revision, raw: Bytes, source: Source) {
         if revision <= self.revision() {
-            return;
+            return self.note_passed_over(revision, raw);
         }
         let now = self.now();
         let (table, raw) = match read(revision, raw) {
             Ok(read) => read,
-            Err(error) => {
-                metrics::counter!("walnutmoor_desired_refused_total")
-                    .increment(1);
-                let fields = [("why", error.to_string().into())];
-                self.journal.change(now, Event::Fault, &fields);
-                return;
-            }
+            Err(error) => return self.note_unreadable(&error),
         };
         self.audit_keys(now, &table.accounts);
         self.renew_quotas(&table.accounts);
@@ -138,6 +132,35 @@
         }
     }
 
+    fn note_unreadable(&self, error: &Error) {
+        metrics::counter!("walnutmoor_desired_refused_total").increment(1);
+        let fields = [("why", error.to_string().into())];
+        self.journal.change(self.now(), Event::Fault, &fields);
+    }
+
+    /// Logs a desired state that is not put in force as it is no newer, with
+    /// what both are ordered by.
+    fn note_passed_over(&self, revision: Revision, raw: Bytes) {
+        let (table, raw) = match read(revision, raw) {
+            Ok(read) => read,
+            Err(error) => return self.note_unreadable(&error),
+        };
+        // The one in force, read once more.
+        if raw == *self.desired.raw.borrow() {
+            return;
+        }
+        let in_force = self.table().unwrap_or_default();
+        metrics::counter!("walnutmoor_desired_passed_over_total").increment(1);
+        let fields = [
+            ("passed_over", true.into()),
+            ("revision", revision.0.into()),
+            ("version", table.version.into()),
+            ("revision_in_force", in_force.revision.0.into()),
+            ("version_in_force", in_force.version.into()),
+        ];
+        self.journal.change(self.now(), Event::Desired, &fields);
+    }
+
     /// Logs whose keys have changed, never a key.
     fn audit_keys(&self, now: Millis, accounts: &Directory) {
         let former = self.table().unwrap_or_default();
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -57,8 +57,10 @@
     Suspect,
     /// It can be reached again.
     Regained,
-    /// A desired state came into force.
+    /// A desired state came into force, or was passed over.
     Desired,
+    /// The store tells another era.
+    Era,
     /// An account's keys have changed.
     Keys,
     /// A node was found, or is gone.
@@ -96,6 +98,7 @@
         Event::Suspect,
         Event::Regained,
         Event::Desired,
+        Event::Era,
         Event::Keys,
         Event::Directory,
         Event::Instance,
@@ -121,6 +124,7 @@
             Event::Suspect => "suspect",
             Event::Regained => "regained",
             Event::Desired => "desired",
+            Event::Era => "era",
             Event::Keys => "keys",
             Event::Directory => "directory",
             Event::Instance => "instance",
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -30,6 +30,7 @@
     quotas::Quotas,
     serve::Serve,
     settings::Settings,
+    store::Eras,
     suspicion::Suspicion,
 };
 
@@ -80,6 +81,8 @@
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
     /// The desired state.
     pub(super) desired: Desired,
+    /// The era of the store.
+    pub(super) eras: Eras,
     /// Quotas of client accounts.
     pub(crate) quotas: Quotas,
     /// Instances that have left, by the node that told so.
@@ -128,6 +131,7 @@
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
             desired: Desired::default(),
+            eras: Eras::default(),
             quotas: Quotas::new(settings.bounds().quota()),
             departed: RefCell::new(Map::default()),
             longest: RefCell::new(Map::default()),
--- a/crates/walnutmoor/src/mesh/store.rs
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -14,6 +14,7 @@
 
 mod client;
 mod directory;
+mod era;
 mod suspects;
 mod watch;
 
@@ -22,6 +23,8 @@
 use tokio::time::sleep;
 use walnutmoor_core::time::Millis;
 
+pub(super) use era::Eras;
+
 pub use directory::{directory, unregister};
 pub use suspects::{suspects, write_suspects};
 pub use watch::desired;
--- a/crates/walnutmoor/src/mesh/store/client.rs
+++ b/crates/walnutmoor/src/mesh/store/client.rs
@@ -2,7 +2,7 @@
 Calls to the platform's store, one after another on one connection.
 */
 
-use std::{net::SocketAddr, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -14,6 +14,9 @@
 use walnutmoor_core::id::Revision;
 use walnutmoor_platform::store::{self, Kind, Object, Read};
 
+use super::era;
+use crate::mesh::state::State;
+
 /// How long a call may take besides what the store holds it: the store takes
 /// 4 ms, and some hundreds when it is slow.
 pub(super) const CALL_WITHIN: Duration = Duration::from_millis(1_500);
@@ -42,7 +45,7 @@
 
 /// One connection to the store.
 pub(super) struct Client {
-    address: SocketAddr,
+    state: Rc<State>,
     connection: Option<(SendRequest<Full<Bytes>>, AbortHandle)>,
     /// Entries of lists that could not be read.
     pub(super) unreadable: usize,
@@ -55,8 +58,8 @@
 }
 
 impl Client {
-    pub(super) fn new(address: SocketAddr) -> Client {
-        Client { address, connection: None, unreadable: 0 }
+    pub(super) fn new(state: &Rc<State>) -> Client {
+        Client { state: state.clone(), connection: None, unreadable: 0 }
     }
 
     pub(super) fn disconnect(&mut self) {
@@ -88,17 +91,19 @@
             None => true,
         };
         if closed {
-            self.connection = Some(connect(self.address).await?);
+            let address = self.state.settings.store;
+            self.connection = Some(connect(address).await?);
         }
         let (sender, _) = self.connection.as_mut().ok_or(Error::Connect)?;
         sender.ready().await.map_err(|_| Error::Broken)?;
         let mut request = request.map(Full::new);
-        let host = self.address.to_string();
+        let host = self.state.settings.store.to_string();
         if let Ok(host) = host.parse() {
             request.headers_mut().insert(http::header::HOST, host);
         }
         let answer = sender.send_request(request);
         let answer = answer.await.map_err(|_| Error::Broken)?;
+        era::note(&self.state, answer.headers());
         let status = answer.status();
         let body = answer.into_body().collect().await;
         let body = body.map_err(|_| Error::Broken)?.to_bytes();
@@ -149,7 +154,7 @@
 }
 
 async fn connect(
-    address: SocketAddr,
+    address: std::net::SocketAddr,
 ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), Error> {
     let stream = TcpStream::connect(address).await;
     let stream = stream.map_err(|_| Error::Connect)?;
--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -41,7 +41,7 @@
 
 /// Registers this node, and keeps the directory of nodes.
 pub async fn directory(state: Rc<State>) {
-    let mut client = Client::new(state.settings.store);
+    let mut client = Client::new(&state);
     let mut watchman = Watchman::new("directory");
     let mut registered = false;
     // What others have written just before must not be missed the first time.
@@ -136,7 +136,7 @@
 
 /// Removes this node's record: its instance has left for good.
 pub async fn unregister(state: &Rc<State>) {
-    let mut client = Client::new(state.settings.store);
+    let mut client = Client::new(state);
     let request = store::remove(Kind::Node, &name(state));
     if let Err(error) = client.call(request, CALL_WITHIN).await {
         let fields = [("why", error.to_string().into())];
--- a/crates/walnutmoor/src/mesh/store/suspects.rs
+++ b/crates/walnutmoor/src/mesh/store/suspects.rs
@@ -40,7 +40,7 @@
 /// Reads what the store keeps, and watches it where this node is one of those
 /// that watch.
 pub async fn suspects(state: Rc<State>) {
-    let mut client = Client::new(state.settings.store);
+    let mut client = Client::new(&state);
     let mut watchman = Watchman::new("suspects");
     let mut since = None;
     loop {
@@ -108,7 +108,7 @@
 /// Writes what this node has found to the store, and takes away there what
 /// has lapsed.
 pub async fn write_suspects(state: Rc<State>) {
-    let mut client = Client::new(state.settings.store);
+    let mut client = Client::new(&state);
     let mut watchman = Watchman::new("writing suspects");
     loop {
         let done = if let Some(request) = state.suspicion.next_write() {
--- a/crates/walnutmoor/src/mesh/store/watch.rs
+++ b/crates/walnutmoor/src/mesh/store/watch.rs
@@ -28,7 +28,7 @@
 /// Keeps the desired state in force: reads it, and then each change, for as
 /// long as this node is one of those that watch.
 pub async fn desired(state: Rc<State>) {
-    let mut client = Client::new(state.settings.store);
+    let mut client = Client::new(&state);
     let mut watchman = Watchman::new("desired state");
     let mut since = None;
     loop {
