--- a/crates/walnutmoor-standin/src/mesh/store.rs
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -1,5 +1,9 @@
 /*!
 The platform's metadata store: objects with revisions, watches, and outages.
+
+It can be put back to an older copy of itself, as a restore from a backup
+does: what was acknowledged since is gone, revisions are given out again, and
+the era in its answers rises by one.
 */
 
 use std::{
@@ -18,8 +22,12 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::Notify};
-use walnutmoor_core::{id::Revision, time::Millis};
+use walnutmoor_core::{
+    id::{Era, Revision},
+    time::Millis,
+};
 use walnutmoor_platform::{
+    header,
     standin::{self, Call},
     store::Kind,
 };
@@ -33,7 +41,7 @@
     removed: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Data {
     revision: u64,
     /// The oldest revision from which a watch can go on.
@@ -41,17 +49,38 @@
     objects: BTreeMap<(u8, String), Entry>,
 }
 
+/// What a store held at one moment.
+#[derive(Clone, Debug)]
+pub struct Copy(Data);
+
+/// What becomes of watches that wait while the store is restored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Watches {
+    /// Their connections break.
+    Cut,
+    /// They wait on for a change after the revision that they named, which
+    /// may be above the last one.
+    Hang,
+}
+
 /// A store.
 #[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
     data: Mutex<Data>,
+    /// Sent with each answer, unless it is 0.
+    era: AtomicU64,
+    /// Watches of this era and of older ones have lost their connections.
+    cut: AtomicU64,
     changed: Notify,
     down: AtomicBool,
     mute: AtomicBool,
     calls: AtomicU64,
 }
 
+/// The era that a store begins in.
+const FIRST_ERA: u64 = 1;
+
 type Reply = Response<Full<Bytes>>;
 
 impl Store {
@@ -66,6 +95,8 @@
         let store = Arc::new(Store {
             address: listener.local_addr().expect("a bound port"),
             data: Mutex::default(),
+            era: AtomicU64::new(FIRST_ERA),
+            cut: AtomicU64::new(0),
             changed: Notify::new(),
             down: AtomicBool::new(false),
             mute: AtomicBool::new(false),
@@ -105,6 +136,32 @@
         self.changed.notify_waiters();
     }
 
+    /// A copy of what it holds now.
+    pub fn copy(&self) -> Copy {
+        Copy(self.lock().clone())
+    }
+
+    /// Comes back from a copy, in the next era.
+    pub fn restore(&self, copy: &Copy, watches: Watches) {
+        let mut data = self.lock();
+        *data = copy.0.clone();
+        let former = self.era.fetch_add(1, Ordering::Relaxed);
+        if watches == Watches::Cut {
+            self.cut.store(former, Ordering::Relaxed);
+        }
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Tells this era from now on; none for 0.
+    pub fn set_era(&self, era: Era) {
+        self.era.store(era.0, Ordering::Relaxed);
+    }
+
+    fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     /// Writes a desired state, as the operator does.
     pub fn write_desired(&self, spec: &str) -> Revision {
         self.put(Kind::Desired, "main", spec, false)
@@ -190,44 +247,65 @@
         Ok((!changes.is_empty()).then(news))
     }
 
-    async fn watch(&self, kind: Kind, since: Revision, wait: Millis) -> Reply {
+    async fn watch(
+        &self,
+        kind: Kind,
+        since: Revision,
+        wait: Millis,
+    ) -> Result<Reply, Lost> {
         let end = tokio::time::Instant::now() + Duration::from_millis(wait.0);
+        let begun = self.era();
+        if since.0 > self.lock().revision {
+            return Ok(reply(StatusCode::GONE, Vec::new()));
+        }
         loop {
             let changed = self.changed.notified();
+            if begun <= self.cut.load(Ordering::Relaxed) {
+                return Err(Lost);
+            }
             if self.down.load(Ordering::Relaxed) {
-                return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+                let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+                return Ok(reply(unavailable, Vec::new()));
             }
             match self.since(kind, since) {
-                Err(()) => return reply(StatusCode::GONE, Vec::new()),
-                Ok(Some(news)) => return reply(StatusCode::OK, news),
+                Err(()) => return Ok(reply(StatusCode::GONE, Vec::new())),
+                Ok(Some(news)) => return Ok(reply(StatusCode::OK, news)),
                 Ok(None) => {}
             }
             if tokio::time::timeout_at(end, changed).await.is_err() {
                 let now = Revision(self.lock().revision);
-                return reply(StatusCode::OK, standin::news(&[], now));
+                return Ok(reply(StatusCode::OK, standin::news(&[], now)));
             }
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Reply {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Lost> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         if self.down.load(Ordering::Relaxed) {
-            return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+            return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
         }
         let (head, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
-            return reply(StatusCode::BAD_REQUEST, Vec::new());
+            return Ok(reply(StatusCode::BAD_REQUEST, Vec::new()));
         };
         let body = body.to_bytes().to_vec();
         let Some(call) = standin::decode(&Request::from_parts(head, body))
         else {
-            return reply(StatusCode::NOT_FOUND, Vec::new());
+            return Ok(reply(StatusCode::NOT_FOUND, Vec::new()));
         };
         match call {
-            Call::List(kind) => reply(StatusCode::OK, self.list(kind)),
             Call::Watch { kind, since, wait } => {
                 self.watch(kind, since, wait).await
             }
+            call => Ok(self.change(call)),
+        }
+    }
+
+    /// Answers a call that does not wait.
+    fn change(&self, call: Call) -> Reply {
+        match call {
+            Call::Watch { .. } => reply(StatusCode::NOT_FOUND, Vec::new()),
+            Call::List(kind) => reply(StatusCode::OK, self.list(kind)),
             Call::Create { kind, name, spec } => {
                 if self.revision(kind, &name).is_some() {
                     return reply(StatusCode::CONFLICT, Vec::new());
@@ -264,11 +342,14 @@
 impl Store {
     /// Answers a call, or breaks the connection after it.
     async fn serve(&self, request: Request<Incoming>) -> Result<Reply, Lost> {
-        let reply = self.answer(request).await;
-        match self.mute.load(Ordering::Relaxed) {
-            true => Err(Lost),
-            false => Ok(reply),
+        let mut reply = self.answer(request).await?;
+        if self.mute.load(Ordering::Relaxed) {
+            return Err(Lost);
+        }
+        if let era @ 1.. = self.era() {
+            reply.headers_mut().insert(header::ERA, era.into());
         }
+        Ok(reply)
     }
 }
 
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod path;
 mod pipeline;
 mod poison;
+mod restore;
 mod resume;
 mod sight;
 mod watching;
--- /dev/null
+++ b/crates/walnutmoor/tests/mesh/restore.rs
@@ -0,0 +1,63 @@
+//! The store comes back from an older copy of itself.
+//!
+//! It had been away for two seconds, and three changes that the operator wrote
+//! after that were acknowledged and never in force. Their revisions had been
+//! given out before, to desired states that the nodes had seen, and a node took
+//! whatever had no larger revision for older. Requests went on by the former
+//! routes until a fourth change came at the first revision that was new. The
+//! lines of a node that watched:
+//!
+//! ```text
+//! "event":"desired","revision":7,"source":"store","version":7
+//! "event":"era","from":1,"to":2
+//! "event":"desired","passed_over":true,"revision":6,"revision_in_force":7,
+//!     "version":9,"version_in_force":7
+//! ```
+
+use walnutmoor_core::table::{Effect, Route};
+use walnutmoor_standin::mesh::store::Watches;
+
+use crate::fixture::{World, desired, route, routes, run};
+
+/// The routes of a version: each has one that no other has.
+fn routes_of(version: u64) -> Vec<Route> {
+    let name = format!("search{version}");
+    let mut all = routes();
+    all.push(route(&name, Effect::Idempotent, &[("desk", 1)]));
+    all
+}
+
+/// Writes a version of the desired state, as the operator does.
+fn write(world: &World, version: u64) {
+    let spec = desired(version, &routes_of(version));
+    world.store.write_desired(&spec);
+}
+
+/// Waits until a version is in force at all nodes.
+async fn in_force(world: &World, version: u64) {
+    let name = format!("search{version}");
+    for index in 0..world.pairs.len() {
+        let attempt = format!("of-{version}-at-{index}");
+        world.served(index, &name, &attempt).await;
+    }
+}
+
+#[test]
+fn a_change_after_a_restore_is_in_force_everywhere() {
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        let copy = world.store.copy();
+        for version in [2, 5, 7] {
+            write(&world, version);
+            in_force(&world, version).await;
+        }
+
+        world.store.set_down(true);
+        world.store.restore(&copy, Watches::Cut);
+        world.store.set_down(false);
+        write(&world, 7);
+        write(&world, 9);
+
+        in_force(&world, 9).await;
+    });
+}
