desired state: ordered by the operator's version, not by the store's revision

Callers saw requests handled by an older version for 4.3 s after a newer one had been acknowledged, on all twelve nodes.

Cause: a node ordered desired states by the store's revision. The store came back from a copy some seconds old and gave revisions out again, so versions 19, 21 and 24 had revisions 18 to 20, at or below the 20 that was in force for version 17, and were left. Version 27 at revision 21 ended it by chance. Ruled out: a watch that brought nothing, and a state that could not be read.

Now core `edition` orders by the operator's version first, which grows whatever the store loses, and by era and revision only among writes of one version. Nodes tell each other editions; a state that is written again unchanged renews only its stamp. Frames have a number since, so that nodes of the former form refuse each other in place of misreading.

Why it works: the order is total and does not use a number that a restore can take back.

The test that an equal revision changes nothing now has the same version in both states, and others of its strictness stand beside it; a revision that is larger with a smaller version is no newer any more.

--- a/crates/walnutmoor-core/src/catch_up.rs
+++ b/crates/walnutmoor-core/src/catch_up.rs
@@ -13,21 +13,24 @@
 # Example
 
 ```
-use walnutmoor_core::{catch_up::*, prelude::*};
+use walnutmoor_core::{
+    catch_up::*, edition::Edition, id::Version, prelude::*,
+};
 
+let edition = |version| Edition {
+    version: Version(version),
+    ..Edition::default()
+};
 let id = |port| NodeId(([127, 0, 0, 1], port).into());
 let mut catch_up = CatchUp::new();
-catch_up.told(Millis(0), Revision(7), id(1));
-catch_up.told(Millis(0), Revision(7), id(2));
-assert_eq!(catch_up.ask(Millis(0), Revision(6), false), Some(id(2)));
-assert_eq!(catch_up.ask(Millis(1), Revision(6), false), None);
+catch_up.told(Millis(0), edition(7), id(1));
+catch_up.told(Millis(0), edition(7), id(2));
+assert_eq!(catch_up.ask(Millis(0), edition(6), false), Some(id(2)));
+assert_eq!(catch_up.ask(Millis(1), edition(6), false), None);
 ```
 */
 
-use crate::{
-    id::{NodeId, Revision},
-    time::Millis,
-};
+use crate::{edition::Edition, id::NodeId, time::Millis};
 
 /// How long a node that watches waits for its own watch, and how long any node
 /// waits for the peer that it asked. A watch brings a change within some
@@ -37,7 +40,7 @@
 /// A desired state that peers have told of.
 #[derive(Clone, Copy, Debug)]
 struct News {
-    revision: Revision,
+    edition: Edition,
     /// When it was first told of, or last asked for.
     since: Millis,
     /// Who told last.
@@ -57,32 +60,32 @@
         CatchUp::default()
     }
 
-    /// A peer has told that it has this revision.
-    pub fn told(&mut self, now: Millis, revision: Revision, peer: NodeId) {
+    /// A peer has told that it has this one.
+    pub fn told(&mut self, now: Millis, edition: Edition, peer: NodeId) {
         match &mut self.news {
-            Some(news) if news.revision >= revision => news.peer = peer,
+            Some(news) if news.edition >= edition => news.peer = peer,
             _ => {
                 let is_asked = false;
                 let since = now;
-                self.news = Some(News { revision, since, peer, is_asked });
+                self.news = Some(News { edition, since, peer, is_asked });
             }
         }
     }
 
-    /// The peer to be asked now, if any, by a node that has this revision;
+    /// The peer to be asked now, if any, by a node that has this one;
     /// `watches` tells whether it watches the store itself. Counts as asked.
     pub fn ask(
         &mut self,
         now: Millis,
-        own: Revision,
+        own: Edition,
         watches: bool,
     ) -> Option<NodeId> {
         let news = self.news.as_mut()?;
-        if news.revision <= own {
+        if news.edition <= own {
             self.news = None;
             return None;
         }
-        let hears = watches && own > Revision(0);
+        let hears = watches && !own.is_none();
         let waits = news.is_asked || hears;
         if waits && now.since(news.since) < PATIENCE {
             return None;
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod demand;
 pub mod digest;
 pub mod directory;
+pub mod edition;
 pub mod error;
 pub mod footprint;
 pub mod gate;
--- a/crates/walnutmoor-core/src/table.rs
+++ b/crates/walnutmoor-core/src/table.rs
@@ -9,9 +9,9 @@
 # Example
 
 ```
-use walnutmoor_core::{prelude::*, table::*};
+use walnutmoor_core::{id::Version, prelude::*, table::*};
 
-let mut table = Table::new(Revision(1), 7);
+let mut table = Table::new(Version(7));
 table.push(Route {
     name: "search".into(),
     host: "parts.example".into(),
@@ -37,7 +37,7 @@
 use crate::{
     account,
     digest::{self, Map},
-    id::{Revision, Service},
+    id::{Service, Version},
     time::Millis,
 };
 
@@ -119,13 +119,11 @@
     }
 }
 
-/// All routes of one revision.
+/// All routes of one desired state.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    /// The store's number for it; grows with each change.
-    pub revision: Revision,
     /// The operator's number for it.
-    pub version: u64,
+    pub version: Version,
     /// Limits on callers.
     pub limits: Limits,
     /// Client accounts; none if everybody may call.
@@ -136,8 +134,8 @@
 
 impl Table {
     /// A table without routes.
-    pub fn new(revision: Revision, version: u64) -> Table {
-        Table { revision, version, ..Table::default() }
+    pub fn new(version: Version) -> Table {
+        Table { version, ..Table::default() }
     }
 
     /// Adds a route. Those of a host are kept longest prefix first, so that
--- a/crates/walnutmoor-core/tests/catch_up.rs
+++ b/crates/walnutmoor-core/tests/catch_up.rs
@@ -2,7 +2,8 @@
 
 use walnutmoor_core::{
     catch_up::CatchUp,
-    id::{NodeId, Revision},
+    edition::{Edition, Stamp},
+    id::{Era, NodeId, Revision, Version},
     time::Millis,
 };
 
@@ -10,13 +11,19 @@
     NodeId(([127, 0, 0, 1], port).into())
 }
 
-const NONE: Revision = Revision(0);
-const OLD: Revision = Revision(6);
-const NEW: Revision = Revision(7);
+const NONE: Edition = edition(0, 0);
+const OLDEST: Edition = edition(5, 5);
+const OLD: Edition = edition(6, 6);
+const NEW: Edition = edition(7, 7);
+
+const fn edition(version: u64, revision: u64) -> Edition {
+    let (era, revision) = (Era(0), Revision(revision));
+    Edition { version: Version(version), stamp: Stamp { era, revision } }
+}
 
 /// How often a node asks that is told by so many peers within a moment, each
 /// after it was told.
-fn asks(peers: u16, own: Revision, watches: bool) -> usize {
+fn asks(peers: u16, own: Edition, watches: bool) -> usize {
     let mut catch_up = CatchUp::new();
     let mut count = 0;
     for peer in 1..=peers {
@@ -72,9 +79,9 @@
 fn a_newer_one_is_asked_for_at_once_though_an_older_one_was() {
     let mut catch_up = CatchUp::new();
     catch_up.told(Millis(0), OLD, id(1));
-    assert!(catch_up.ask(Millis(0), Revision(5), false).is_some());
+    assert!(catch_up.ask(Millis(0), OLDEST, false).is_some());
 
     catch_up.told(Millis(1), NEW, id(2));
 
-    assert_eq!(catch_up.ask(Millis(1), Revision(5), false), Some(id(2)));
+    assert_eq!(catch_up.ask(Millis(1), OLDEST, false), Some(id(2)));
 }
--- a/crates/walnutmoor-core/tests/table.rs
+++ b/crates/walnutmoor-core/tests/table.rs
@@ -1,7 +1,7 @@
 //! Routes and splits.
 
 use walnutmoor_core::{
-    id::Revision,
+    id::Version,
     table::{Effect, Route, Splitter, Table, Target},
     time::Millis,
 };
@@ -26,7 +26,7 @@
 }
 
 fn table(prefixes: &[&str]) -> Table {
-    let mut table = Table::new(Revision(1), 1);
+    let mut table = Table::new(Version(1));
     for prefix in prefixes {
         table.push(route(prefix, prefix, &[("desk", 1)]));
     }
--- a/crates/walnutmoor/src/mesh/desired.rs
+++ b/crates/walnutmoor/src/mesh/desired.rs
@@ -3,7 +3,7 @@
 
 A node that watches the store has it from there and tells all others. The
 others ask a peer that told them for it. A process never goes back to an older
-one.
+one, by the order of `walnutmoor_core::edition`.
 */
 
 use std::{
@@ -15,7 +15,8 @@
 use walnutmoor_core::{
     account::Directory,
     catch_up::CatchUp,
-    id::{NodeId, Revision},
+    edition::{Edition, Stamp},
+    id::NodeId,
     table::Table,
     time::Millis,
     watcher,
@@ -50,6 +51,7 @@
 #[derive(Debug)]
 pub(super) struct Desired {
     table: RefCell<Option<Rc<Table>>>,
+    edition: Cell<Edition>,
     raw: RefCell<Bytes>,
     catch_up: RefCell<CatchUp>,
     /// Whether this node watches the desired state at the store.
@@ -63,6 +65,7 @@
     fn default() -> Desired {
         Desired {
             table: RefCell::new(None),
+            edition: Cell::default(),
             raw: RefCell::new(Bytes::new()),
             catch_up: RefCell::new(CatchUp::new()),
             watches: Cell::new(true),
@@ -73,8 +76,8 @@
 
 /// Reads a desired state. What is kept of it and told to others has digests
 /// in the place of keys.
-fn read(revision: Revision, raw: Bytes) -> Result<(Table, Bytes), Error> {
-    let table = desired::decode(revision, &raw)?;
+fn read(raw: Bytes) -> Result<(Table, Bytes), Error> {
+    let table = desired::decode(&raw)?;
     let raw = match table.accounts.is_empty() {
         true => raw,
         false => desired::seal(&raw)?.into(),
@@ -88,81 +91,95 @@
         self.desired.table.borrow().clone()
     }
 
-    /// The revision in force; 0 before the first.
-    pub fn revision(&self) -> Revision {
-        let table = self.desired.table.borrow();
-        table.as_ref().map_or(Revision(0), |table| table.revision)
+    /// The edition in force.
+    pub fn edition(&self) -> Edition {
+        self.desired.edition.get()
     }
 
     /// The desired state as the store holds it, for peers that lack it.
     pub fn desired(&self) -> Option<Frame> {
         let raw = self.desired.raw.borrow().clone();
-        (!raw.is_empty()).then(|| Frame::Desired(self.revision(), raw))
+        (!raw.is_empty()).then(|| Frame::Desired(self.edition().stamp, raw))
     }
 
     /// Puts a desired state in force, unless it is no newer than the one
     /// that is: a process never goes back.
-    pub fn adopt(&self, revision: Revision, raw: Bytes, source: Source) {
-        if revision <= self.revision() {
-            return self.note_passed_over(revision, raw);
+    pub fn adopt(&self, stamp: Stamp, raw: Bytes, source: Source) {
+        // A restored store gives revisions out again, so they don't tell by
+        // themselves which of two states is newer.
+        let offered = match desired::version(&raw) {
+            Ok(version) => Edition { version, stamp },
+            Err(error) => return self.note_unreadable(&error),
+        };
+        if offered <= self.edition() {
+            return self.note_passed_over(offered);
         }
-        let now = self.now();
-        let (table, raw) = match read(revision, raw) {
+        let (table, raw) = match read(raw) {
             Ok(read) => read,
             Err(error) => return self.note_unreadable(&error),
         };
-        self.audit_keys(now, &table.accounts);
-        self.renew_quotas(&table.accounts);
-        let fields = [
-            ("revision", revision.0.into()),
-            ("version", table.version.into()),
-            ("routes", table.routes().count().into()),
-            ("source", source.as_str().into()),
-        ];
-        self.journal.change(now, Event::Desired, &fields);
-        *self.desired.table.borrow_mut() = Some(Rc::new(table));
-        *self.desired.raw.borrow_mut() = raw;
-        self.splitter.borrow_mut().reset();
+        self.desired.edition.set(offered);
+        self.note_adopted(offered, &table, source);
+        // The operator wrote the same again, as a restored store had lost it.
+        if *self.desired.raw.borrow() != raw {
+            self.put_in_force(table, raw);
+        }
         // Those that watch tell all others. If the others told all in turn,
         // a change would cost the square of the fleet.
         if source == Source::Store || self.desired.watches.get() {
             for link in self.links() {
-                link.send(Frame::Ping(revision));
+                link.send(Frame::Ping(offered));
             }
         }
     }
 
+    fn put_in_force(&self, table: Table, raw: Bytes) {
+        self.audit_keys(&table.accounts);
+        self.renew_quotas(&table.accounts);
+        *self.desired.table.borrow_mut() = Some(Rc::new(table));
+        *self.desired.raw.borrow_mut() = raw;
+        self.splitter.borrow_mut().reset();
+    }
+
+    fn note_adopted(&self, edition: Edition, table: &Table, source: Source) {
+        let fields = [
+            ("era", edition.stamp.era.0.into()),
+            ("revision", edition.stamp.revision.0.into()),
+            ("version", edition.version.0.into()),
+            ("routes", table.routes().count().into()),
+            ("source", source.as_str().into()),
+        ];
+        self.journal.change(self.now(), Event::Desired, &fields);
+    }
+
     fn note_unreadable(&self, error: &Error) {
         metrics::counter!("walnutmoor_desired_refused_total").increment(1);
         let fields = [("why", error.to_string().into())];
         self.journal.change(self.now(), Event::Fault, &fields);
     }
 
-    /// Logs a desired state that is not put in force as it is no newer, with
+    /// Logs a desired state that is not put in force as it is older, with
     /// what both are ordered by.
-    fn note_passed_over(&self, revision: Revision, raw: Bytes) {
-        let (table, raw) = match read(revision, raw) {
-            Ok(read) => read,
-            Err(error) => return self.note_unreadable(&error),
-        };
-        // The one in force, read once more.
-        if raw == *self.desired.raw.borrow() {
+    fn note_passed_over(&self, offered: Edition) {
+        let in_force = self.edition();
+        if offered.version == in_force.version {
             return;
         }
-        let in_force = self.table().unwrap_or_default();
         metrics::counter!("walnutmoor_desired_passed_over_total").increment(1);
         let fields = [
             ("passed_over", true.into()),
-            ("revision", revision.0.into()),
-            ("version", table.version.into()),
-            ("revision_in_force", in_force.revision.0.into()),
-            ("version_in_force", in_force.version.into()),
+            ("era", offered.stamp.era.0.into()),
+            ("revision", offered.stamp.revision.0.into()),
+            ("version", offered.version.0.into()),
+            ("era_in_force", in_force.stamp.era.0.into()),
+            ("revision_in_force", in_force.stamp.revision.0.into()),
+            ("version_in_force", in_force.version.0.into()),
         ];
         self.journal.change(self.now(), Event::Desired, &fields);
     }
 
     /// Logs whose keys have changed, never a key.
-    fn audit_keys(&self, now: Millis, accounts: &Directory) {
+    fn audit_keys(&self, accounts: &Directory) {
         let former = self.table().unwrap_or_default();
         // The first ones are all new.
         if former.accounts.is_empty() {
@@ -174,24 +191,24 @@
                 ("keys_added", change.added.into()),
                 ("keys_removed", change.removed.into()),
             ];
-            self.journal.change(now, Event::Keys, &fields);
+            self.journal.change(self.now(), Event::Keys, &fields);
         }
     }
 
     /// True if there is a newer desired state than the own one.
-    pub fn is_behind(&self, revision: Revision) -> bool {
-        revision > self.revision()
+    pub fn is_behind(&self, edition: Edition) -> bool {
+        edition > self.edition()
     }
 
-    /// A peer has told which revision it has.
-    pub fn told(&self, revision: Revision, peer: NodeId) {
-        if !self.is_behind(revision) {
+    /// A peer has told which edition it has.
+    pub fn told(&self, edition: Edition, peer: NodeId) {
+        if !self.is_behind(edition) {
             return;
         }
         let now = self.now();
-        self.desired.catch_up.borrow_mut().told(now, revision, peer);
+        self.desired.catch_up.borrow_mut().told(now, edition, peer);
         // A node without any desired state serves nobody: no time to lose.
-        if self.revision() == Revision(0) {
+        if self.edition().is_none() {
             self.catch_up();
         }
     }
@@ -200,7 +217,7 @@
     pub fn catch_up(&self) {
         let watches = self.desired.watches.get();
         let mut catch_up = self.desired.catch_up.borrow_mut();
-        let peer = catch_up.ask(self.now(), self.revision(), watches);
+        let peer = catch_up.ask(self.now(), self.edition(), watches);
         if let Some(link) = peer.and_then(|peer| self.link(peer)) {
             link.send(Frame::Fetch);
         }
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -34,9 +34,10 @@
 };
 use walnutmoor_core::{
     bulkhead::Load,
+    edition::{Edition, Stamp},
     error::Kind,
     footprint::Footprint,
-    id::{Account, CallId, Incarnation, NodeId, Revision, Service, Zone},
+    id::{Account, CallId, Incarnation, NodeId, Service, Zone},
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
     quota::{self, Ask},
@@ -65,14 +66,14 @@
     /// What became of a call.
     Answer(CallId, Reply, Load),
     /// Are you there? Carries the desired state that the sender has.
-    Ping(Revision),
+    Ping(Edition),
     /// I am. Carries the same, whether the sender reaches the store, and the
     /// load.
-    Pong(Revision, bool, Load),
+    Pong(Edition, bool, Load),
     /// Send me your desired state.
     Fetch,
-    /// The desired state, as the store holds it.
-    Desired(Revision, Bytes),
+    /// The desired state, as the store holds it, with the store's number.
+    Desired(Stamp, Bytes),
     /// Requests under which instances have ended, and those that were found
     /// innocent.
     Evidence(Vec<Evidence>),
@@ -86,9 +87,16 @@
     Former(Vec<Lifetime>),
 }
 
+/// The number of the frames' form, one more for each change that a node of
+/// the former one would misread. Such nodes don't link to each other. The first
+/// frames had no number, and a reader of them takes this one for no address.
+pub const PROTOCOL: u32 = 2;
+
 /// Who speaks.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Hello {
+    /// The form of its frames; [`PROTOCOL`].
+    pub protocol: u32,
     /// Where it listens for links.
     pub node: NodeId,
     /// Its life.
@@ -98,7 +106,7 @@
     /// The service of the instance beside it.
     pub service: Service,
     /// The desired state that it has.
-    pub revision: Revision,
+    pub edition: Edition,
     /// The load of its instance.
     pub load: Load,
     /// Some other nodes that it knows.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -407,7 +407,8 @@
             ("let_in", let_in.into()),
             ("demand", demand.into()),
             ("repeats_spent", spent.into()),
-            ("revision", state.revision().0.into()),
+            ("version", state.edition().version.0.into()),
+            ("revision", state.edition().stamp.revision.0.into()),
         ];
         let id = &stay.attempt;
         state.journal.request(now, Event::Refused, id, &fields);
@@ -463,7 +464,8 @@
             ("route", route.name.as_str().into()),
             ("account", stay.account().into()),
             ("service", request.service.as_str().into()),
-            ("revision", state.revision().0.into()),
+            ("version", state.edition().version.0.into()),
+            ("revision", state.edition().stamp.revision.0.into()),
             ("after_ms", after.0.into()),
             ("left_ms", request.deadline.since(now).0.into()),
         ];
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -93,6 +93,9 @@
     zone: RefCell<Option<Zone>>,
     /// Whether the other node reaches the store, as far as it has told.
     is_able: Cell<bool>,
+    /// Whether it was logged that the other node speaks another form of
+    /// frames.
+    foreign: Cell<bool>,
     broken: Notify,
     task: RefCell<Option<AbortHandle>>,
 }
@@ -112,6 +115,7 @@
             rank: watcher::Rank::of(node),
             zone: RefCell::new(None),
             is_able: Cell::new(true),
+            foreign: Cell::new(false),
             broken: Notify::new(),
             task: RefCell::new(None),
         });
@@ -219,7 +223,7 @@
 
     fn ping(&self, state: &State, first: Millis, now: Millis) {
         self.unanswered.set(Some((first, now)));
-        self.send(Frame::Ping(state.revision()));
+        self.send(Frame::Ping(state.edition()));
     }
 
     /// Sends nothing new here until something is heard.
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -19,7 +19,7 @@
 use super::Link;
 use crate::mesh::{
     desired::Source,
-    frame::{self, Frame, Hello},
+    frame::{self, Frame, Hello, PROTOCOL},
     journal::Event,
     state::State,
     suspicion::PEER,
@@ -71,9 +71,13 @@
     bytes.clear();
     loop {
         match frame::decode(&mut bytes).map_err(io::Error::other)? {
-            Some(Frame::Hello(hello)) => {
+            Some(Frame::Hello(hello)) if hello.protocol == PROTOCOL => {
                 return Ok(((read, write, bytes), hello));
             }
+            Some(Frame::Hello(hello)) => {
+                note_foreign(state, link, hello.protocol);
+                return Err(io::ErrorKind::Unsupported.into());
+            }
             Some(_) => return Err(io::ErrorKind::InvalidData.into()),
             None => {}
         }
@@ -83,6 +87,15 @@
     }
 }
 
+/// Logs once that a node speaks another form of frames.
+fn note_foreign(state: &State, link: &Link, protocol: u32) {
+    if link.foreign.replace(true) {
+        return;
+    }
+    let why = format!("{} speaks protocol {protocol}", link.node);
+    state.journal.change(state.now(), Event::Fault, &[("why", why.into())]);
+}
+
 fn begin(state: &Rc<State>, link: &Rc<Link>, hello: &Hello) {
     let now = state.now();
     if link.life.replace(Some(hello.life)) != Some(hello.life) {
@@ -150,7 +163,7 @@
     if let Some(evidence) = state.known_evidence() {
         let _ = out.send(evidence);
     }
-    let _ = out.send(Frame::Ping(state.revision()));
+    let _ = out.send(Frame::Ping(state.edition()));
     *link.out.borrow_mut() = Some(out);
     tokio::select! {
         end = receive(state, link, read, bytes) => match end {
@@ -217,13 +230,13 @@
             state.report(link.node, load);
             link.settle(id, reply);
         }
-        Frame::Pong(revision, able, load) => {
+        Frame::Pong(edition, able, load) => {
             link.is_able.set(able);
             state.report(link.node, load);
-            state.told(revision, link.node);
+            state.told(edition, link.node);
         }
-        Frame::Desired(revision, raw) => {
-            state.adopt(revision, raw, Source::Peer);
+        Frame::Desired(stamp, raw) => {
+            state.adopt(stamp, raw, Source::Peer);
         }
         Frame::Evidence(told) => state.hear(&told, PEER),
         Frame::Granted(account, answer) => state.granted(&account, answer),
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -31,7 +31,7 @@
 };
 
 use super::{
-    frame::{self, Frame, Hello, Reply},
+    frame::{self, Frame, Hello, PROTOCOL, Reply},
     journal::Event,
     link::transmit,
     serve::Sink,
@@ -199,7 +199,9 @@
 ) -> io::Result<Hello> {
     loop {
         match frame::decode(bytes).map_err(io::Error::other)? {
-            Some(Frame::Hello(hello)) => return Ok(hello),
+            Some(Frame::Hello(hello)) if hello.protocol == PROTOCOL => {
+                return Ok(hello);
+            }
             Some(_) => return Err(io::ErrorKind::InvalidData.into()),
             None => {}
         }
@@ -260,11 +262,11 @@
                 }
             }
         }
-        Frame::Ping(revision) => {
+        Frame::Ping(edition) => {
             let load = state.serve.load(state.now());
             let able = state.is_able();
-            session.send(Frame::Pong(state.revision(), able, load));
-            state.told(revision, hello.node);
+            session.send(Frame::Pong(state.edition(), able, load));
+            state.told(edition, hello.node);
         }
         Frame::Ask(account, ask) => {
             let answer = state.allot(&account, ask);
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -23,7 +23,7 @@
 
 use super::{
     desired::Desired,
-    frame::{Frame, Hello},
+    frame::{Frame, Hello, PROTOCOL},
     journal::{Event, Journal},
     link::Link,
     peer::Session,
@@ -190,7 +190,7 @@
         self.report(self.me, load);
         for session in self.sessions.borrow().values() {
             let able = self.is_able();
-            session.send(Frame::Pong(self.revision(), able, load));
+            session.send(Frame::Pong(self.edition(), able, load));
         }
     }
 
@@ -225,11 +225,12 @@
     /// What this node says of itself on a new link.
     pub fn hello(&self) -> Hello {
         Hello {
+            protocol: PROTOCOL,
             node: self.me,
             life: self.life,
             zone: self.settings.zone.clone(),
             service: self.settings.service.clone(),
-            revision: self.revision(),
+            edition: self.edition(),
             load: self.serve.load(self.now()),
             known: self.some_known(),
             fleet: self.quotas.known(),
--- a/crates/walnutmoor/src/mesh/store/client.rs
+++ b/crates/walnutmoor/src/mesh/store/client.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
-use walnutmoor_core::id::Revision;
+use walnutmoor_core::{edition::Stamp, id::Era};
 use walnutmoor_platform::store::{self, Kind, Object, Read};
 
 use super::era;
@@ -43,6 +43,13 @@
     Body(#[from] walnutmoor_platform::Error),
 }
 
+/// An answer of the store.
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) era: Era,
+    pub(super) body: Bytes,
+}
+
 /// One connection to the store.
 pub(super) struct Client {
     state: Rc<State>,
@@ -72,7 +79,7 @@
         &mut self,
         request: Request<Bytes>,
         within: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    ) -> Result<Answer, Error> {
         let result = timeout(within, self.exchange(request)).await;
         let result = result.unwrap_or(Err(Error::Late));
         if result.is_err() {
@@ -85,7 +92,7 @@
     async fn exchange(
         &mut self,
         request: Request<Bytes>,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    ) -> Result<Answer, Error> {
         let closed = match &self.connection {
             Some((sender, _)) => sender.is_closed(),
             None => true,
@@ -103,18 +110,18 @@
         }
         let answer = sender.send_request(request);
         let answer = answer.await.map_err(|_| Error::Broken)?;
-        era::note(&self.state, answer.headers());
+        let era = era::note(&self.state, answer.headers());
         let status = answer.status();
         let body = answer.into_body().collect().await;
         let body = body.map_err(|_| Error::Broken)?.to_bytes();
-        Ok((status, body))
+        Ok(Answer { status, era, body })
     }
 
     pub(super) async fn read(
         &mut self,
         kind: Kind,
         read: &Read,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<Answer, Error> {
         let within = match read {
             Read::List { .. } => CALL_WITHIN,
             Read::Watch { wait, .. } => {
@@ -122,9 +129,9 @@
             }
         };
         let request = store::request(kind, read);
-        let (status, body) = self.call(request, within).await?;
-        match status {
-            StatusCode::OK => Ok(body),
+        let answer = self.call(request, within).await?;
+        match answer.status {
+            StatusCode::OK => Ok(answer),
             other => Err(Error::Status(other.as_u16())),
         }
     }
@@ -133,21 +140,24 @@
         &mut self,
         kind: Kind,
         stale: bool,
-    ) -> Result<(Vec<Object>, Revision), Error> {
+    ) -> Result<(Vec<Object>, Stamp), Error> {
         let mut objects = Vec::new();
         let mut first = None;
         loop {
             let last = objects.last().map(|o: &Object| o.name.clone());
             let after = last.unwrap_or_default();
             let read = Read::List { after, stale };
-            let page = store::page(&self.read(kind, &read).await?)?;
+            let answer = self.read(kind, &read).await?;
+            let page = store::page(&answer.body)?;
             // A watch goes on from the first page, so that no change
             // between two pages is missed.
-            let revision = *first.get_or_insert(page.revision);
+            let revision = page.revision;
+            let stamp = Stamp { era: answer.era, revision };
+            let first = *first.get_or_insert(stamp);
             self.unreadable += page.unreadable;
             objects.extend(page.objects);
             if !page.more {
-                return Ok((objects, revision));
+                return Ok((objects, first));
             }
         }
     }
--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -16,7 +16,7 @@
 
 use super::{
     PAUSE_MAX, Watchman,
-    client::{CALL_WITHIN, Client, Error},
+    client::{Answer, CALL_WITHIN, Client, Error},
 };
 use crate::mesh::{
     journal::Event,
@@ -120,13 +120,14 @@
     let name = name(state);
     let create = store::create(Kind::Node, &name, &record);
     let mut result = client.call(create, CALL_WITHIN).await;
-    if matches!(result, Ok((StatusCode::CONFLICT, _))) {
+    let is_there = |answer: &Answer| answer.status == StatusCode::CONFLICT;
+    if result.as_ref().is_ok_and(is_there) {
         let replace = store::replace(Kind::Node, &name, &record);
         result = client.call(replace, CALL_WITHIN).await;
     }
     let error = match result {
-        Ok((status, _)) if status.is_success() => return true,
-        Ok((status, _)) => Error::Status(status.as_u16()),
+        Ok(answer) if answer.status.is_success() => return true,
+        Ok(answer) => Error::Status(answer.status.as_u16()),
         Err(error) => error,
     };
     let why = format!("registration: {error}");
--- a/crates/walnutmoor/src/mesh/store/era.rs
+++ b/crates/walnutmoor/src/mesh/store/era.rs
@@ -21,12 +21,18 @@
     unreadable: RefCell<Option<String>>,
 }
 
-/// Notes the era of an answer.
-pub(super) fn note(state: &State, headers: &HeaderMap) {
+/// Notes the era of an answer, and tells it; 0 if the answer tells none.
+pub(super) fn note(state: &State, headers: &HeaderMap) -> Era {
     match header::era(headers) {
-        Ok(Some(era)) => note_era(state, era),
-        Ok(None) => {}
-        Err(error) => note_unreadable(state, error.to_string()),
+        Ok(Some(era)) => {
+            note_era(state, era);
+            era
+        }
+        Ok(None) => Era::default(),
+        Err(error) => {
+            note_unreadable(state, error.to_string());
+            Era::default()
+        }
     }
 }
 
--- a/crates/walnutmoor/src/mesh/store/suspects.rs
+++ b/crates/walnutmoor/src/mesh/store/suspects.rs
@@ -13,7 +13,7 @@
 use http::StatusCode;
 use tokio::time::sleep;
 use walnutmoor_core::{
-    id::Revision,
+    edition::Stamp,
     poison::{Evidence, Fingerprint},
 };
 use walnutmoor_platform::store::{self, Kind, Object, Read};
@@ -45,13 +45,13 @@
     let mut since = None;
     loop {
         let read = match since {
-            Some(revision) => changes(&state, &mut client, revision).await,
+            Some(since) => changes(&state, &mut client, since).await,
             None => all(&state, &mut client).await.map(|(_, at)| at),
         };
         match read {
-            Ok(revision) => {
+            Ok(stamp) => {
                 watchman.good(&state);
-                since = Some(revision);
+                since = Some(stamp);
             }
             // The history is gone: read all again, at once.
             Err(Error::Status(410)) => since = None,
@@ -71,27 +71,28 @@
     }
 }
 
-/// Reads all objects; also the revision from which to watch them.
+/// Reads all objects; also the stamp from which to watch them.
 async fn all(
     state: &Rc<State>,
     client: &mut Client,
-) -> Result<(Vec<Object>, Revision), Error> {
-    let (objects, revision) = client.list(Kind::Suspect, false).await?;
+) -> Result<(Vec<Object>, Stamp), Error> {
+    let (objects, stamp) = client.list(Kind::Suspect, false).await?;
     objects.iter().for_each(|object| hear(state, object));
-    Ok((objects, revision))
+    Ok((objects, stamp))
 }
 
-/// Waits for the next changes; the revision from which to watch on.
+/// Waits for the next changes; the stamp from which to watch on.
 async fn changes(
     state: &Rc<State>,
     client: &mut Client,
-    since: Revision,
-) -> Result<Revision, Error> {
-    let read = Read::Watch { since, wait: WATCH };
-    let news = store::news(&client.read(Kind::Suspect, &read).await?)?;
+    since: Stamp,
+) -> Result<Stamp, Error> {
+    let read = Read::Watch { since: since.revision, wait: WATCH };
+    let answer = client.read(Kind::Suspect, &read).await?;
+    let news = store::news(&answer.body)?;
     let there = news.changes.iter().filter(|change| !change.removed);
     there.for_each(|change| hear(state, &change.object));
-    Ok(news.revision)
+    Ok(Stamp { era: answer.era, revision: news.revision })
 }
 
 fn hear(state: &Rc<State>, object: &Object) {
@@ -164,7 +165,7 @@
                 return Ok(());
             }
         };
-        let (status, _) = client.call(call, CALL_WITHIN).await?;
+        let status = client.call(call, CALL_WITHIN).await?.status;
         if status.is_success() {
             return Ok(());
         }
@@ -193,7 +194,7 @@
     request: Fingerprint,
 ) -> Result<(), Error> {
     let call = store::remove(Kind::Suspect, &request.to_string());
-    let (status, _) = client.call(call, CALL_WITHIN).await?;
+    let status = client.call(call, CALL_WITHIN).await?.status;
     // Another watcher may have been first.
     match status.is_success() || status == StatusCode::NOT_FOUND {
         true => Ok(()),
--- a/crates/walnutmoor/src/mesh/store/watch.rs
+++ b/crates/walnutmoor/src/mesh/store/watch.rs
@@ -5,7 +5,7 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::sleep;
-use walnutmoor_core::{id::Revision, time::Millis};
+use walnutmoor_core::{edition::Stamp, id::Era, time::Millis};
 use walnutmoor_platform::store::{self, Kind, Object, Read};
 
 use super::{
@@ -33,14 +33,14 @@
     let mut since = None;
     loop {
         let read = match since {
-            Some(revision) => changes(&state, &mut client, revision).await,
+            Some(since) => changes(&state, &mut client, since).await,
             None => all(&state, &mut client).await,
         };
         match read {
-            Ok(revision) => {
+            Ok(stamp) => {
                 watchman.good(&state);
                 state.note_store(true);
-                since = Some(revision);
+                since = Some(stamp);
             }
             // The history is gone: read all again, at once.
             Err(Error::Status(410)) => since = None,
@@ -58,33 +58,31 @@
     }
 }
 
-/// Reads the desired state; the revision from which to watch it.
-async fn all(
-    state: &Rc<State>,
-    client: &mut Client,
-) -> Result<Revision, Error> {
-    let (objects, revision) = client.list(Kind::Desired, false).await?;
-    objects.iter().for_each(|object| adopt(state, object));
-    Ok(revision)
+/// Reads the desired state; the stamp from which to watch it.
+async fn all(state: &Rc<State>, client: &mut Client) -> Result<Stamp, Error> {
+    let (objects, stamp) = client.list(Kind::Desired, false).await?;
+    objects.iter().for_each(|object| adopt(state, stamp.era, object));
+    Ok(stamp)
 }
 
-/// Waits for the next changes; the revision from which to watch on.
+/// Waits for the next changes; the stamp from which to watch on.
 async fn changes(
     state: &Rc<State>,
     client: &mut Client,
-    since: Revision,
-) -> Result<Revision, Error> {
-    let read = Read::Watch { since, wait: WATCH };
-    let body = client.read(Kind::Desired, &read).await?;
-    let news = store::news(&body)?;
+    since: Stamp,
+) -> Result<Stamp, Error> {
+    let read = Read::Watch { since: since.revision, wait: WATCH };
+    let answer = client.read(Kind::Desired, &read).await?;
+    let news = store::news(&answer.body)?;
+    let era = answer.era;
     let there = news.changes.iter().filter(|change| !change.removed);
-    there.for_each(|change| adopt(state, &change.object));
-    Ok(news.revision)
+    there.for_each(|change| adopt(state, era, &change.object));
+    Ok(Stamp { era, revision: news.revision })
 }
 
 /// True if nobody would tell this node of a change, or too few could.
 fn must_watch(state: &State) -> bool {
-    state.revision() == Revision(0) || is_settled_watcher(state)
+    state.edition().is_none() || is_settled_watcher(state)
 }
 
 /// True if this node is one of those that watch, and has had the time to link
@@ -109,9 +107,9 @@
     state.journal.change(state.now(), Event::Desired, &fields);
 }
 
-fn adopt(state: &State, object: &Object) {
+fn adopt(state: &State, era: Era, object: &Object) {
     if store::is_desired(object) {
-        let spec = object.spec.clone();
-        state.adopt(object.revision, spec, Source::Store);
+        let stamp = Stamp { era, revision: object.revision };
+        state.adopt(stamp, object.spec.clone(), Source::Store);
     }
 }
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -139,6 +139,7 @@
 pub fn mesh(state: &mesh::state::State) {
     let (running, waiting) = state.serve.held();
     let (dealt, asked) = state.quotas.counts();
+    let edition = state.edition();
     let gauges = [
         ("walnutmoor_running", running),
         ("walnutmoor_queued", waiting),
@@ -148,7 +149,9 @@
         ("walnutmoor_suspects", state.suspects()),
         ("walnutmoor_quotas_dealt", dealt),
         ("walnutmoor_quotas_asked", asked),
-        ("walnutmoor_revision", state.revision().0 as usize),
+        ("walnutmoor_version", edition.version.0 as usize),
+        ("walnutmoor_era", edition.stamp.era.0 as usize),
+        ("walnutmoor_revision", edition.stamp.revision.0 as usize),
     ];
     for (name, value) in gauges {
         gauge!(name).set(value as f64);
--- a/crates/walnutmoor/tests/adopt.rs
+++ b/crates/walnutmoor/tests/adopt.rs
@@ -7,7 +7,8 @@
     desired::Source, journal::Journal, settings::Settings, state::State,
 };
 use walnutmoor_core::{
-    id::Revision,
+    edition::{Edition, Stamp},
+    id::{Era, Revision, Version},
     table::{Effect, Limits, Route, Target},
     time::Millis,
 };
@@ -19,8 +20,12 @@
     State::new(settings, Journal::silent())
 }
 
+fn stamp(era: u64, revision: u64) -> Stamp {
+    Stamp { era: Era(era), revision: Revision(revision) }
+}
+
 /// A desired state with one route for everything of a host.
-fn spec(host: &str) -> Bytes {
+fn spec(version: u64, host: &str) -> Bytes {
     let route = Route {
         name: "r".into(),
         host: host.into(),
@@ -33,7 +38,7 @@
         is_public: false,
         targets: vec![Target { service: "desk".parse().unwrap(), weight: 1 }],
     };
-    standin::desired(1, &[route], &[], &Limits::default()).into()
+    standin::desired(version, &[route], &[], &Limits::default()).into()
 }
 
 fn has(state: &State, host: &str) -> bool {
@@ -41,35 +46,78 @@
 }
 
 #[test]
-fn an_older_or_equal_revision_changes_nothing() {
+fn an_older_version_changes_nothing_whatever_its_revision() {
     let state = state();
-    state.adopt(Revision(5), spec("new.example"), Source::Store);
+    state.adopt(stamp(1, 5), spec(7, "new.example"), Source::Store);
 
-    for revision in [3, 5] {
-        state.adopt(Revision(revision), spec("old.example"), Source::Peer);
+    for (at, version) in [(stamp(1, 3), 6), (stamp(1, 9), 6), (stamp(2, 9), 6)]
+    {
+        state.adopt(at, spec(version, "old.example"), Source::Peer);
 
-        assert_eq!(state.revision(), Revision(5));
+        assert_eq!(state.edition().version, Version(7));
         assert!(has(&state, "new.example"));
         assert!(!has(&state, "old.example"));
     }
 }
 
 #[test]
-fn a_newer_revision_that_can_not_be_read_changes_nothing() {
+fn an_older_or_equal_revision_of_the_same_version_changes_nothing() {
     let state = state();
-    state.adopt(Revision(5), spec("new.example"), Source::Store);
+    state.adopt(stamp(1, 5), spec(7, "new.example"), Source::Store);
 
-    state.adopt(Revision(6), Bytes::from_static(b"{"), Source::Store);
+    for revision in [3, 5] {
+        let spec = spec(7, "old.example");
+        state.adopt(stamp(1, revision), spec, Source::Peer);
+
+        assert_eq!(state.edition().stamp, stamp(1, 5));
+        assert!(has(&state, "new.example"));
+    }
+}
+
+#[test]
+fn a_newer_version_is_in_force_at_a_revision_that_was_given_out_before() {
+    let state = state();
+    state.adopt(stamp(1, 5), spec(7, "old.example"), Source::Store);
+
+    state.adopt(stamp(2, 4), spec(9, "new.example"), Source::Store);
 
-    assert_eq!(state.revision(), Revision(5));
     assert!(has(&state, "new.example"));
+    assert!(!has(&state, "old.example"));
+}
+
+#[test]
+fn the_same_version_written_again_in_a_later_era_goes_on() {
+    let state = state();
+    state.adopt(stamp(1, 5), spec(7, "same.example"), Source::Store);
+    let before = state.table().unwrap();
+
+    state.adopt(stamp(2, 4), spec(7, "same.example"), Source::Store);
+
+    assert_eq!(state.edition().stamp, stamp(2, 4));
+    assert!(Rc::ptr_eq(&before, &state.table().unwrap()));
+}
+
+#[test]
+fn a_newer_version_that_can_not_be_read_changes_nothing() {
+    let state = state();
+    state.adopt(stamp(1, 5), spec(7, "new.example"), Source::Store);
+
+    for text in ["{", "{\"version\":9,\"resources\":[{}]}"] {
+        let raw = Bytes::from_static(text.as_bytes());
+        state.adopt(stamp(1, 6), raw, Source::Store);
+
+        assert_eq!(state.edition().version, Version(7));
+        assert!(has(&state, "new.example"));
+    }
 }
 
 #[test]
 fn a_peer_is_asked_only_once_it_is_ahead() {
     let state = state();
-    state.adopt(Revision(5), spec("new.example"), Source::Store);
+    state.adopt(stamp(1, 5), spec(7, "new.example"), Source::Store);
+    let own = state.edition();
 
-    assert!(!state.is_behind(Revision(4)));
-    assert!(!state.is_behind(Revision(5)));
+    assert!(!state.is_behind(own));
+    assert!(!state.is_behind(Edition { stamp: stamp(1, 4), ..own }));
+    assert!(state.is_behind(Edition { version: Version(8), ..own }));
 }
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -9,10 +9,11 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
-use walnutmoor::mesh::frame::{self, Call, Frame, Hello, Reply};
+use walnutmoor::mesh::frame::{self, Call, Frame, Hello, PROTOCOL, Reply};
 use walnutmoor_core::{
     bulkhead::Load,
-    id::{CallId, Incarnation, NodeId, Revision},
+    edition::Edition,
+    id::{CallId, Incarnation, NodeId},
     poison::Fingerprint,
     table::Effect,
     time::Millis,
@@ -35,11 +36,12 @@
         // Nobody listens there: the node's own link to it stays down.
         let node = NodeId(([127, 0, 0, 1], 9).into());
         end.send(&Frame::Hello(Hello {
+            protocol: PROTOCOL,
             node,
             life: Incarnation(life),
             zone: "a".parse().unwrap(),
             service: "front".parse().unwrap(),
-            revision: Revision(0),
+            edition: Edition::default(),
             load: Load::default(),
             known: Vec::new(),
             fleet: 0,
