desired state: a node that begins hears its peers before it takes the store's

Callers at a node that began between a restore of the store and the operator's writing again were served by the older copy, for as long as it took its links to open and a peer to tell.

Cause: the store answers a few milliseconds after the start, links open some milliseconds later, and a node that had nothing took whatever came first. In the test its new life put version 1 in force, then 7.

Now the first state from the store waits until the directory was read and every link has told its edition, 200 ms at most (a record of a node that is gone keeps its link down for ever), and up to 1 s for a newer one that a peer has told of. A link asks for it with the greeting, not a round trip later. Nodes that all begin in that gap know nothing but the copy and serve by it until the operator writes again; a test holds that they then go on.

--- a/crates/walnutmoor-core/src/catch_up.rs
+++ b/crates/walnutmoor-core/src/catch_up.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// True if a peer has told of one that is newer than this.
+    pub fn has_newer(&self, than: Edition) -> bool {
+        self.news.is_some_and(|news| news.edition > than)
+    }
+
     /// The peer to be asked now, if any, by a node that has this one;
     /// `watches` tells whether it watches the store itself. Counts as asked.
     pub fn ask(
--- a/crates/walnutmoor/src/mesh/desired.rs
+++ b/crates/walnutmoor/src/mesh/desired.rs
@@ -47,6 +47,13 @@
 /// from it. Until then it leaves the watch to others of its zone.
 const UNABLE: Millis = Millis(5_000);
 
+/// How long a node that begins waits for its links to open before it takes
+/// what the store holds.
+const HEAR_WITHIN: Millis = Millis(200);
+
+/// How long it waits for a newer one that a peer has told of.
+const FETCH_WITHIN: Millis = Millis(1_000);
+
 /// What a node has of the desired state.
 #[derive(Debug)]
 pub(super) struct Desired {
@@ -213,6 +220,21 @@
         }
     }
 
+    /// True if peers may still bring a newer desired state than this to a
+    /// node that has none; `waited` is how long they have had.
+    pub fn may_hear_newer(&self, offered: Edition, waited: Millis) -> bool {
+        if !self.edition().is_none() {
+            return false;
+        }
+        if self.desired.catch_up.borrow().has_newer(offered) {
+            return waited < FETCH_WITHIN;
+        }
+        let links = self.links();
+        let all_told = links.iter().all(|link| link.is_up());
+        let knows_all = self.has_directory.get() && all_told;
+        !knows_all && waited < HEAR_WITHIN
+    }
+
     /// Asks a peer for a newer desired state that it told of, if it is time.
     pub fn catch_up(&self) {
         let watches = self.desired.watches.get();
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -14,7 +14,9 @@
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
     time::{sleep, timeout},
 };
-use walnutmoor_core::{id::CallId, table::Effect, time::Millis};
+use walnutmoor_core::{
+    edition::Edition, id::CallId, table::Effect, time::Millis,
+};
 
 use super::Link;
 use crate::mesh::{
@@ -48,7 +50,7 @@
         if let Ok(Ok((stream, hello))) = opened {
             pause = PAUSE_MIN;
             begin(&state, &link, &hello);
-            let why = carry(&state, &link, stream).await;
+            let why = carry(&state, &link, stream, hello.edition).await;
             end(&state, &link, &why);
         }
         sleep(pause).await;
@@ -143,7 +145,12 @@
     });
 }
 
-async fn carry(state: &Rc<State>, link: &Rc<Link>, stream: Stream) -> String {
+async fn carry(
+    state: &Rc<State>,
+    link: &Rc<Link>,
+    stream: Stream,
+    theirs: Edition,
+) -> String {
     let (read, write, bytes) = stream;
     let (out, frames) = unbounded_channel();
     let ids: Vec<CallId> = link.pending.borrow().keys().copied().collect();
@@ -165,6 +172,7 @@
     }
     let _ = out.send(Frame::Ping(state.edition()));
     *link.out.borrow_mut() = Some(out);
+    state.told(theirs, link.node);
     tokio::select! {
         end = receive(state, link, read, bytes) => match end {
             Ok(()) => "closed by the peer".into(),
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -79,6 +79,8 @@
     links: RefCell<Map<NodeId, Rc<Link>>>,
     /// Other nodes that have linked to this one.
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
+    /// Whether the directory of nodes was read.
+    pub(super) has_directory: Cell<bool>,
     /// The desired state.
     pub(super) desired: Desired,
     /// The era of the store.
@@ -130,6 +132,7 @@
             ahead: Cell::new(0),
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
+            has_directory: Cell::new(false),
             desired: Desired::default(),
             eras: Eras::default(),
             quotas: Quotas::new(settings.bounds().quota()),
--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -85,6 +85,7 @@
     let records = objects.iter().filter_map(|object| record(state, object));
     let nodes: Set<NodeId> = records.map(|record| record.node).collect();
     nodes.iter().for_each(|node| state.learn(*node));
+    state.has_directory.set(true);
     state.quotas.count_fleet(nodes.len());
     for link in state.links() {
         if !link.is_up() && !nodes.contains(&link.node) {
--- a/crates/walnutmoor/src/mesh/store/watch.rs
+++ b/crates/walnutmoor/src/mesh/store/watch.rs
@@ -5,8 +5,15 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::sleep;
-use walnutmoor_core::{edition::Stamp, id::Era, time::Millis};
-use walnutmoor_platform::store::{self, Kind, Object, Read};
+use walnutmoor_core::{
+    edition::{Edition, Stamp},
+    id::Era,
+    time::Millis,
+};
+use walnutmoor_platform::{
+    desired,
+    store::{self, Kind, Object, Read},
+};
 
 use super::{
     Watchman,
@@ -25,6 +32,9 @@
 /// The pause between looks whether this node is to watch.
 pub(super) const LOOK_WATCH: Duration = Duration::from_millis(125);
 
+/// The pause between looks whether peers have told what they have.
+const LOOK_PEERS: Duration = Duration::from_millis(5);
+
 /// Keeps the desired state in force: reads it, and then each change, for as
 /// long as this node is one of those that watch.
 pub async fn desired(state: Rc<State>) {
@@ -61,10 +71,26 @@
 /// Reads the desired state; the stamp from which to watch it.
 async fn all(state: &Rc<State>, client: &mut Client) -> Result<Stamp, Error> {
     let (objects, stamp) = client.list(Kind::Desired, false).await?;
-    objects.iter().for_each(|object| adopt(state, stamp.era, object));
+    for object in objects.iter().filter(|object| store::is_desired(object)) {
+        hear_peers(state, stamp.era, object).await;
+        adopt(state, stamp.era, object);
+    }
     Ok(stamp)
 }
 
+/// Waits for what peers have, where this node has nothing yet: a store that
+/// has come back from an older copy does not know the newest.
+async fn hear_peers(state: &State, era: Era, object: &Object) {
+    let since = state.now();
+    // One that can't be read is refused, and logged, when it is adopted.
+    let version = desired::version(&object.spec).unwrap_or_default();
+    let stamp = Stamp { era, revision: object.revision };
+    let offered = Edition { version, stamp };
+    while state.may_hear_newer(offered, state.now().since(since)) {
+        sleep(LOOK_PEERS).await;
+    }
+}
+
 /// Waits for the next changes; the stamp from which to watch on.
 async fn changes(
     state: &Rc<State>,
@@ -76,7 +102,9 @@
     let news = store::news(&answer.body)?;
     let era = answer.era;
     let there = news.changes.iter().filter(|change| !change.removed);
-    there.for_each(|change| adopt(state, era, &change.object));
+    there
+        .filter(|change| store::is_desired(&change.object))
+        .for_each(|change| adopt(state, era, &change.object));
     Ok(Stamp { era, revision: news.revision })
 }
 
@@ -108,8 +136,6 @@
 }
 
 fn adopt(state: &State, era: Era, object: &Object) {
-    if store::is_desired(object) {
-        let stamp = Stamp { era, revision: object.revision };
-        state.adopt(stamp, object.spec.clone(), Source::Store);
-    }
+    let stamp = Stamp { era, revision: object.revision };
+    state.adopt(stamp, object.spec.clone(), Source::Store);
 }
--- a/crates/walnutmoor/tests/mesh/restore.rs
+++ b/crates/walnutmoor/tests/mesh/restore.rs
@@ -17,7 +17,7 @@
 use walnutmoor_core::table::{Effect, Route};
 use walnutmoor_standin::mesh::store::Watches;
 
-use crate::fixture::{World, desired, route, routes, run};
+use crate::fixture::{World, desired, route, routes, run, until};
 
 /// The routes of a version: each has one that no other has.
 fn routes_of(version: u64) -> Vec<Route> {
@@ -61,3 +61,63 @@
         in_force(&world, 9).await;
     });
 }
+
+fn lives(world: &World, index: usize) -> usize {
+    let log = world.pairs[index].node.log();
+    log.matches("\"event\":\"start\"").count()
+}
+
+/// Versions that this life of a node has put in force.
+fn adopted(world: &World, index: usize) -> Vec<u64> {
+    let log = world.pairs[index].node.log();
+    let life = log.rfind("\"event\":\"start\"").unwrap_or(0);
+    let lines = log[life..].lines().filter(|l| l.contains("\"source\":"));
+    let versions = lines.filter_map(|line| {
+        let line: serde_json::Value = serde_json::from_str(line).ok()?;
+        line["version"].as_u64()
+    });
+    versions.collect()
+}
+
+// A node that began after the restore read the copy some milliseconds before
+// its links were open, and served by it though its peers knew better:
+//
+//     "event":"start"
+//     "event":"desired","version":1,"source":"store"
+//     "event":"desired","version":7,"source":"peer"
+#[test]
+fn a_node_that_begins_after_a_restore_hears_its_peers_first() {
+    run(async {
+        let mut world = World::start(&["front", "desk", "desk"]).await;
+        let copy = world.store.copy();
+        write(&world, 7);
+        in_force(&world, 7).await;
+        world.store.restore(&copy, Watches::Cut);
+
+        world.pairs[0].node.restart();
+        until("its next life has a desired state", || async {
+            lives(&world, 0) == 2 && !adopted(&world, 0).is_empty()
+        })
+        .await;
+
+        in_force(&world, 7).await;
+        assert_eq!(adopted(&world, 0), [7]);
+    });
+}
+
+#[test]
+fn nodes_that_all_began_after_a_restore_take_the_copy_and_then_the_change() {
+    run(async {
+        let mut world = World::start(&["front", "desk"]).await;
+        let copy = world.store.copy();
+        write(&world, 7);
+        in_force(&world, 7).await;
+        world.store.restore(&copy, Watches::Cut);
+        world.pairs.iter_mut().for_each(|pair| pair.node.restart());
+        world.served(0, "browse", "by-the-copy").await;
+
+        write(&world, 7);
+
+        in_force(&world, 7).await;
+    });
+}
