watches: begin anew when the store tells another era

After a restore that a watch outlived, changes never came into force at nodes that watched, and callers were served by the former routes.

Cause: a watch goes on from a revision. On a connection that held over the restore it waited for revisions above the one that it had named, while changes got smaller ones; at its end it took the store's new revision as its place and went on from there. Nothing at the node compared eras.

Now each answer tells its era: a watch whose answer is of another era, and a list whose pages are of two, begin anew. A node that is told of a higher era by the store tells the others, and greetings carry it, so one node that reaches the store ends the watches that hang.

--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -37,7 +37,7 @@
     edition::{Edition, Stamp},
     error::Kind,
     footprint::Footprint,
-    id::{Account, CallId, Incarnation, NodeId, Service, Zone},
+    id::{Account, CallId, Era, Incarnation, NodeId, Service, Zone},
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
     quota::{self, Ask},
@@ -85,6 +85,8 @@
     Departed(Lifetime),
     /// These, beside the receiver, have said so to a former life of it.
     Former(Vec<Lifetime>),
+    /// The store has told this era.
+    Era(Era),
 }
 
 /// The number of the frames' form, one more for each change that a node of
@@ -107,6 +109,8 @@
     pub service: Service,
     /// The desired state that it has.
     pub edition: Edition,
+    /// The store's era, as far as it knows; 0 if it knows none.
+    pub era: Era,
     /// The load of its instance.
     pub load: Load,
     /// Some other nodes that it knows.
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -124,6 +124,7 @@
         state.learn(*node);
     }
     state.quotas.hear_of(hello.fleet);
+    state.hear_era(hello.era);
 }
 
 fn end(state: &Rc<State>, link: &Rc<Link>, why: &str) {
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -162,6 +162,7 @@
     *session.out.borrow_mut() = Some(out);
     state.learn(hello.node);
     state.quotas.hear_of(hello.fleet);
+    state.hear_era(hello.era);
     let task =
         carry(state, session.clone(), (read, bytes), write, frames, hello);
     let task = tokio::task::spawn_local(task);
@@ -275,6 +276,7 @@
         Frame::Departed(instance) => state.note_departed(hello.node, instance),
         Frame::Evidence(told) => state.hear(&told, PEER),
         Frame::Former(instances) => state.serve.note_former(state, instances),
+        Frame::Era(era) => state.hear_era(era),
         Frame::Fetch => {
             if let Some(desired) = state.desired() {
                 session.send(desired);
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -234,6 +234,7 @@
             zone: self.settings.zone.clone(),
             service: self.settings.service.clone(),
             edition: self.edition(),
+            era: self.eras.last(),
             load: self.serve.load(self.now()),
             known: self.some_known(),
             fleet: self.quotas.known(),
--- a/crates/walnutmoor/src/mesh/store.rs
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -39,6 +39,13 @@
 /// noticed within this.
 const PAUSE_MAX: Millis = Millis(800);
 
+/// The pause before a restored store is read anew: all that watch do so, and
+/// one whose answers are of two eras must not be asked without end.
+async fn begin_anew(state: &State) {
+    let pause = state.spread(PAUSE_MIN);
+    sleep(Duration::from_millis(pause.0)).await;
+}
+
 /// Says once that the store is lost and once that it is back.
 struct Watchman {
     what: &'static str,
--- a/crates/walnutmoor/src/mesh/store/client.rs
+++ b/crates/walnutmoor/src/mesh/store/client.rs
@@ -39,6 +39,9 @@
     Broken,
     #[error("the store answered {0}")]
     Status(u16),
+    /// Nothing that was read before goes on.
+    #[error("the store came back from an older copy")]
+    Restored,
     #[error("{0}")]
     Body(#[from] walnutmoor_platform::Error),
 }
@@ -154,6 +157,9 @@
             let revision = page.revision;
             let stamp = Stamp { era: answer.era, revision };
             let first = *first.get_or_insert(stamp);
+            if stamp.era != first.era {
+                return Err(Error::Restored);
+            }
             self.unreadable += page.unreadable;
             objects.extend(page.objects);
             if !page.more {
--- a/crates/walnutmoor/src/mesh/store/suspects.rs
+++ b/crates/walnutmoor/src/mesh/store/suspects.rs
@@ -19,7 +19,7 @@
 use walnutmoor_platform::store::{self, Kind, Object, Read};
 
 use super::{
-    Watchman,
+    Watchman, begin_anew,
     client::{CALL_WITHIN, Client, Error},
     watch::{LOOK_WATCH, WATCH, is_settled_watcher},
 };
@@ -42,11 +42,18 @@
 pub async fn suspects(state: Rc<State>) {
     let mut client = Client::new(&state);
     let mut watchman = Watchman::new("suspects");
+    let mut eras = state.eras.subscribe();
     let mut since = None;
     loop {
         let read = match since {
-            Some(since) => changes(&state, &mut client, since).await,
-            None => all(&state, &mut client).await.map(|(_, at)| at),
+            Some(since) => tokio::select! {
+                news = changes(&state, &mut client, since) => news,
+                _ = eras.changed() => Err(Error::Restored),
+            },
+            None => {
+                eras.mark_unchanged();
+                all(&state, &mut client).await.map(|(_, at)| at)
+            }
         };
         match read {
             Ok(stamp) => {
@@ -55,6 +62,11 @@
             }
             // The history is gone: read all again, at once.
             Err(Error::Status(410)) => since = None,
+            Err(Error::Restored) => {
+                client.disconnect();
+                since = None;
+                begin_anew(&state).await;
+            }
             Err(error) => {
                 since = None;
                 watchman.bad(&state, &error).await;
@@ -90,6 +102,9 @@
     let read = Read::Watch { since: since.revision, wait: WATCH };
     let answer = client.read(Kind::Suspect, &read).await?;
     let news = store::news(&answer.body)?;
+    if answer.era != since.era {
+        return Err(Error::Restored);
+    }
     let there = news.changes.iter().filter(|change| !change.removed);
     there.for_each(|change| hear(state, &change.object));
     Ok(Stamp { era: answer.era, revision: news.revision })
--- a/crates/walnutmoor/src/mesh/store/watch.rs
+++ b/crates/walnutmoor/src/mesh/store/watch.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    Watchman,
+    Watchman, begin_anew,
     client::{Client, Error},
 };
 use crate::mesh::{desired::Source, journal::Event, state::State};
@@ -40,11 +40,18 @@
 pub async fn desired(state: Rc<State>) {
     let mut client = Client::new(&state);
     let mut watchman = Watchman::new("desired state");
+    let mut eras = state.eras.subscribe();
     let mut since = None;
     loop {
         let read = match since {
-            Some(since) => changes(&state, &mut client, since).await,
-            None => all(&state, &mut client).await,
+            Some(since) => tokio::select! {
+                news = changes(&state, &mut client, since) => news,
+                _ = eras.changed() => Err(Error::Restored),
+            },
+            None => {
+                eras.mark_unchanged();
+                all(&state, &mut client).await
+            }
         };
         match read {
             Ok(stamp) => {
@@ -54,6 +61,12 @@
             }
             // The history is gone: read all again, at once.
             Err(Error::Status(410)) => since = None,
+            Err(Error::Restored) => {
+                // The watch may hang on for what was given out before.
+                client.disconnect();
+                since = None;
+                begin_anew(&state).await;
+            }
             Err(error) => {
                 since = None;
                 state.note_store(false);
@@ -101,6 +114,9 @@
     let answer = client.read(Kind::Desired, &read).await?;
     let news = store::news(&answer.body)?;
     let era = answer.era;
+    if era != since.era {
+        return Err(Error::Restored);
+    }
     let there = news.changes.iter().filter(|change| !change.removed);
     there
         .filter(|change| store::is_desired(&change.object))
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -178,6 +178,13 @@
         .await;
     }
 
+    /// True if a node has said last that it watches the store.
+    pub fn watches(&self, index: usize) -> Option<bool> {
+        let log = self.pairs[index].node.log();
+        let last = log.lines().rfind(|line| line.contains("\"watches\""))?;
+        Some(last.contains("\"watches\":true"))
+    }
+
     /// How often a request ran, at all instances together.
     pub fn runs(&self, attempt: &str) -> u32 {
         let all = self.pairs.iter().map(|p| p.instance.runs(attempt));
--- a/crates/walnutmoor/tests/mesh/restore.rs
+++ b/crates/walnutmoor/tests/mesh/restore.rs
@@ -14,7 +14,10 @@
 //!     "version":9,"version_in_force":7
 //! ```
 
-use walnutmoor_core::table::{Effect, Route};
+use walnutmoor_core::{
+    id::Era,
+    table::{Effect, Route},
+};
 use walnutmoor_standin::mesh::store::Watches;
 
 use crate::fixture::{World, desired, route, routes, run, until};
@@ -121,3 +124,52 @@
         in_force(&world, 7).await;
     });
 }
+
+// A watch that outlives the restore waits for revisions above the one that it
+// named. Those that are given out again below it never reach it, and its end
+// after half a minute, with no change and the store's new revision, looked like
+// any other:
+//
+//     "event":"desired","version":7,"revision":7
+//     (no further line; version 9 stands at revision 6)
+#[test]
+fn a_watch_that_hangs_on_over_a_restore_misses_no_change() {
+    run(async {
+        let mut world = World::start(&["front", "desk", "desk"]).await;
+        let copy = world.store.copy();
+        for version in [2, 5, 7] {
+            write(&world, version);
+            in_force(&world, version).await;
+        }
+        let others = || (0..3).filter(|at| world.watches(*at) == Some(false));
+        until("two watch", || async { others().count() == 1 }).await;
+        let other = others().next().unwrap();
+
+        world.store.restore(&copy, Watches::Hang);
+        // It reads the store, and leaves the watch to the two that hang.
+        world.pairs[other].node.restart();
+        until("its next life has settled", || async {
+            lives(&world, other) == 2 && world.watches(other) == Some(false)
+        })
+        .await;
+        world.whole().await;
+        write(&world, 9);
+
+        in_force(&world, 9).await;
+    });
+}
+
+#[test]
+fn changes_are_seen_whatever_the_store_tells_of_its_era() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+
+        // None at all, some ahead, one that falls, and the next again.
+        for (version, era) in [(2, 0), (5, 9), (7, 3), (9, 4)] {
+            world.store.set_era(Era(era));
+            write(&world, version);
+
+            in_force(&world, version).await;
+        }
+    });
+}
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -13,7 +13,7 @@
 use walnutmoor_core::{
     bulkhead::Load,
     edition::Edition,
-    id::{CallId, Incarnation, NodeId},
+    id::{CallId, Era, Incarnation, NodeId},
     poison::Fingerprint,
     table::Effect,
     time::Millis,
@@ -42,6 +42,7 @@
             zone: "a".parse().unwrap(),
             service: "front".parse().unwrap(),
             edition: Edition::default(),
+            era: Era::default(),
             load: Load::default(),
             known: Vec::new(),
             fleet: 0,
--- a/crates/walnutmoor/tests/mesh/watching.rs
+++ b/crates/walnutmoor/tests/mesh/watching.rs
@@ -12,18 +12,10 @@
     World::start(&["front", "desk", "desk", "desk", "desk"]).await
 }
 
-/// True if a node has said last that it watches.
-fn watches(world: &World, index: usize) -> Option<bool> {
-    let log = world.pairs[index].node.log();
-    let last = log.lines().rfind(|line| line.contains("\"watches\""))?;
-    Some(last.contains("\"watches\":true"))
-}
-
 /// Waits until as many watch as should, and the others have said that they
 /// don't; tells who does.
 async fn settled(world: &World) -> Vec<usize> {
-    let watchers =
-        || (0..NODES).filter(|at| watches(world, *at) == Some(true));
+    let watchers = || (0..NODES).filter(|at| world.watches(*at) == Some(true));
     until("a few watch", || async { watchers().count() == WATCHERS }).await;
     watchers().collect()
 }
@@ -80,8 +72,7 @@
         }
         until("others watch", || async {
             let others = (0..NODES).filter(|index| !before.contains(index));
-            let watching =
-                others.filter(|i| watches(&world, *i) == Some(true));
+            let watching = others.filter(|i| world.watches(*i) == Some(true));
             watching.count() >= WATCHERS
         })
         .await;
@@ -101,8 +92,7 @@
         }
         until("others watch", || async {
             let others = (0..NODES).filter(|index| !before.contains(index));
-            let watching =
-                others.filter(|i| watches(&world, *i) == Some(true));
+            let watching = others.filter(|i| world.watches(*i) == Some(true));
             watching.count() >= WATCHERS
         })
         .await;
