directory: records that a restore took away are written again at once

A node that began after a restore of the store did not find nodes whose records had been written since the copy, nor they it, until the next look at the directory: 7 to 22 s on a small fleet, minutes on a large one. Its callers were refused meanwhile where no other instance of a service was listed.

Cause: a node that had written its record once took it for written, as the store loses nothing that it has acknowledged.

Now a node that is told of a new era reads its own record and writes it again if it is gone, and only then reads the others'. All nodes do so at once, so it is one read each, spread over 1 s, and beyond 500 nodes over as long as 500 reads a second take; nodes that began in the last minute, whose records alone a copy some seconds old lacks, look within 1 s at any size. The stand-in answers reads of one object. The test waits for all records and for the line of those that wrote again (which the former code had not).

--- a/crates/walnutmoor-standin/src/mesh/store.rs
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -219,6 +219,13 @@
         found.map(|entry| entry.revision)
     }
 
+    fn get(&self, kind: Kind, name: &str) -> Option<Vec<u8>> {
+        let data = self.lock();
+        let found = data.objects.get(&(kind as u8, name.to_string()));
+        let found = found.filter(|entry| !entry.removed);
+        found.map(|entry| show(entry).to_string().into_bytes())
+    }
+
     fn list(&self, kind: Kind) -> Vec<u8> {
         let data = self.lock();
         let there =
@@ -306,6 +313,10 @@
         match call {
             Call::Watch { .. } => reply(StatusCode::NOT_FOUND, Vec::new()),
             Call::List(kind) => reply(StatusCode::OK, self.list(kind)),
+            Call::Get { kind, name } => match self.get(kind, &name) {
+                Some(object) => reply(StatusCode::OK, object),
+                None => reply(StatusCode::NOT_FOUND, Vec::new()),
+            },
             Call::Create { kind, name, spec } => {
                 if self.revision(kind, &name).is_some() {
                     return reply(StatusCode::CONFLICT, Vec::new());
--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -6,10 +6,13 @@
 
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout_at},
+};
 use walnutmoor_core::{
     digest::Set,
-    id::{NodeId, Service, Zone},
+    id::{Era, NodeId, Service, Zone},
     time::Millis,
 };
 use walnutmoor_platform::store::{self, Kind, Object};
@@ -31,6 +34,16 @@
 /// does not grow with the fleet: some 2 KB at 120 bytes a record.
 const LOOK_EACH: Millis = Millis(50);
 
+/// How long a node has begun at most to be among the first that look whether
+/// a restored store has their records: copies are seconds old.
+const YOUNG: Millis = Millis(60_000);
+
+/// Within how long these look.
+const CHECK_MIN: Millis = Millis(1_000);
+
+/// Looks a second of all others together, a part of the store's rates.
+const CHECKS_A_SECOND: u64 = 500;
+
 /// What a node writes about itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 struct Record {
@@ -43,6 +56,7 @@
 pub async fn directory(state: Rc<State>) {
     let mut client = Client::new(&state);
     let mut watchman = Watchman::new("directory");
+    let mut eras = state.eras.subscribe();
     let mut registered = false;
     // What others have written just before must not be missed the first time.
     let mut stale = false;
@@ -57,19 +71,66 @@
                 note_unreadable(&state, &mut client);
                 // Somebody else may have removed or spoiled the own record.
                 registered = compare(&state, &objects);
-                stale = registered;
                 let look =
                     Millis(LOOK_EACH.0 * objects.len() as u64).max(LOOK);
                 let pause = if registered { look } else { PAUSE_MAX };
                 // Stores close a connection that is idle for as long.
                 client.disconnect();
-                sleep(Duration::from_millis(state.spread(pause).0)).await;
+                let pause = state.spread(pause);
+                registered &= is_kept(&state, &mut eras, pause).await;
+                stale = registered;
             }
             Err(error) => watchman.bad(&state, &error).await,
         }
     }
 }
 
+/// Waits for the next look at the directory. False if the store has lost the
+/// own record meanwhile, as it came back from an older copy.
+async fn is_kept(
+    state: &Rc<State>,
+    eras: &mut watch::Receiver<Era>,
+    pause: Millis,
+) -> bool {
+    let next = Instant::now() + Duration::from_millis(pause.0);
+    while timeout_at(next, eras.changed()).await.is_ok() {
+        let wait = state.draw() * check_within(state).0 as f64;
+        sleep(Duration::from_millis(wait as u64)).await;
+        if !is_registered(state).await {
+            let fields = [("registered", "again".into())];
+            state.journal.change(state.now(), Event::Directory, &fields);
+            return false;
+        }
+    }
+    true
+}
+
+/// Within how long the nodes look at their own records after a restore. The
+/// store has lost what was written lately, so young nodes look first.
+fn check_within(state: &State) -> Millis {
+    if state.now() < YOUNG {
+        return CHECK_MIN;
+    }
+    let fleet = state.quotas.known() as u64;
+    Millis(fleet * 1_000 / CHECKS_A_SECOND).max(CHECK_MIN)
+}
+
+/// True if the store is known to have the own record.
+async fn is_registered(state: &Rc<State>) -> bool {
+    let mut client = Client::new(state);
+    let get = store::get(Kind::Node, &name(state));
+    match client.call(get, CALL_WITHIN).await {
+        Ok(answer) => answer.status.is_success(),
+        // It is written again, which does no harm if it is there.
+        Err(error) => {
+            let why = format!("own record: {error}").into();
+            let now = state.now();
+            state.journal.change(now, Event::Fault, &[("why", why)]);
+            false
+        }
+    }
+}
+
 /// Notes entries of lists that somebody else wrote and nobody can read.
 fn note_unreadable(state: &State, client: &mut Client) {
     let count = std::mem::take(&mut client.unreadable);
--- a/crates/walnutmoor/tests/mesh/restore.rs
+++ b/crates/walnutmoor/tests/mesh/restore.rs
@@ -173,3 +173,34 @@
         }
     });
 }
+
+/// True if a node has said that it wrote its record again.
+fn has_registered_again(world: &World, index: usize) -> bool {
+    world.pairs[index].node.log().contains("\"registered\":\"again\"")
+}
+
+// A node looks at the directory every fifteen seconds or so, and at a large
+// fleet every few minutes. Until then nobody that began found one whose record
+// a restore had taken away.
+#[test]
+fn records_that_a_restore_took_away_are_written_again() {
+    run(async {
+        let mut world = World::start(&["front"]).await;
+        let copy = world.store.copy();
+        world.add("desk").await;
+        world.add("desk").await;
+        world.whole().await;
+
+        world.store.restore(&copy, Watches::Cut);
+
+        until("all are listed", || async { world.store.nodes().len() == 3 })
+            .await;
+        for index in [1, 2] {
+            until("it says so", || async {
+                has_registered_again(&world, index)
+            })
+            .await;
+        }
+        assert!(!has_registered_again(&world, 0));
+    });
+}
