directory: a node that a restored store lacks is not taken for gone

A node whose link was down while the store came back from a copy without its record was forgotten by others, with what was known of its instance, and the parts of quotas were reckoned over a smaller fleet; its callers and those of its instance found no way to it until it had written again and been read.

Cause: a record that is missing was taken for a goodbye. Right after a restore it says only that the record is younger than the copy.

Now a list that is read while records may still be missing (the time in which nodes look for their own, and 10 s for those that were frozen or cut off) adds nodes and takes none away, and raises the count of the fleet only.

--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -41,6 +41,10 @@
 /// Within how long these look.
 const CHECK_MIN: Millis = Millis(1_000);
 
+/// How long a node may take besides to write its record again: one that was
+/// frozen or cut off is back within this, or taken for gone.
+const COMPLETE_AFTER: Millis = Millis(10_000);
+
 /// Looks a second of all others together, a part of the store's rates.
 const CHECKS_A_SECOND: u64 = 500;
 
@@ -105,6 +109,13 @@
     true
 }
 
+/// True if the directory may lack nodes that live, as the store has come back
+/// from an older copy.
+fn is_incomplete(state: &State) -> bool {
+    let since = state.eras.since_restore(state.now());
+    since.is_some_and(|since| since < check_within(state) + COMPLETE_AFTER)
+}
+
 /// Within how long the nodes look at their own records after a restore. The
 /// store has lost what was written lately, so young nodes look first.
 fn check_within(state: &State) -> Millis {
@@ -147,6 +158,11 @@
     let nodes: Set<NodeId> = records.map(|record| record.node).collect();
     nodes.iter().for_each(|node| state.learn(*node));
     state.has_directory.set(true);
+    if is_incomplete(state) {
+        // A record that a restore took away is no goodbye of its node.
+        state.quotas.hear_of(nodes.len());
+        return nodes.contains(&state.me);
+    }
     state.quotas.count_fleet(nodes.len());
     for link in state.links() {
         if !link.is_up() && !nodes.contains(&link.node) {
--- a/crates/walnutmoor/src/mesh/store/era.rs
+++ b/crates/walnutmoor/src/mesh/store/era.rs
@@ -12,7 +12,7 @@
 
 use http::HeaderMap;
 use tokio::sync::watch;
-use walnutmoor_core::id::Era;
+use walnutmoor_core::{id::Era, time::Millis};
 use walnutmoor_platform::header;
 
 use crate::mesh::{frame::Frame, journal::Event, state::State};
@@ -22,6 +22,8 @@
 pub(in crate::mesh) struct Eras {
     /// The highest; 0 before the first.
     last: watch::Sender<Era>,
+    /// When it rose last.
+    risen: Cell<Option<Millis>>,
     /// The last one that was lower.
     lower: Cell<Era>,
     /// Why an answer told none.
@@ -34,6 +36,11 @@
         *self.last.borrow()
     }
 
+    /// How long ago the store came back from an older copy, if it has.
+    pub(super) fn since_restore(&self, now: Millis) -> Option<Millis> {
+        self.risen.get().map(|risen| now.since(risen))
+    }
+
     /// Sees each rise of the era from now on.
     pub(super) fn subscribe(&self) -> watch::Receiver<Era> {
         self.last.subscribe()
@@ -91,6 +98,7 @@
         });
         return false;
     }
+    eras.risen.set(Some(state.now()));
     eras.last.send_replace(era);
     metrics::counter!("walnutmoor_store_era_changes_total").increment(1);
     note_change(state, last, era, source);
--- a/crates/walnutmoor/tests/mesh/restore.rs
+++ b/crates/walnutmoor/tests/mesh/restore.rs
@@ -204,3 +204,37 @@
         assert!(!has_registered_again(&world, 0));
     });
 }
+// The list that a node read right after it had written its record again lacked
+// one that could not write yet, and the node forgot it:
+//
+//     "event":"directory","gone":"127.0.0.1:22911"
+#[test]
+fn a_node_that_a_restored_directory_lacks_is_not_taken_for_gone() {
+    run(async {
+        let mut world = World::start(&["front"]).await;
+        let copy = world.store.copy();
+        world.add("desk").await;
+        world.add("desk").await;
+        world.whole().await;
+        let frozen = world.pairs[2].node.addresses().peers;
+        world.pairs[2].node.signal("STOP");
+        until("its link is lost", || async {
+            let log = world.pairs[1].node.log();
+            let mut lost = log.lines().filter(|l| l.contains("\"lost\""));
+            lost.any(|line| line.contains(&frozen.to_string()))
+        })
+        .await;
+
+        world.store.restore(&copy, Watches::Cut);
+        until("the other one is listed", || async {
+            has_registered_again(&world, 1)
+        })
+        .await;
+        world.pairs[2].node.signal("CONT");
+        until("all are listed", || async { world.store.nodes().len() == 3 })
+            .await;
+
+        let gone = format!("\"gone\":\"{frozen}\"");
+        assert!(!world.pairs[1].node.log().contains(&gone));
+    });
+}
