suspects: a restored store is told again of requests that end instances

After a restore that took away what was known of a request that ends instances, nodes that all began anew let it through to three more.

Cause: each node wrote what it had found once, and took it for kept. A write on a revision that the copy had given to other contents could also replace what somebody else had written since.

Now, for 30 s after a restore, the nodes that watch compare what the store lists, and each object that changes, with what they know, and write what is lacking; a writer looks first, so one of them does. Weighed against a write by every node that knows it: the same outcome at the cost of the fleet's size in calls.

--- a/crates/walnutmoor/src/mesh/store/suspects.rs
+++ b/crates/walnutmoor/src/mesh/store/suspects.rs
@@ -15,6 +15,7 @@
 use walnutmoor_core::{
     edition::Stamp,
     poison::{Evidence, Fingerprint},
+    time::Millis,
 };
 use walnutmoor_platform::store::{self, Kind, Object, Read};
 
@@ -33,6 +34,10 @@
 /// between.
 const CONFLICTS_MAX: u32 = 3;
 
+/// How long after a restore of the store what it keeps is compared with what
+/// this node knows: a write may have been made on a revision of the copy.
+const REPAIR_FOR: Millis = Millis(30_000);
+
 /// The least pause between writes, so that no flood of such requests spends
 /// the store's rates.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
@@ -90,9 +95,31 @@
 ) -> Result<(Vec<Object>, Stamp), Error> {
     let (objects, stamp) = client.list(Kind::Suspect, false).await?;
     objects.iter().for_each(|object| hear(state, object));
+    if is_lately_restored(state) {
+        repair(state, |name, evidence| {
+            let kept = objects.iter().find(|object| object.name == name);
+            !kept.is_some_and(|object| covers(object, evidence))
+        });
+    }
     Ok((objects, stamp))
 }
 
+/// True if the store may lack what was written, as it has come back from an
+/// older copy. Each node has written what it found, and none would again.
+fn is_lately_restored(state: &State) -> bool {
+    let since = state.eras.since_restore(state.now());
+    since.is_some_and(|since| since < REPAIR_FOR)
+}
+
+/// Has all written again that this node knows and the store lacks.
+fn repair(state: &State, lacks: impl Fn(&str, &Evidence) -> bool) {
+    for evidence in state.worst_evidence(OBJECTS_MAX) {
+        if lacks(&evidence.fingerprint.to_string(), &evidence) {
+            state.write_suspect(evidence.fingerprint);
+        }
+    }
+}
+
 /// Waits for the next changes; the stamp from which to watch on.
 async fn changes(
     state: &Rc<State>,
@@ -105,8 +132,15 @@
     if answer.era != since.era {
         return Err(Error::Restored);
     }
-    let there = news.changes.iter().filter(|change| !change.removed);
-    there.for_each(|change| hear(state, &change.object));
+    let there = news.changes.into_iter().filter(|change| !change.removed);
+    let objects: Vec<Object> = there.map(|change| change.object).collect();
+    objects.iter().for_each(|object| hear(state, object));
+    if is_lately_restored(state) {
+        repair(state, |name, evidence| {
+            let changed = objects.iter().find(|object| object.name == name);
+            changed.is_some_and(|object| !covers(object, evidence))
+        });
+    }
     Ok(Stamp { era: answer.era, revision: news.revision })
 }
 
--- a/crates/walnutmoor/src/mesh/suspicion.rs
+++ b/crates/walnutmoor/src/mesh/suspicion.rs
@@ -108,13 +108,24 @@
         register.evidence(self.now(), request)
     }
 
+    /// What is known of so many of the worst.
+    pub(super) fn worst_evidence(&self, most: usize) -> Vec<Evidence> {
+        let register = self.suspicion.register.borrow();
+        register.worst(self.now(), most)
+    }
+
     /// What is known of the worst, for a node that has just linked.
     pub(super) fn known_evidence(&self) -> Option<Frame> {
-        let register = self.suspicion.register.borrow();
-        let all = register.worst(self.now(), TOLD_MAX);
+        let all = self.worst_evidence(TOLD_MAX);
         (!all.is_empty()).then_some(Frame::Evidence(all))
     }
 
+    /// Has the store told of a request.
+    pub(super) fn write_suspect(&self, request: Fingerprint) {
+        self.suspicion.write_again(request);
+        self.suspicion.has_writes.notify_one();
+    }
+
     /// How many requests are known.
     pub fn suspects(&self) -> usize {
         self.suspicion.register.borrow().len()
@@ -225,8 +236,7 @@
         };
         self.note_suspicion(step, evidence, source);
         if source != STORE && source != PEER {
-            self.suspicion.write_again(evidence.fingerprint);
-            self.suspicion.has_writes.notify_one();
+            self.write_suspect(evidence.fingerprint);
         }
     }
 
--- a/crates/walnutmoor/tests/mesh/poison.rs
+++ b/crates/walnutmoor/tests/mesh/poison.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, sleep};
 
 use walnutmoor_core::table::Effect;
-use walnutmoor_standin::mesh::instance::Mood;
+use walnutmoor_standin::mesh::{instance::Mood, store::Watches};
 
 use crate::fixture::{World, desired, route, routes, run, until};
 
@@ -248,6 +248,51 @@
     });
 }
 
+// The store came back from a copy of before the crashes. No node wrote what it
+// knew once more, as each had written it; nodes that all began after that let
+// the request through to three more instances:
+//
+//     "event":"suspicion","step":"is barred","source":"own instance"
+//     "event":"era","from":1,"to":2
+//     "event":"start"      (and no line of the request)
+#[test]
+fn a_restored_store_is_told_again_what_ends_instances() {
+    run(async {
+        let mut world = faulty().await;
+        let copy = world.store.copy();
+        until_three(&world).await;
+        until_barred(&world, "known", SPOILED, 1).await;
+        until("the store keeps it", || async {
+            world.store.suspects().len() == 1
+        })
+        .await;
+        whole_again(&world).await;
+
+        world.store.restore(&copy, Watches::Cut);
+        until("the store keeps it again", || async {
+            world.store.suspects().len() == 1
+        })
+        .await;
+        world.pairs.iter_mut().for_each(|pair| pair.node.kill());
+        world.pairs.iter_mut().for_each(|pair| pair.node.restart());
+        world.whole().await;
+        until("all have read it", || async {
+            let mut nodes = world.pairs.iter().map(|pair| &pair.node);
+            nodes.all(|node| {
+                let log = node.log();
+                let life = log.rfind("\"event\":\"start\"").unwrap_or(0);
+                log[life..].contains("is barred")
+            })
+        })
+        .await;
+        let from = Instant::now();
+
+        resend(&world, "reborn", 15).await;
+
+        assert_eq!(arrivals_after(&world, from), 0);
+    });
+}
+
 #[test]
 fn links_tell_it_while_the_store_is_away() {
     run(async {
