soak: the store comes back from older copies, beside all other faults

The operator of the soak writes one state after the other: a state that was read before a newer one was written must not be written after it.

--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -109,7 +109,7 @@
     let mut failed = 0;
     for seed in first..first + number("count", 1)? {
         let config = soak::Config::new(own.clone(), seed);
-        let config = config.length(length).poison(true);
+        let config = config.length(length).poison(true).restores(true);
         let report = runtime()?.block_on(soak::run(&config));
         failed += u32::from(!report.breaches.is_empty());
         print(&report);
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -5,7 +5,7 @@
 
 Proxies on the loopback stand in every connection between nodes, to the store
 and to instances; processes are killed, paused and told to end; the store goes
-away, loses answers and forgets. The program uses the steady clock only, which
+away, loses answers, forgets and comes back from older copies. The program uses the steady clock only, which
 can't be set, and no disk, so clocks and disks are not harmed. Every fault comes
 from the seed; what processes make of it does not, so a seed that failed once
 may need several runs.
@@ -25,6 +25,7 @@
 pub mod load;
 pub mod plan;
 pub mod proxy;
+pub mod restore;
 pub mod verdict;
 pub mod world;
 
@@ -59,13 +60,14 @@
     seed: u64,
     length: Duration,
     poison: bool,
+    restores: bool,
 }
 
 impl Config {
     /// A run of 20 seconds of faults with this program.
     pub fn new(program: PathBuf, seed: u64) -> Config {
         let length = Duration::from_secs(20);
-        Config { program, seed, length, poison: false }
+        Config { program, seed, length, poison: false, restores: false }
     }
 
     /// Whether a request comes, beside the faults, that ends the instances
@@ -75,6 +77,12 @@
         self
     }
 
+    /// Whether the store comes back from older copies, beside the faults.
+    pub fn restores(mut self, restores: bool) -> Config {
+        self.restores = restores;
+        self
+    }
+
     /// How long new faults begin.
     pub fn length(mut self, length: Duration) -> Config {
         self.length = length;
@@ -119,6 +127,10 @@
     if config.poison {
         faults.spawn(load::resend(world.clone(), poison));
     }
+    if config.restores {
+        let restores = restore::draw(config.seed, config.length);
+        faults.spawn(restore::play(world.clone(), restores));
+    }
     for event in &plan {
         faults.spawn(world.clone().play(*event));
     }
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -31,7 +31,7 @@
 use crate::mesh::{
     instance::{Arrival, Instance, Mood},
     node::{Addresses, Node, Setup},
-    store::Store,
+    store::{Copy, Store, Watches},
 };
 
 /// The services of the instances, one for each node.
@@ -140,6 +140,8 @@
     pub record: Record,
     store: Arc<Store>,
     version: AtomicU64,
+    /// The operator writes one state after the other.
+    operator: Mutex<()>,
     serial: AtomicU64,
     /// Faults of a kind that last, so that one does not end another's.
     lasting: Mutex<BTreeMap<String, u32>>,
@@ -185,6 +187,7 @@
             record: Record::default(),
             store,
             version: AtomicU64::new(1),
+            operator: Mutex::default(),
             serial: AtomicU64::new(SERVICES.len() as u64),
             lasting: Mutex::default(),
             gone: Mutex::default(),
@@ -249,10 +252,7 @@
             Fault::Reload(node) => self.members[node].signal("HUP"),
             Fault::Harm(link, mode) => self.harm(link, mode, span).await,
             Fault::Reset(link) => self.proxy(link).reset(),
-            Fault::StoreDown => {
-                let set = |down| self.store.set_down(down);
-                self.last("store down", span, set).await;
-            }
+            Fault::StoreDown => self.hold_store_down(span).await,
             Fault::StoreMute => {
                 let set = |mute| self.store.set_mute(mute);
                 self.last("store mute", span, set).await;
@@ -338,6 +338,29 @@
         }
     }
 
+    /// A copy of what the store holds.
+    pub fn copy_store(&self) -> Copy {
+        self.store.copy()
+    }
+
+    /// The store comes back from a copy.
+    pub fn restore_store(&self, copy: &Copy, watches: Watches) {
+        self.store.restore(copy, watches);
+    }
+
+    /// The store is away for a while.
+    pub async fn hold_store_down(&self, span: Duration) {
+        let set = |down| self.store.set_down(down);
+        self.last("store down", span, set).await;
+    }
+
+    /// The operator writes the newest desired state once more, as the store
+    /// has lost it.
+    pub fn write_again(&self) {
+        let _turn = self.operator.lock().expect("no holder panics");
+        self.store.write_desired(&desired(self.version()));
+    }
+
     async fn kill(&self, nodes: &[usize], span: Duration) {
         let members = nodes.iter().map(|node| &self.members[*node]);
         let killed: Vec<&Member> = members.filter(|m| m.kill()).collect();
@@ -384,13 +407,18 @@
 
     async fn change(&self, count: u32) {
         for _ in 0..count {
-            let version = self.version.load(Ordering::SeqCst) + 1;
-            self.store.write_desired(&desired(version));
-            self.version.store(version, Ordering::SeqCst);
+            self.write_next();
             sleep(Duration::from_millis(100)).await;
         }
     }
 
+    fn write_next(&self) {
+        let _turn = self.operator.lock().expect("no holder panics");
+        let version = self.version() + 1;
+        self.store.write_desired(&desired(version));
+        self.version.store(version, Ordering::SeqCst);
+    }
+
     /// An instance leaves, and another lifetime takes its place.
     async fn replace(&self, node: usize, way: Farewell) {
         let member = &self.members[node];
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -33,6 +33,11 @@
     play(12, config(12, 14).poison(true));
 }
 
+#[test]
+fn promises_hold_while_the_store_comes_back_from_older_copies() {
+    play(19, config(19, 14).restores(true));
+}
+
 #[test]
 fn seeds_that_failed_before_hold() {
     let seeds = include_str!("../testdata/soak-seeds.txt");
@@ -43,7 +48,10 @@
         let (Some(seed), Some(seconds)) = (number(), number()) else {
             panic!("no seed and seconds: {line}");
         };
-        let poison = words.next() == Some("poison");
-        play(seed, config(seed, seconds).poison(poison));
+        let beside: Vec<&str> = words.collect();
+        let config = config(seed, seconds)
+            .poison(beside.contains(&"poison"))
+            .restores(beside.contains(&"restores"));
+        play(seed, config);
     }
 }
