--- a/crates/walnutmoor-standin/src/soak/restore.rs
+++ b/crates/walnutmoor-standin/src/soak/restore.rs
@@ -3,7 +3,7 @@
 
 The store is away for a moment and comes back as it was some seconds ago. What
 nodes wrote since is gone; the operator writes the newest desired state again a
-little later.
+little later, and then the next one.
 */
 
 use std::{sync::Arc, time::Duration};
@@ -35,6 +35,8 @@
 pub struct Restore {
     /// The pause before it.
     pub after: Duration,
+    /// Changes that the store acknowledges and loses.
+    pub lost: u32,
     /// How many copies back it goes.
     pub age: usize,
     /// How long the store is away.
@@ -57,6 +59,7 @@
         let watches = [Watches::Cut, Watches::Hang][below(2) as usize];
         let restore = Restore {
             after,
+            lost: below(4) as u32,
             age: below(AGE_MAX) as usize,
             away: Duration::from_millis(below(3_000)),
             watches,
@@ -74,6 +77,7 @@
 pub async fn play(world: Arc<World>, restores: Vec<Restore>) {
     for restore in restores {
         let copies = keep_copies(&world, restore.after).await;
+        world.change(restore.lost).await;
         world.hold_store_down(restore.away).await;
         let newest = copies.len().saturating_sub(1);
         let Some(copy) = copies.get(newest.saturating_sub(restore.age)) else {
@@ -82,6 +86,7 @@
         world.restore_store(copy, restore.watches);
         sleep(restore.again).await;
         world.write_again();
+        world.change(1).await;
     }
 }
 
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -405,7 +405,8 @@
         self.last(&format!("{link:?}"), span, set).await;
     }
 
-    async fn change(&self, count: u32) {
+    /// The operator changes the desired state, so often.
+    pub async fn change(&self, count: u32) {
         for _ in 0..count {
             self.write_next();
             sleep(Duration::from_millis(100)).await;
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn promises_hold_while_the_store_comes_back_from_older_copies() {
-    play(19, config(19, 14).restores(true));
+    play(22, config(22, 14).restores(true));
 }
 
 #[test]
