measure: what a restore of the store costs a fleet

In force on the last node, records standing again and calls to the store, at any number of nodes as processes. The aims are half of the platform's bound for a change (1 s there) and 2 s for records.

--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -19,6 +19,8 @@
       [--mode enforce|observe] [--seed N] [--seconds N] [--trace]
       SCENARIO: steady, slow, surge, storm, outage, churn, rollout
   measure slopes     figures for the capacity page, as JSON lines
+  measure restore [--nodes N]
+                     what a restore of the store costs so many nodes, as JSON
   soak --seed N [--count N] [--seconds N] [--logs DIR]
                      nodes as processes under faults, so many seeds in a row
   drive              events as JSON lines in, actions as JSON lines out
@@ -56,6 +58,7 @@
     options.optopt("", "mode", "enforce or observe", "MODE");
     options.optopt("", "seed", "of the load", "N");
     options.optopt("", "seconds", "of pressure", "N");
+    options.optopt("", "nodes", "of the fleet", "N");
     options.optflag("", "trace", "print the bottleneck's state");
     let wrong = |e: getopts::Fail| Failure::usage(e.to_string());
     let matches = options.parse(words).map_err(wrong)?;
@@ -71,6 +74,9 @@
             Failure::usage(format!("--{name}: `{text}` is not a number"))
         }),
     };
+    if scenario == "restore" {
+        return restore(number("nodes", 12)? as usize);
+    }
     let plan = Plan {
         scenario: scenario.parse()?,
         topology: Topology::named(
@@ -87,6 +93,17 @@
     Ok(())
 }
 
+fn restore(nodes: usize) -> Result<(), Failure> {
+    let program = std::env::current_exe();
+    let program = program.map_err(|e| Failure::Internal(e.to_string()))?;
+    let report = measure::restore::run(&program, nodes);
+    let report = runtime()?.block_on(report);
+    let late = || Failure::Internal("something did not come about".into());
+    let report = report.ok_or_else(late)?;
+    println!("{}", serde_json::to_string(&report).expect("plain data"));
+    Ok(())
+}
+
 fn soak(words: &[String]) -> Result<(), Failure> {
     let mut options = Options::new();
     options.reqopt("", "seed", "of the first run", "N");
--- a/crates/walnutmoor-standin/src/measure.rs
+++ b/crates/walnutmoor-standin/src/measure.rs
@@ -9,6 +9,7 @@
 
 mod faults;
 mod probe;
+pub mod restore;
 pub mod slopes;
 mod world;
 
