explain: the desired state that a request met, and what was passed over since

From a request handled by an old version the on-call engineer had to find the node's last desired line by hand, as it is mostly older than the 1.5 s of beliefs that explain tells. Now the story begins with the one in force when the request began, and each era of the store and each older state that the node passed over since then.

--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -57,6 +57,23 @@
         is_belief || ran.any(|content| content == fingerprint)
     }
 
+    /// True if it tells that a desired state came into force.
+    fn is_adoption(&self) -> bool {
+        self.value["event"] == "desired" && !self.value["source"].is_null()
+    }
+
+    /// True if it tells why a newer desired state may not be in force.
+    fn is_doubt(&self) -> bool {
+        let passed_over = self.value["passed_over"] == true;
+        passed_over || self.value["event"] == "era"
+    }
+
+    /// When the request began, for a line that tells how long it took.
+    fn begun(&self) -> u64 {
+        let after = self.value["after_ms"].as_u64();
+        self.ms.saturating_sub(after.unwrap_or(0))
+    }
+
     fn sentence(&self) -> String {
         let said = self.value["event"].as_str().unwrap_or("?");
         let story = match said {
@@ -66,6 +83,10 @@
             "retry" => "it goes on to another instance",
             "crash" => "its instance ended without a word",
             "suspicion" => "a request is suspect of ending instances",
+            "era" => "the store came back from an older copy",
+            "desired" if self.is_doubt() => {
+                "an older desired state was passed over"
+            }
             "canceled" => "its caller left before an answer",
             other => other,
         };
@@ -111,7 +132,11 @@
         );
     }
     let mut text = String::new();
+    let mut routed = BTreeSet::new();
     for line in own {
+        if routed.insert(&line.node) {
+            text.push_str(&desired_state(line, lines));
+        }
         let changes = lines.iter().filter(|other| {
             other.node == line.node
                 && other.request().is_none()
@@ -131,6 +156,26 @@
     text + &suspicions(id, lines)
 }
 
+/// What a node had in force when a request began there, and what it had passed
+/// over since.
+fn desired_state(line: &Line, lines: &[Line]) -> String {
+    let begun = line.begun();
+    let before = lines
+        .iter()
+        .filter(|other| other.node == line.node && other.request().is_none());
+    let mut before: Vec<&Line> =
+        before.filter(|other| other.ms <= begun).collect();
+    before.sort_by_key(|other| other.ms);
+    let Some(at) = before.iter().rposition(|other| other.is_adoption()) else {
+        return String::new();
+    };
+    let mut text = format!("in force {}\n", before[at].sentence());
+    for doubt in before[at..].iter().filter(|other| other.is_doubt()) {
+        let _ = writeln!(text, "since then {}", doubt.sentence());
+    }
+    text
+}
+
 /// What the nodes' logs hold against the content of a request: instances
 /// that ended under it, in this attempt or another, and what was believed.
 fn suspicions(id: &str, lines: &[Line]) -> String {
