--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -63,10 +63,13 @@
 
 #[test]
 fn the_desired_state_that_a_request_met_is_told_with_what_was_passed_over() {
-    check("c0de", expect![[r#"
+    check(
+        "c0de",
+        expect![[r#"
         in force at 47000 ms on a: desired; era 1; revision 7; routes 3; source "store"; version 7
         since then at 49000 ms on a: the store came back from an older copy; from 1; source "store"; to 2
         since then at 49010 ms on a: an older desired state was passed over; era 2; era_in_force 1; passed_over true; revision 4; revision_in_force 7; version 2; version_in_force 7
         at 52000 ms on a: an instance answered it; after_ms 110; revision 7; route "claims"; version 7; why ""
-    "#]]);
+    "#]],
+    );
 }
