--- a/crates/walnutmoor-standin/src/measure/restore.rs
+++ b/crates/walnutmoor-standin/src/measure/restore.rs
@@ -24,7 +24,7 @@
 use crate::mesh::{
     caller,
     node::{Addresses, Node, Setup},
-    store::{Store, Watches},
+    store::{Fate, Store},
 };
 
 /// Versions before the restore; the last three are lost.
@@ -67,7 +67,7 @@
 pub async fn run(program: &Path, nodes: usize) -> Option<Report> {
     let store = Store::start().await;
     store.write_desired(&desired(1));
-    let copy = store.copy();
+    let copy = store.snapshot();
     let all = (0..nodes).map(|index| start(program, &store, index));
     let fleet: Vec<Node> = all.collect();
     let listed = || async { store.nodes().len() == nodes };
@@ -78,7 +78,7 @@
     }
     store.set_down(true);
     sleep(AWAY).await;
-    store.restore(&copy, Watches::Cut);
+    store.restore(&copy, Fate::Cut);
     let before = store.calls();
     store.set_down(false);
     let back = Instant::now();
--- a/crates/walnutmoor-standin/src/mesh/store.rs
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -51,11 +51,11 @@
 
 /// What a store held at one moment.
 #[derive(Clone, Debug)]
-pub struct Copy(Data);
+pub struct Snapshot(Data);
 
 /// What becomes of watches that wait while the store is restored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Watches {
+pub enum Fate {
     /// Their connections break.
     Cut,
     /// They wait on for a change after the revision that they named, which
@@ -70,7 +70,7 @@
     data: Mutex<Data>,
     /// Sent with each answer, unless it is 0.
     era: AtomicU64,
-    /// Watches of this era and of older ones have lost their connections.
+    /// Fate of this era and of older ones have lost their connections.
     cut: AtomicU64,
     changed: Notify,
     down: AtomicBool,
@@ -137,16 +137,16 @@
     }
 
     /// A copy of what it holds now.
-    pub fn copy(&self) -> Copy {
-        Copy(self.lock().clone())
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.lock().clone())
     }
 
     /// Comes back from a copy, in the next era.
-    pub fn restore(&self, copy: &Copy, watches: Watches) {
+    pub fn restore(&self, copy: &Snapshot, watches: Fate) {
         let mut data = self.lock();
         *data = copy.0.clone();
         let former = self.era.fetch_add(1, Ordering::Relaxed);
-        if watches == Watches::Cut {
+        if watches == Fate::Cut {
             self.cut.store(former, Ordering::Relaxed);
         }
         drop(data);
@@ -304,12 +304,12 @@
             Call::Watch { kind, since, wait } => {
                 self.watch(kind, since, wait).await
             }
-            call => Ok(self.change(call)),
+            call => Ok(self.answer_at_once(call)),
         }
     }
 
     /// Answers a call that does not wait.
-    fn change(&self, call: Call) -> Reply {
+    fn answer_at_once(&self, call: Call) -> Reply {
         match call {
             Call::Watch { .. } => reply(StatusCode::NOT_FOUND, Vec::new()),
             Call::List(kind) => reply(StatusCode::OK, self.list(kind)),
--- a/crates/walnutmoor-standin/src/soak/restore.rs
+++ b/crates/walnutmoor-standin/src/soak/restore.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::world::World;
-use crate::mesh::store::{Copy, Watches};
+use crate::mesh::store::{Fate, Snapshot};
 
 /// The pause between two copies.
 const COPY_EACH: Duration = Duration::from_millis(200);
@@ -42,7 +42,7 @@
     /// How long the store is away.
     pub away: Duration,
     /// What becomes of watches.
-    pub watches: Watches,
+    pub watches: Fate,
     /// How long until the operator writes again.
     pub again: Duration,
 }
@@ -56,7 +56,7 @@
     let mut at = Duration::ZERO;
     loop {
         let after = Duration::from_millis(500 + below(2 * PAUSE));
-        let watches = [Watches::Cut, Watches::Hang][below(2) as usize];
+        let watches = [Fate::Cut, Fate::Hang][below(2) as usize];
         let restore = Restore {
             after,
             lost: below(4) as u32,
@@ -91,11 +91,11 @@
 }
 
 /// Copies the store again and again for a while; the oldest copy first.
-async fn keep_copies(world: &World, span: Duration) -> Vec<Copy> {
+async fn keep_copies(world: &World, span: Duration) -> Vec<Snapshot> {
     let end = Instant::now() + span;
     let mut copies = Vec::new();
     while Instant::now() < end {
-        copies.push(world.copy_store());
+        copies.push(world.snapshot_store());
         sleep(COPY_EACH).await;
     }
     copies
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -31,7 +31,7 @@
 use crate::mesh::{
     instance::{Arrival, Instance, Mood},
     node::{Addresses, Node, Setup},
-    store::{Copy, Store, Watches},
+    store::{Fate, Snapshot, Store},
 };
 
 /// The services of the instances, one for each node.
@@ -339,12 +339,12 @@
     }
 
     /// A copy of what the store holds.
-    pub fn copy_store(&self) -> Copy {
-        self.store.copy()
+    pub fn snapshot_store(&self) -> Snapshot {
+        self.store.snapshot()
     }
 
     /// The store comes back from a copy.
-    pub fn restore_store(&self, copy: &Copy, watches: Watches) {
+    pub fn restore_store(&self, copy: &Snapshot, watches: Fate) {
         self.store.restore(copy, watches);
     }
 
--- a/crates/walnutmoor/tests/mesh/poison.rs
+++ b/crates/walnutmoor/tests/mesh/poison.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, sleep};
 
 use walnutmoor_core::table::Effect;
-use walnutmoor_standin::mesh::{instance::Mood, store::Watches};
+use walnutmoor_standin::mesh::{instance::Mood, store::Fate};
 
 use crate::fixture::{World, desired, route, routes, run, until};
 
@@ -259,7 +259,7 @@
 fn a_restored_store_is_told_again_what_ends_instances() {
     run(async {
         let mut world = faulty().await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         until_three(&world).await;
         until_barred(&world, "known", SPOILED, 1).await;
         until("the store keeps it", || async {
@@ -268,7 +268,7 @@
         .await;
         whole_again(&world).await;
 
-        world.store.restore(&copy, Watches::Cut);
+        world.store.restore(&copy, Fate::Cut);
         until("the store keeps it again", || async {
             world.store.suspects().len() == 1
         })
--- a/crates/walnutmoor/tests/mesh/restore.rs
+++ b/crates/walnutmoor/tests/mesh/restore.rs
@@ -18,7 +18,7 @@
     id::Era,
     table::{Effect, Route},
 };
-use walnutmoor_standin::mesh::store::Watches;
+use walnutmoor_standin::mesh::store::Fate;
 
 use crate::fixture::{World, desired, route, routes, run, until};
 
@@ -49,14 +49,14 @@
 fn a_change_after_a_restore_is_in_force_everywhere() {
     run(async {
         let world = World::start(&["front", "desk", "desk"]).await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         for version in [2, 5, 7] {
             write(&world, version);
             in_force(&world, version).await;
         }
 
         world.store.set_down(true);
-        world.store.restore(&copy, Watches::Cut);
+        world.store.restore(&copy, Fate::Cut);
         world.store.set_down(false);
         write(&world, 7);
         write(&world, 9);
@@ -92,10 +92,10 @@
 fn a_node_that_begins_after_a_restore_hears_its_peers_first() {
     run(async {
         let mut world = World::start(&["front", "desk", "desk"]).await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         write(&world, 7);
         in_force(&world, 7).await;
-        world.store.restore(&copy, Watches::Cut);
+        world.store.restore(&copy, Fate::Cut);
 
         world.pairs[0].node.restart();
         until("its next life has a desired state", || async {
@@ -112,10 +112,10 @@
 fn nodes_that_all_began_after_a_restore_take_the_copy_and_then_the_change() {
     run(async {
         let mut world = World::start(&["front", "desk"]).await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         write(&world, 7);
         in_force(&world, 7).await;
-        world.store.restore(&copy, Watches::Cut);
+        world.store.restore(&copy, Fate::Cut);
         world.pairs.iter_mut().for_each(|pair| pair.node.restart());
         world.served(0, "browse", "by-the-copy").await;
 
@@ -136,7 +136,7 @@
 fn a_watch_that_hangs_on_over_a_restore_misses_no_change() {
     run(async {
         let mut world = World::start(&["front", "desk", "desk"]).await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         for version in [2, 5, 7] {
             write(&world, version);
             in_force(&world, version).await;
@@ -145,7 +145,7 @@
         until("two watch", || async { others().count() == 1 }).await;
         let other = others().next().unwrap();
 
-        world.store.restore(&copy, Watches::Hang);
+        world.store.restore(&copy, Fate::Hang);
         // It reads the store, and leaves the watch to the two that hang.
         world.pairs[other].node.restart();
         until("its next life has settled", || async {
@@ -186,12 +186,12 @@
 fn records_that_a_restore_took_away_are_written_again() {
     run(async {
         let mut world = World::start(&["front"]).await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         world.add("desk").await;
         world.add("desk").await;
         world.whole().await;
 
-        world.store.restore(&copy, Watches::Cut);
+        world.store.restore(&copy, Fate::Cut);
 
         until("all are listed", || async { world.store.nodes().len() == 3 })
             .await;
@@ -212,7 +212,7 @@
 fn a_node_that_a_restored_directory_lacks_is_not_taken_for_gone() {
     run(async {
         let mut world = World::start(&["front"]).await;
-        let copy = world.store.copy();
+        let copy = world.store.snapshot();
         world.add("desk").await;
         world.add("desk").await;
         world.whole().await;
@@ -225,7 +225,7 @@
         })
         .await;
 
-        world.store.restore(&copy, Watches::Cut);
+        world.store.restore(&copy, Fate::Cut);
         until("the other one is listed", || async {
             has_registered_again(&world, 1)
         })
