--- a/crates/walnutmoor-standin/src/mesh/store.rs
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -70,7 +70,7 @@
     data: Mutex<Data>,
     /// Sent with each answer, unless it is 0.
     era: AtomicU64,
-    /// Fate of this era and of older ones have lost their connections.
+    /// Watches of this era and of older ones have lost their connections.
     cut: AtomicU64,
     changed: Notify,
     down: AtomicBool,
