--- a/crates/walnutmoor/src/mesh/suspicion.rs
+++ b/crates/walnutmoor/src/mesh/suspicion.rs
@@ -230,8 +230,9 @@
         }
         let step = match (before, after) {
             (_, Standing::Clear) => "ends",
-            (Standing::Clear, _) => "begins",
+            // A node that has just begun may hear of all crashes at once.
             (_, Standing::Barred(_)) => "is barred",
+            (Standing::Clear, _) => "begins",
             _ => "grows",
         };
         self.note_suspicion(step, evidence, source);
