Log and count what an instance names as its limit, and why answers break

A malformed header is logged once and ignored.

Nothing acts on the limit yet: requests are placed and run as before.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod poison;
 pub mod queue;
 pub mod quota;
+pub mod rate_limit;
 pub mod retry;
 pub mod retry_budget;
 pub mod retry_state;
--- /dev/null
+++ b/crates/walnutmoor-core/tests/rate_limit.rs
@@ -0,0 +1,62 @@
+//! The limit that an instance names, by its responses.
+
+use walnutmoor_core::{
+    rate_limit::{Change, NamedLimit, Rate},
+    time::Millis,
+};
+
+fn rate(per_second: f64) -> Rate {
+    Rate::new(per_second).unwrap()
+}
+
+/// A limit that was named at 100 ms.
+fn named(per_second: f64) -> NamedLimit {
+    let mut limit = NamedLimit::default();
+    limit.observe(Millis(100), Millis(0), Some(rate(per_second)));
+    limit
+}
+
+#[test]
+fn a_response_to_an_earlier_request_does_not_end_a_limit() {
+    let mut limit = named(5.0);
+
+    assert_eq!(limit.observe(Millis(200), Millis(90), None), Change::None);
+    assert_eq!(limit.rate(), Some(rate(5.0)));
+}
+
+#[test]
+fn a_response_to_a_later_request_ends_a_limit() {
+    let mut limit = named(5.0);
+
+    assert_eq!(limit.observe(Millis(200), Millis(110), None), Change::Ended);
+    assert_eq!(limit.rate(), None);
+}
+
+#[test]
+fn small_changes_apply_without_being_reported() {
+    let mut limit = named(100.0);
+
+    let change = limit.observe(Millis(200), Millis(110), Some(rate(90.0)));
+
+    assert_eq!(change, Change::None);
+    assert_eq!(limit.rate(), Some(rate(90.0)));
+}
+
+#[test]
+fn small_changes_are_reported_once_they_add_up() {
+    let mut limit = named(100.0);
+
+    limit.observe(Millis(200), Millis(110), Some(rate(85.0)));
+    let change = limit.observe(Millis(300), Millis(210), Some(rate(72.0)));
+
+    assert_eq!(change, Change::Changed);
+}
+
+#[test]
+fn the_age_counts_from_the_first_response_that_named_a_limit() {
+    let mut limit = named(100.0);
+
+    limit.observe(Millis(300), Millis(210), Some(rate(50.0)));
+
+    assert_eq!(limit.age(Millis(400)), Millis(300));
+}
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -67,6 +67,11 @@
     Directory,
     /// The state of an instance has changed.
     Instance,
+    /// The rate limit that the instance of this node names has begun, changed
+    /// or ended.
+    Limit,
+    /// The response of an instance broke off or could not be trusted.
+    Broken,
     /// The instance of this node has crashed while it ran these requests.
     Crash,
     /// The suspicion of a request that may crash instances has changed.
@@ -102,6 +107,8 @@
         Event::Keys,
         Event::Directory,
         Event::Instance,
+        Event::Limit,
+        Event::Broken,
         Event::Crash,
         Event::Suspicion,
         Event::Answered,
@@ -128,6 +135,8 @@
             Event::Keys => "keys",
             Event::Directory => "directory",
             Event::Instance => "instance",
+            Event::Limit => "limit",
+            Event::Broken => "broken",
             Event::Crash => "crash",
             Event::Suspicion => "suspicion",
             Event::Answered => "answered",
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -12,6 +12,7 @@
 
 use walnutmoor_core::{
     lifetime::{Change, Lifetime, Report},
+    rate_limit::NamedLimit,
     time::Millis,
 };
 
@@ -95,6 +96,7 @@
         }
         if change == Change::Lifetime {
             self.pool.clear();
+            self.named_limit.replace(NamedLimit::default());
         }
         self.update_bulkhead();
         if let Some(lifetime) = self.departed() {
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 | [`frame`] | defines the frames exchanged between nodes |
 | [`serve`] | admits and runs calls on the local instance |
 | [`run`](mod@run) | sends one call to the local instance |
+| [`notice`] | acts on what the local instance says in its responses |
 | [`lifetime`] | follows the lifetime of the local instance |
 | [`crash`] | detects crashes of the local instance |
 | [`quotas`] | enforces the quotas of client accounts |
@@ -50,6 +51,7 @@
 pub mod lifetime;
 pub mod link;
 pub mod node;
+pub mod notice;
 pub mod output;
 pub mod peer;
 pub mod quotas;
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -0,0 +1,114 @@
+/*!
+Acts on what the local instance says about itself in its responses: the rate
+limit that it names, and that it is leaving.
+
+Only responses of the current lifetime count, and only those that the instance
+wrote itself: an answer to the request, or its own rejection.
+*/
+
+use std::rc::Rc;
+
+use http::HeaderMap;
+use walnutmoor_core::{
+    rate_limit::{Change, Rate},
+    time::Millis,
+};
+use walnutmoor_platform::{
+    Error,
+    header::{self, Verdict},
+};
+
+use super::{instance::Outcome, journal::Event, serve::Serve, state::State};
+
+impl Serve {
+    /// The rate limit that the instance names, if any.
+    pub fn named_limit(&self) -> Option<Rate> {
+        self.named_limit.borrow().rate()
+    }
+
+    /// Observes the outcome of a request that was sent at `sent_at` to the
+    /// instance with this id.
+    pub(super) fn observe_response(
+        &self,
+        state: &Rc<State>,
+        sent_at: Millis,
+        instance: &str,
+        attempt: &str,
+        outcome: &Outcome,
+    ) {
+        match outcome {
+            Outcome::Broken(why) => log_broken(state, attempt, why),
+            Outcome::Response(Verdict::Untrusted, status, ..) => {
+                let why = format!("untrusted response with status {status}");
+                log_broken(state, attempt, &why);
+            }
+            Outcome::Response(verdict, _, headers, _) => {
+                if instance == self.instance_id() {
+                    self.observe_limit(state, sent_at, *verdict, headers);
+                }
+            }
+            Outcome::Unreachable => {}
+        }
+    }
+
+    fn observe_limit(
+        &self,
+        state: &Rc<State>,
+        sent_at: Millis,
+        verdict: Verdict,
+        headers: &HeaderMap,
+    ) {
+        let named = match header::named_limit(headers) {
+            Ok(named) => named,
+            Err(error) => return self.log_malformed(state, &error),
+        };
+        self.malformed_logged.set(false);
+        // A rejection without a limit does not end one.
+        let may_observe = match verdict {
+            Verdict::Trusted => true,
+            Verdict::NotRun => named.is_some(),
+            Verdict::Misdirected | Verdict::Untrusted => false,
+        };
+        if !may_observe {
+            return;
+        }
+        let now = state.now();
+        let mut limit = self.named_limit.borrow_mut();
+        let change = limit.observe(now, sent_at, named);
+        let age = limit.age(now);
+        drop(limit);
+        log_limit(state, change, named, age);
+    }
+
+    /// Logs a malformed header, once until the next valid response.
+    fn log_malformed(&self, state: &State, error: &Error) {
+        if self.malformed_logged.replace(true) {
+            return;
+        }
+        let fields = [("why", error.to_string().into())];
+        state.journal.log_event(state.now(), Event::Fault, &fields);
+    }
+}
+
+fn log_limit(state: &State, change: Change, rate: Option<Rate>, age: Millis) {
+    let what = match change {
+        Change::None => return,
+        Change::Begun => "begun",
+        Change::Changed => "changed",
+        Change::Ended => "ended",
+    };
+    let fields = [
+        ("change", what.into()),
+        ("per_second", rate.map(Rate::per_second).into()),
+        ("age_ms", age.0.into()),
+    ];
+    state.journal.log_event(state.now(), Event::Limit, &fields);
+}
+
+fn log_broken(state: &State, attempt: &str, why: &str) {
+    let now = state.now();
+    if state.journal.has_room(now, Event::Broken) {
+        let fields = [("why", why.into())];
+        state.journal.log_request(now, Event::Broken, attempt, &fields);
+    }
+}
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -61,6 +61,7 @@
     };
     let clock = || state.now();
     let outcome = serve.pool.send(clock, request, &attempt, effect).await;
+    serve.observe_response(&state, now, &instance, &attempt, &outcome);
     let mut crash = None;
     match outcome {
         Outcome::Broken(_) => {
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -26,6 +26,7 @@
     poison::{
         Admission, Fingerprint, Isolation, SUSPECT_RETRY_AFTER, Standing,
     },
+    rate_limit::NamedLimit,
     retry_budget::{self, Priority, RetryBudget, SampleKey},
     table::Effect,
     time::Millis,
@@ -183,6 +184,10 @@
     pub(super) detector: Detector,
     /// The current lifetime of the instance.
     pub(super) tracker: RefCell<Tracker>,
+    /// The rate limit that the instance names.
+    pub(super) named_limit: RefCell<NamedLimit>,
+    /// True if the last response had a malformed header.
+    pub(super) malformed_logged: Cell<bool>,
     /// True while the instance refuses connections.
     pub(super) suspended: Cell<bool>,
     /// True once this node is shutting down.
@@ -228,6 +233,8 @@
             isolation: RefCell::new(Isolation::new()),
             detector: Detector::default(),
             tracker: RefCell::new(Tracker::new()),
+            named_limit: RefCell::default(),
+            malformed_logged: Cell::new(false),
             suspended: Cell::new(false),
             draining: Cell::new(false),
             last_call: Cell::new(0),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -14,6 +14,8 @@
     node::{Stats, Status},
 };
 
+use walnutmoor_core::rate_limit::Rate;
+
 use crate::{mesh, prelude::*, settings};
 
 static PROMETHEUS_HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -155,6 +157,9 @@
     for (name, value) in gauges {
         gauge!(name).set(value as f64);
     }
+    let limit = state.serve.named_limit();
+    gauge!("walnutmoor_named_limit")
+        .set(limit.map_or(f64::INFINITY, Rate::per_second));
     let arrivals = state.serve.arrivals.get();
     counter!("walnutmoor_arrivals_total").absolute(arrivals);
     let opened = state.serve.pool.opened();
