--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -72,6 +72,9 @@
     sequence: AtomicU64,
     draining: AtomicBool,
     heartbeats_stopped: AtomicBool,
+    /// The value of the header that names its limit, if any.
+    named_limit: Mutex<Option<String>>,
+    says_leaving: AtomicBool,
     runs: Mutex<BTreeMap<String, u32>>,
     arrivals: Mutex<Vec<Arrival>>,
     aborted_runs: AtomicU64,
@@ -138,6 +141,8 @@
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             heartbeats_stopped: AtomicBool::new(false),
+            named_limit: Mutex::default(),
+            says_leaving: AtomicBool::new(false),
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             aborted_runs: AtomicU64::new(0),
@@ -253,6 +258,32 @@
         self.send_heartbeat().await
     }
 
+    /// Names a limit of requests per second in its responses, or stops naming
+    /// one. The text is sent as it is.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        let mut named = self.named_limit.lock().expect("no holder panics");
+        *named = limit.map(str::to_string);
+    }
+
+    /// Says in its responses that it is leaving. Its heartbeats and health
+    /// checks don't change.
+    pub fn say_leaving(&self) {
+        self.says_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// The headers in which it speaks of itself.
+    fn notices(&self) -> String {
+        let mut headers = String::new();
+        let limit = self.named_limit.lock().expect("no holder panics");
+        if let Some(limit) = &*limit {
+            headers += &format!("{}: {limit}\r\n", header::NAMED_LIMIT);
+        }
+        if self.says_leaving.load(Ordering::Relaxed) {
+            headers += &format!("{}: 1\r\n", header::LEAVING);
+        }
+        headers
+    }
+
     /// Stops sending heartbeats.
     pub fn stop_heartbeats(&self) {
         self.heartbeats_stopped.store(true, Ordering::Relaxed);
@@ -427,7 +458,8 @@
     let behavior = *instance.behavior.lock().expect("no holder panics");
     if behavior == Behavior::Sheds {
         instance.record_arrival(request, false);
-        let headers = format!("{}: 1\r\n", header::NOT_RUN);
+        let notices = instance.notices();
+        let headers = format!("{notices}{}: 1\r\n", header::NOT_RUN);
         return write_response(
             stream,
             "503 Service Unavailable",
@@ -441,7 +473,8 @@
     }
     let id = header::attempt(&request.headers).unwrap_or_default();
     let body = format!("{} {id} {}", instance.id(), request.body);
-    let headers = format!("{}: {id}\r\n", header::ATTEMPT);
+    let notices = instance.notices();
+    let headers = format!("{notices}{}: {id}\r\n", header::ATTEMPT);
     let signed = format!("{headers}{}: s.{id}\r\n", header::SIGNATURE);
     match behavior {
         Behavior::DropsResponses => false,
--- a/crates/walnutmoor-standin/src/mesh/mod.rs
+++ b/crates/walnutmoor-standin/src/mesh/mod.rs
@@ -7,3 +7,4 @@
 pub mod instance;
 pub mod node;
 pub mod store;
+pub mod window;
--- a/crates/walnutmoor/tests/mesh/leaving.rs
+++ b/crates/walnutmoor/tests/mesh/leaving.rs
@@ -97,6 +97,74 @@
     });
 }
 
+/// Sends requests to node 0 until one was answered by the instance that says
+/// it leaves, and returns the number of its runs.
+async fn run_until_told(world: &World) -> u32 {
+    let desk = &world.pairs[1].instance;
+    desk.say_leaving();
+    let mut sent = 0;
+    until("the instance has answered a request", || {
+        sent += 1;
+        let id = format!("told-{sent}");
+        async move {
+            world.send(0, "order", &id).await;
+            desk.runs(&id) > 0
+        }
+    })
+    .await;
+    desk.total_runs()
+}
+
+#[test]
+fn an_instance_that_says_it_leaves_gets_no_new_requests() {
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        world.pairs[2].instance.set_run_time(Duration::from_millis(50));
+
+        let before = run_until_told(&world).await;
+        for n in 0..30 {
+            let id = format!("said-{n}");
+            let answer = world.send(0, "order", &id).await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+
+        assert_eq!(world.pairs[1].instance.total_runs(), before);
+    });
+}
+
+#[test]
+fn a_restarted_node_does_not_use_an_instance_that_said_it_leaves() {
+    run(async {
+        let mut world = World::start(&["front", "desk", "desk"]).await;
+
+        // Its heartbeats and health checks still say that it is ready.
+        let before = run_until_told(&world).await;
+        world.pairs[1].node.restart();
+        until("the node is ready again", || world.is_ready(1)).await;
+        for n in 0..60 {
+            let id = format!("said-{n}");
+            let answer = world.send(0, "order", &id).await.unwrap();
+            assert_eq!(answer.status, 200);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+
+        assert_eq!(world.pairs[1].instance.total_runs(), before);
+    });
+}
+
+#[test]
+fn a_new_lifetime_is_used_after_one_that_said_it_leaves() {
+    run(async {
+        let mut world = World::start(&["front", "desk"]).await;
+        run_until_told(&world).await;
+
+        world.pairs[1].instance.stop();
+        world.restart_instance(1).await;
+
+        world.send_until_ok(0, "order", "again").await;
+    });
+}
+
 #[test]
 fn a_terminating_node_finishes_requests_in_flight() {
     run(async {
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod fixture;
 mod leaving;
+mod limits;
 mod path;
 mod pipeline;
 mod poison;
