Keep to the rate limit that an instance names

Callers' requests reached two instances two to three times as often as these had said they take (572 and 617 in 4 s, allowed 397 and 383): nothing acted on Server-Limit. Class: an instance says something of itself, and the node beside it, through which all its requests pass, drops it.

The node beside the instance now lets requests start by a token bucket at the named rate. Work that it has no token for goes to a sibling without a limit at once, before it draws on a retry budget; without such a sibling it is queued by rank, or refused with the time until its token. Reports of load carry the limit and the share of the placed requests that fits, so that other nodes place the rest on siblings. A limit counts as capacity in reported demand, so admission at the ingress heeds it. Peers remember the limit and tell a restarted node before any call; the first response decides then.

Frames change, so nodes before and after don't link (protocol 3).

--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -8,6 +8,9 @@
 last report and its recent failure rate. Instances in the local zone are
 preferred unless they cost much more, since traffic between zones is paid for.
 
+An instance that names a rate limit gets only the share of its requests that
+fits, while a sibling without a limit can take the rest.
+
 # Example
 
 ```
@@ -191,6 +194,8 @@
         let typical_run_time = self.typical_run_time(ids, rank);
         let typical_failing = self.failures(ids).expected_rate();
         let mut best: Option<(f64, NodeId)> = None;
+        // The best among instances without a rate limit.
+        let mut best_unlimited: Option<(f64, NodeId)> = None;
         for at in 0..ids.len() {
             let id = ids[(at + first) % ids.len()];
             let Some((_, server)) = self.servers.get(&id) else {
@@ -203,7 +208,8 @@
             let failing = server.failures.rate_with_prior(typical_failing);
             let safe = pick.idempotent || failing < MAX_PROBE_FAILURE_RATE;
             let idle = server.load.waits[rank] == 0;
-            if probes && safe && idle && !rejected {
+            let is_limited = server.load.limited.is_some();
+            if probes && safe && idle && !rejected && !is_limited {
                 return Choice::Send(id);
             }
             let floor = if rejected { REJECTED_FAILURE_RATE } else { 0.0 };
@@ -223,13 +229,47 @@
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
+            if !is_limited
+                && best_unlimited.is_none_or(|(least, _)| cost < least)
+            {
+                best_unlimited = Some((cost, id));
+            }
         }
-        match best {
-            Some((_, id)) => Choice::Send(id),
-            None => Choice::None,
+        let Some((_, best)) = best else {
+            return Choice::None;
+        };
+        let Some((_, unlimited)) = best_unlimited else {
+            return Choice::Send(best);
+        };
+        let (_, server) = self.servers.get_mut(&best).expect("it was chosen");
+        match server.takes_share() {
+            true => Choice::Send(best),
+            false => Choice::Send(unlimited),
         }
     }
 
+    /// True if a sibling of this instance that names no rate limit may take
+    /// the request.
+    pub fn has_unlimited_sibling(
+        &self,
+        now: Millis,
+        id: NodeId,
+        scope: &Scope<'_>,
+    ) -> bool {
+        let Some((service, _)) = self.servers.get(&id) else {
+            return false;
+        };
+        let ids = self.services.get(service).into_iter().flatten();
+        let mut siblings = ids.filter(|sibling| **sibling != id);
+        siblings.any(|sibling| {
+            let server = self.servers.get(sibling);
+            let is_open = server.is_some_and(|(_, server)| {
+                server.is_usable(now) && server.load.limited.is_none()
+            });
+            is_open && scope.allows(*sibling)
+        })
+    }
+
     /// The instances of a service that accept work and that the scope allows.
     pub fn usable(
         &self,
--- a/crates/walnutmoor-core/src/balance/server.rs
+++ b/crates/walnutmoor-core/src/balance/server.rs
@@ -23,6 +23,9 @@
 /// The 99th percentile of run times, in multiples of the mean.
 const LONG_RUN_FACTOR: f64 = 3.0;
 
+/// All requests placed on an instance, in thousandths.
+const FULL_SHARE: u16 = 1_000;
+
 /// The failures that one node has seen, and the evidence behind them.
 ///
 /// Both start at 0 and are averaged in the same way, so their quotient is the
@@ -86,6 +89,9 @@
     in_flight_at_report: usize,
     pub(super) failures: Failures,
     pub(super) down_until: Millis,
+    /// The requests that the instance may still get within its share, in
+    /// thousandths.
+    credit: u16,
 }
 
 impl Server {
@@ -98,6 +104,7 @@
             in_flight_at_report: 0,
             failures: Failures::default(),
             down_until: Millis(0),
+            credit: 0,
         }
     }
 
@@ -112,6 +119,20 @@
         changed
     }
 
+    /// True if the next request placed on the instance is within the share
+    /// that its rate limit leaves room for.
+    pub(super) fn takes_share(&mut self) -> bool {
+        let Some(limited) = self.load.limited else {
+            return true;
+        };
+        self.credit += limited.share.min(FULL_SHARE);
+        let takes = self.credit >= FULL_SHARE;
+        if takes {
+            self.credit -= FULL_SHARE;
+        }
+        takes
+    }
+
     /// Records that a request ended.
     pub(super) fn done(&mut self, failed: Option<bool>) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -8,6 +8,9 @@
 which favors requests that were rejected before. Work that would wait too long
 is rejected on arrival, which leaves its caller time to retry elsewhere.
 
+An instance may also limit the rate of requests. Work that exceeds it is
+diverted at once if a sibling may take it, and is queued otherwise.
+
 # Example
 
 ```
@@ -21,6 +24,7 @@
     target: Millis(100),
     deadline: Millis(1_000),
     moved: false,
+    has_alternative: false,
 };
 assert_eq!(bulkhead.offer(Millis(0), work(1)), Offer::Run);
 assert_eq!(bulkhead.offer(Millis(0), work(2)), Offer::Wait);
@@ -35,7 +39,13 @@
 
 pub use load::Load;
 
-use crate::{demand::Demand, digest::Map, id::CallId, time::Millis};
+use crate::{
+    demand::Demand,
+    digest::Map,
+    id::CallId,
+    rate_limit::{Limiter, Rate},
+    time::Millis,
+};
 
 /// The load that an instance reports.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -106,6 +116,9 @@
 /// shedding. Single rejections also happen under low load.
 const MIN_SHEDDING_REJECTIONS: usize = 3;
 
+/// The lowest capacity of a rate-limited instance, in slots.
+const MIN_LIMITED_CAPACITY: f64 = 0.01;
+
 /// The weight of one run in the moving average of run times.
 const RUN_TIME_WEIGHT: f64 = 0.05;
 
@@ -123,6 +136,8 @@
     /// True if another instance has rejected it, so that its demand is
     /// already counted.
     pub moved: bool,
+    /// True if a sibling without a rate limit may take it.
+    pub has_alternative: bool,
 }
 
 /// The outcome of [`Bulkhead::offer`].
@@ -185,6 +200,10 @@
     demand: Demand,
     urgent: Demand,
     least_urgent: Demand,
+    /// All work that was offered, as one millisecond each.
+    offers: Demand,
+    limiter: Option<Limiter>,
+    diverted: u64,
 }
 
 impl Default for Bulkhead {
@@ -210,9 +229,51 @@
             demand: Demand::new(),
             urgent: Demand::new(),
             least_urgent: Demand::new(),
+            offers: Demand::new(),
+            limiter: None,
+            diverted: 0,
+        }
+    }
+
+    /// Limits the rate at which work starts, or removes the limit.
+    pub fn limit_rate(&mut self, now: Millis, rate: Option<Rate>) {
+        let Some(rate) = rate else {
+            self.limiter = None;
+            return;
+        };
+        match &mut self.limiter {
+            Some(limiter) => limiter.set_rate(now, rate),
+            None => {
+                let offered = self.offers.slots(now) * 1_000.0;
+                self.limiter = Some(Limiter::new(now, rate, offered));
+            }
         }
     }
 
+    /// The number of requests that were diverted.
+    pub fn diverted(&self) -> u64 {
+        self.diverted
+    }
+
+    /// Decides whether new work goes to a sibling that may take it, since the
+    /// rate limit leaves no room. Returns the estimated time until it would
+    /// run here.
+    pub fn divert(&mut self, now: Millis, work: &Work) -> Option<Millis> {
+        self.offers.add(now, 1.0);
+        let limiter = self.limiter.as_mut()?;
+        limiter.record_offer(now);
+        let is_free = self.queue.is_empty() && limiter.has_token(now);
+        if !self.open || is_free || !work.has_alternative {
+            return None;
+        }
+        let rank = rank(work.priority);
+        if !work.moved {
+            self.record_demand(now, rank);
+        }
+        self.diverted += 1;
+        Some(self.wait(now, rank))
+    }
+
     /// Accepts work for an instance with this many slots.
     pub fn open(&mut self, slots: u32) {
         self.open = true;
@@ -248,13 +309,16 @@
         if !work.moved {
             self.record_demand(now, rank);
         }
-        if self.queue.is_empty() && self.running.len() < self.limit {
+        if self.queue.is_empty()
+            && self.running.len() < self.limit
+            && self.take_token(now)
+        {
             self.start(now, work.id, rank);
             return Offer::Run;
         }
         self.arrivals += 1;
         let key = (rank, work.deadline, self.arrivals);
-        let wait = self.wait_at(key);
+        let wait = self.wait_at(now, key);
         let max_wait = max_wait(rank, work.target);
         let left = work.deadline.since(now);
         let run_time = Millis(self.run_times[rank] as u64);
@@ -314,6 +378,9 @@
             return None;
         }
         let rank = self.next_rank()?;
+        if !self.take_token(now) {
+            return None;
+        }
         let from = (rank, Millis(0), 0);
         let (_, waiting) = self.queue.range(from..).next()?;
         let id = waiting.id;
@@ -322,6 +389,30 @@
         Some(Next::Run(id))
     }
 
+    /// Takes a token of the rate limit. True if there was one, or no limit.
+    fn take_token(&mut self, now: Millis) -> bool {
+        let limiter = self.limiter.as_mut();
+        limiter.is_none_or(|limiter| limiter.take(now))
+    }
+
+    /// The number of slots that can be busy: all, or those that the rate limit
+    /// keeps busy.
+    fn capacity(&self) -> f64 {
+        let slots = self.limit as f64;
+        let Some(limiter) = &self.limiter else {
+            return slots;
+        };
+        let known = self.run_times.iter().filter(|time| **time > 0.0);
+        let count = known.clone().count();
+        match count {
+            0 => slots,
+            _ => {
+                let run_time = known.sum::<f64>() / count as f64;
+                slots.min(limiter.per_second() * run_time / 1_000.0)
+            }
+        }
+    }
+
     /// Records a rejection of work above the least urgent rank.
     fn record_rejection(&mut self, now: Millis, priority: u8) {
         // The least urgent rank is rejected first, which says nothing about
@@ -354,8 +445,12 @@
         demand: &Demand,
         reserves: usize,
     ) -> f64 {
-        let capacity = self.limit as f64 * unreserved_share(reserves);
-        demand.slots(now) / capacity.max(1.0)
+        let min_capacity = match self.limiter {
+            Some(_) => MIN_LIMITED_CAPACITY,
+            None => 1.0,
+        };
+        let capacity = self.capacity() * unreserved_share(reserves);
+        demand.slots(now) / capacity.max(min_capacity)
     }
 
     /// True if work above the least urgent rank was rejected repeatedly within
@@ -371,7 +466,8 @@
         let saturate = |value: f64| value.min(f64::from(u16::MAX)) as u16;
         let mut load = Load {
             accepting: self.open,
-            limit: saturate(self.limit as f64),
+            limit: saturate(self.capacity().max(1.0)),
+            limited: self.limiter.as_ref().map(|l| l.report()),
             held: saturate((self.running.len() + self.queue.len()) as f64),
             shedding: self.is_shedding(now),
             demand: saturate(
@@ -386,7 +482,7 @@
             ..Load::default()
         };
         for rank in 0..RANKS {
-            load.waits[rank] = saturate(self.wait(rank).0 as f64);
+            load.waits[rank] = saturate(self.wait(now, rank).0 as f64);
             load.run_times[rank] = saturate(self.run_times[rank]);
         }
         load
@@ -425,7 +521,7 @@
                 let id = waiting.id;
                 self.cancel(id);
                 self.record_rejection(now, rank as u8);
-                return Some(Next::Full(id, self.wait(rank)));
+                return Some(Next::Full(id, self.wait(now, rank)));
             }
         }
         None
@@ -444,7 +540,7 @@
             let Some((&key, &waiting)) = last else {
                 continue;
             };
-            let wait = self.wait_at(key);
+            let wait = self.wait_at(now, key);
             if wait > max_wait(rank, waiting.target) {
                 self.cancel(waiting.id);
                 self.record_rejection(now, rank as u8);
@@ -468,23 +564,35 @@
 
     /// How long new work of a rank would be queued, behind all work that is
     /// at least as urgent.
-    fn wait(&self, rank: usize) -> Millis {
-        self.wait_behind(rank, self.queued_by_rank[rank])
+    fn wait(&self, now: Millis, rank: usize) -> Millis {
+        self.wait_behind(now, rank, self.queued_by_rank[rank])
     }
 
     /// How long the work with this key is queued.
-    fn wait_at(&self, key: QueueKey) -> Millis {
+    fn wait_at(&self, now: Millis, key: QueueKey) -> Millis {
         let from = (key.0, Millis(0), 0);
         let ahead = self.queue.range(from..key).count();
-        self.wait_behind(key.0, ahead)
+        self.wait_behind(now, key.0, ahead)
     }
 
     /// How long work of a rank is queued behind `own` entries of its rank and
-    /// all more urgent entries, in the slots that more urgent work leaves.
+    /// all more urgent entries.
+    fn wait_behind(&self, now: Millis, rank: usize, own: usize) -> Millis {
+        let for_slot = self.wait_for_slot(rank, own);
+        let above: usize = self.queued_by_rank[..rank].iter().sum();
+        let for_token = self
+            .limiter
+            .as_ref()
+            .map_or(Millis(0), |limiter| limiter.wait(now, above + own));
+        for_slot.max(for_token)
+    }
+
+    /// How long work of a rank waits for a slot behind `own` entries of its
+    /// rank and all more urgent entries, in the slots that more urgent work leaves.
     ///
     /// Does not assume that the rank gets its reserve: work admitted on that
     /// assumption would take slots from calls of more urgent work.
-    fn wait_behind(&self, rank: usize, own: usize) -> Millis {
+    fn wait_for_slot(&self, rank: usize, own: usize) -> Millis {
         let free = self.limit.saturating_sub(self.running.len());
         let above = &self.queued_by_rank[..rank];
         if above.iter().sum::<usize>() + own < free {
--- a/crates/walnutmoor-core/src/bulkhead/load.rs
+++ b/crates/walnutmoor-core/src/bulkhead/load.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RANKS;
+use crate::rate_limit::Limited;
 
 /// The load of an instance, as its node reports it to other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
@@ -18,6 +19,8 @@
     pub run_times: [u16; RANKS],
     /// The number of slots in use at full load.
     pub limit: u16,
+    /// The rate limit of the instance, if any.
+    pub limited: Option<Limited>,
     /// The number of requests that run or are queued.
     pub held: u16,
     /// True if work above the least urgent rank was rejected repeatedly in the
--- a/crates/walnutmoor-core/src/error.rs
+++ b/crates/walnutmoor-core/src/error.rs
@@ -136,6 +136,8 @@
     OverQuota = ("over_quota", 429),
     /// The platform did not answer in time.
     PlatformDown = ("platform_down", 503),
+    /// The instance has named a rate limit that leaves no room.
+    Limited = ("limited", 503),
 }
 
 impl fmt::Display for Kind {
--- a/crates/walnutmoor-core/src/rate_limit.rs
+++ b/crates/walnutmoor-core/src/rate_limit.rs
@@ -22,6 +22,10 @@
 ```
 */
 
+mod limiter;
+
+pub use limiter::{Limited, Limiter};
+
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
@@ -88,6 +92,7 @@
     reported: Option<Rate>,
     since: Millis,
     named_at: Millis,
+    is_observed: bool,
 }
 
 impl NamedLimit {
@@ -107,6 +112,33 @@
         now: Millis,
         sent_at: Millis,
         named: Option<Rate>,
+    ) -> Change {
+        self.is_observed = true;
+        self.apply(now, sent_at, named)
+    }
+
+    /// Adopts the limit that another node remembers from an earlier
+    /// incarnation of this one. Ignored if the instance has responded since.
+    pub fn adopt(&mut self, now: Millis, rate: Rate) -> Change {
+        match self.is_observed {
+            true => Change::None,
+            false => self.apply(now, now, Some(rate)),
+        }
+    }
+
+    /// Drops what an earlier lifetime of the instance named. An adopted limit
+    /// stays, as it may be the new lifetime's; the first response decides.
+    pub fn start_lifetime(&mut self) {
+        if self.is_observed {
+            *self = NamedLimit::default();
+        }
+    }
+
+    fn apply(
+        &mut self,
+        now: Millis,
+        sent_at: Millis,
+        named: Option<Rate>,
     ) -> Change {
         match (self.rate, named) {
             (None, None) => Change::None,
--- a/crates/walnutmoor-core/tests/bulkhead.rs
+++ b/crates/walnutmoor-core/tests/bulkhead.rs
@@ -106,8 +106,14 @@
                 let id = CallId(model.next);
                 let deadline = now + Millis(left);
                 let moved = false;
-                let work =
-                    Work { id, priority, target: TARGET, deadline, moved };
+                let work = Work {
+                    id,
+                    priority,
+                    target: TARGET,
+                    deadline,
+                    moved,
+                    has_alternative: false,
+                };
                 let open = this.bulkhead.is_open();
                 match this.bulkhead.offer(now, work) {
                     Offer::Run => this.running.push(id),
@@ -173,7 +179,14 @@
 fn work(id: u64, priority: u8, left: u64) -> Work {
     let deadline = Millis(left);
     let id = CallId(id);
-    Work { id, priority, target: TARGET, deadline, moved: false }
+    Work {
+        id,
+        priority,
+        target: TARGET,
+        deadline,
+        moved: false,
+        has_alternative: false,
+    }
 }
 
 /// A bulkhead with one slot, which call 0 occupies, and run times of 10 ms.
@@ -298,6 +311,7 @@
         target: Millis(2_000),
         deadline: Millis(deadline),
         moved: false,
+        has_alternative: false,
     };
     // Sets the run time to 400 ms.
     assert_eq!(bulkhead.offer(Millis(0), work(1, 9_000)), Offer::Run);
--- a/crates/walnutmoor-core/tests/simulation/mod.rs
+++ b/crates/walnutmoor-core/tests/simulation/mod.rs
@@ -431,6 +431,7 @@
             target: request.target(),
             deadline: self.now + Millis(700),
             moved,
+            has_alternative: false,
         };
         let priority = match self.scenario.retry_policy {
             RetryPolicy::FirstCome => Priority::default(),
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -18,6 +18,7 @@
     footprint::Footprint,
     id::{Account, CallId, NodeId, Service},
     poison::{self, Fingerprint, Placement, Standing},
+    rate_limit::Rate,
     retry_state::{self, Decision, Outcome},
     table::{Effect, Route},
     time::Millis,
@@ -278,7 +279,11 @@
             Reply::Answered { .. } => ("the instance failed", Kind::Broken),
             Reply::NotRun { kind, retry, .. } => {
                 self.rejection = Some((*kind, *retry));
-                ("turned away", *kind)
+                let why = match kind {
+                    Kind::Limited => Kind::Limited.as_str(),
+                    _ => "turned away",
+                };
+                (why, *kind)
             }
             Reply::Unknown(kind) => (kind.as_str(), *kind),
             Reply::Crashed(crash) => {
@@ -297,7 +302,7 @@
         if decision == Decision::Stop || kind == Kind::Poisoned {
             return Some(self.give_up(kind));
         }
-        if outcome != Outcome::NodeRejected {
+        if outcome != Outcome::NodeRejected || kind == Kind::Limited {
             self.log_retry(state, request, node, why);
         }
         None
@@ -314,11 +319,13 @@
         if !state.journal.has_room(now, Event::Retry) {
             return;
         }
+        let limit = state.known_limit(node).map(Rate::per_second);
         let fields = [
             ("from", node.to_string().into()),
             ("why", why.into()),
             ("fingerprint", request.fingerprint.to_string().into()),
             ("reached", self.retry_state.arrivals().into()),
+            ("limit_per_second", limit.into()),
         ];
         state.journal.log_request(
             now,
@@ -419,6 +426,9 @@
     progress: &Progress,
 ) -> Option<(Attempt<'a>, oneshot::Receiver<Reply>)> {
     let now = state.now();
+    let scope = progress.retry_state.scope();
+    let has_alternative =
+        state.balancer.borrow().has_unlimited_sibling(now, node, &scope);
     let call = Call {
         id: CallId(0),
         service: request.service.clone(),
@@ -435,6 +445,7 @@
         is_retry: progress.retry_state.arrivals() > 0,
         parent_is_retry: request.parent_is_retry,
         moved: !progress.retry_state.tried().is_empty(),
+        has_alternative,
         method: request.method.clone(),
         path: request.path.clone(),
         headers: request.headers.clone(),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -41,6 +41,7 @@
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
     quota::{self, Request},
+    rate_limit::Rate,
     table::Effect,
     time::Millis,
 };
@@ -91,11 +92,14 @@
     KnownDepartures(Vec<Lifetime>),
     /// The era that was read from the store.
     Era(Era),
+    /// The rate limit that the receiver's instance last named to an earlier
+    /// incarnation of the receiver.
+    KnownLimit(Rate),
 }
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -160,6 +164,8 @@
     pub parent_is_retry: bool,
     /// True if it was sent to a node before.
     pub moved: bool,
+    /// True if a sibling without a rate limit may take it.
+    pub has_alternative: bool,
     /// The method.
     pub method: String,
     /// The path and query, unchanged.
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -12,7 +12,6 @@
 
 use walnutmoor_core::{
     lifetime::{Change, Lifetime, Report},
-    rate_limit::NamedLimit,
     time::Millis,
 };
 
@@ -96,7 +95,9 @@
         }
         if change == Change::Lifetime {
             self.pool.clear();
-            self.named_limit.replace(NamedLimit::default());
+            self.named_limit.borrow_mut().start_lifetime();
+            let rate = self.named_limit();
+            self.bulkhead.borrow_mut().limit_rate(state.now(), rate);
         }
         self.update_bulkhead();
         if let Some(lifetime) = self.departed() {
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -22,6 +22,7 @@
     digest::Map,
     error::Kind,
     id::{CallId, Incarnation, NodeId, Zone},
+    rate_limit::Rate,
     table::Effect,
     time::Millis,
     watcher,
@@ -93,6 +94,9 @@
     zone: RefCell<Option<Zone>>,
     /// Whether the peer reaches the store, by its last report.
     reaches_store: Cell<bool>,
+    /// The rate limit that the peer's instance named to an earlier incarnation
+    /// of the peer.
+    former_limit: Cell<Option<Rate>>,
     /// Whether a protocol version mismatch was logged.
     mismatch_logged: Cell<bool>,
     dead: Notify,
@@ -114,6 +118,7 @@
             rank: watcher::Rank::of(node),
             zone: RefCell::new(None),
             reaches_store: Cell::new(true),
+            former_limit: Cell::new(None),
             mismatch_logged: Cell::new(false),
             dead: Notify::new(),
             task: RefCell::new(None),
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -111,6 +111,7 @@
     {
         // The new incarnation does not know the calls sent to the former one.
         link.fail_pending(|_| true);
+        link.former_limit.set(state.known_limit(link.node));
     }
     let mut balance = state.balancer.borrow_mut();
     balance.join(link.node, &hello.service, &hello.zone);
@@ -177,6 +178,9 @@
     if !departed.is_empty() {
         let _ = outgoing.send(Frame::KnownDepartures(departed));
     }
+    if let Some(rate) = link.former_limit.take() {
+        let _ = outgoing.send(Frame::KnownLimit(rate));
+    }
     if let Some(instance) = state.serve.departed() {
         let _ = outgoing.send(Frame::Departed(instance));
     }
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -216,6 +216,7 @@
             ("arrivals", serve.arrivals.get().into()),
             ("repeats", serve.retries.get().into()),
             ("over_budget", serve.over_budget.get().into()),
+            ("limited", serve.diverted().into()),
             ("callers", state.connections.get().into()),
             ("connections", serve.pool.opened().into()),
         ];
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -75,9 +75,38 @@
         let now = state.now();
         let mut limit = self.named_limit.borrow_mut();
         let change = limit.observe(now, sent_at, named);
-        let age = limit.age(now);
         drop(limit);
-        log_limit(state, change, named, age);
+        self.apply_limit(state, change, "response");
+    }
+
+    /// Adopts the limit that another node remembers from an earlier
+    /// incarnation of this one.
+    pub(super) fn adopt_limit(&self, state: &Rc<State>, rate: Rate) {
+        let now = state.now();
+        let change = self.named_limit.borrow_mut().adopt(now, rate);
+        self.apply_limit(state, change, "a former life of this node");
+    }
+
+    /// Puts the named limit in force, and tells other nodes of a change.
+    fn apply_limit(&self, state: &Rc<State>, change: Change, source: &str) {
+        let now = state.now();
+        let limit = *self.named_limit.borrow();
+        self.bulkhead.borrow_mut().limit_rate(now, limit.rate());
+        let what = match change {
+            Change::None => return,
+            Change::Begun => "begun",
+            Change::Changed => "changed",
+            Change::Ended => "ended",
+        };
+        let fields = [
+            ("change", what.into()),
+            ("per_second", limit.rate().map(Rate::per_second).into()),
+            ("age_ms", limit.age(now).0.into()),
+            ("source", source.into()),
+        ];
+        state.journal.log_event(now, Event::Limit, &fields);
+        state.broadcast_load();
+        self.advance(state);
     }
 
     /// Logs a malformed header, once until the next valid response.
@@ -90,21 +119,6 @@
     }
 }
 
-fn log_limit(state: &State, change: Change, rate: Option<Rate>, age: Millis) {
-    let what = match change {
-        Change::None => return,
-        Change::Begun => "begun",
-        Change::Changed => "changed",
-        Change::Ended => "ended",
-    };
-    let fields = [
-        ("change", what.into()),
-        ("per_second", rate.map(Rate::per_second).into()),
-        ("age_ms", age.0.into()),
-    ];
-    state.journal.log_event(state.now(), Event::Limit, &fields);
-}
-
 fn log_broken(state: &State, attempt: &str, why: &str) {
     let now = state.now();
     if state.journal.has_room(now, Event::Broken) {
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -152,13 +152,7 @@
     /// The bulkhead's view of the job; `None` once it has started.
     fn work(&self, id: CallId) -> Option<Work> {
         let call = self.call.as_ref()?;
-        Some(Work {
-            id,
-            priority: call.priority,
-            target: call.target,
-            deadline: self.deadline,
-            moved: call.moved,
-        })
+        Some(work(id, call, self.deadline))
     }
 
     /// When the run is no longer useful: the earlier of the attempt's and the
@@ -264,6 +258,11 @@
         (bulkhead.running(), bulkhead.waiting())
     }
 
+    /// The number of calls that were diverted for the rate limit.
+    pub fn diverted(&self) -> u64 {
+        self.bulkhead.borrow().diverted()
+    }
+
     /// True if no heartbeat or health check of an instance was received yet.
     pub fn is_unknown(&self) -> bool {
         self.tracker.borrow().current().is_none()
@@ -346,7 +345,11 @@
         if let Standing::Barred(left) = standing {
             return reject(state, sink, Kind::Poisoned, left);
         }
-        if !self.try_record(now, &call) {
+        self.record_request(now, &call);
+        if let Some(retry_after) = self.divert(now, id, &call) {
+            return reject(state, sink, Kind::Limited, retry_after);
+        }
+        if !self.try_retry(now, &call) {
             self.over_budget.set(self.over_budget.get() + 1);
             return reject(state, sink, Kind::Budget, Millis(1_000));
         }
@@ -414,19 +417,28 @@
         }
     }
 
-    /// Records a first attempt in the retry budget, or withdraws a retry from
-    /// it. False if the budget is exhausted.
-    fn try_record(&self, now: Millis, call: &Call) -> bool {
-        let mut budget = self.retry_budget.borrow_mut();
-        if call.is_retry {
-            let sample_key = SampleKey::of(header::root(&call.attempt));
-            let priority = Priority { rank: call.priority, sample_key };
-            return budget.try_retry_for(now, priority);
+    /// Decides whether a call goes to a sibling, since the rate limit of the
+    /// instance leaves no room. It then draws on no retry budget.
+    fn divert(&self, now: Millis, id: CallId, call: &Call) -> Option<Millis> {
+        let work = work(id, call, now + call.time_left);
+        self.bulkhead.borrow_mut().divert(now, &work)
+    }
+
+    /// Records a first attempt in the retry budget.
+    fn record_request(&self, now: Millis, call: &Call) {
+        if !call.is_retry && !call.moved && !call.parent_is_retry {
+            self.retry_budget.borrow_mut().record_request(now);
         }
-        if !call.moved && !call.parent_is_retry {
-            budget.record_request(now);
+    }
+
+    /// Withdraws a retry from the retry budget. False if it is exhausted.
+    fn try_retry(&self, now: Millis, call: &Call) -> bool {
+        if !call.is_retry {
+            return true;
         }
-        true
+        let sample_key = SampleKey::of(header::root(&call.attempt));
+        let priority = Priority { rank: call.priority, sample_key };
+        self.retry_budget.borrow_mut().try_retry_for(now, priority)
     }
 
     /// Cancels a call that nobody waits for any more. A call that may run only
@@ -526,6 +538,18 @@
     }
 }
 
+/// The bulkhead's view of a call.
+fn work(id: CallId, call: &Call, deadline: Millis) -> Work {
+    Work {
+        id,
+        priority: call.priority,
+        target: call.target,
+        deadline,
+        moved: call.moved,
+        has_alternative: call.has_alternative,
+    }
+}
+
 fn reject(state: &State, sink: Sink, kind: Kind, retry_after: Millis) {
     let retry = Millis(retry_after.0.max(MIN_RETRY_AFTER.0));
     sink.reply(state, Reply::NotRun { kind, retry, reached: false });
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -17,6 +17,7 @@
     digest::Map,
     id::{Incarnation, NodeId},
     lifetime::Lifetime,
+    rate_limit::Rate,
     table::Splitter,
     throttle::Throttle,
     time::Millis,
@@ -173,6 +174,12 @@
         left.0 * 100 < max.0 * RETRY_TIMEOUT_PERCENT
     }
 
+    /// The rate limit of a node's instance, by its last report.
+    pub fn known_limit(&self, node: NodeId) -> Option<Rate> {
+        let load = self.balancer.borrow().load(node)?;
+        load.limited.map(|limited| limited.rate)
+    }
+
     /// Records the load of a node's instance.
     pub fn record_load(&self, node: NodeId, load: Load) {
         if !self.balancer.borrow_mut().report(node, load) {
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -162,6 +162,8 @@
         .set(limit.map_or(f64::INFINITY, Rate::per_second));
     let arrivals = state.serve.arrivals.get();
     counter!("walnutmoor_arrivals_total").absolute(arrivals);
+    let diverted = state.serve.diverted();
+    counter!("walnutmoor_limited_total").absolute(diverted);
     let opened = state.serve.pool.opened();
     counter!("walnutmoor_connections_opened_total").absolute(opened);
 }
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -101,6 +101,7 @@
         is_retry: false,
         parent_is_retry: false,
         moved: false,
+        has_alternative: false,
         method: "POST".into(),
         path: "/order/x".into(),
         headers: vec![(name.as_str().into(), value)],
