Heed an instance that says in its responses that it is leaving

Callers' requests went on to an instance whose responses said Server-Leaving: only heartbeats, health checks and goodbyes were heeded.

The node beside takes it as it takes a goodbye: its lifetime gets no new work, and peers are told. The reply to the node where the request began carries the lifetime as well, so whoever passes such a response on has recorded the departure itself, and tells a restarted node beside the instance before any call. Heartbeats that go on saying ready don't take it back; a new lifetime at the address is not leaving.

The known red test of a departed instance is a second cause: its goodbye is acknowledged before a peer has heard of it.

--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -411,7 +411,7 @@
 /// The result of a request with this reply of an instance.
 fn answered(reply: Reply) -> End {
     match reply {
-        Reply::Answered { status, headers, body, footprint } => {
+        Reply::Answered { status, headers, body, footprint, .. } => {
             End::Answered { status, headers, body, footprint }
         }
         _ => End::Failed(Kind::Broken),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -189,6 +189,8 @@
         body: Bytes,
         /// The work that it caused at each service.
         footprint: Footprint,
+        /// The instance's lifetime, if it has announced its departure.
+        departed: Option<Lifetime>,
     },
     /// The call did not run and will not run later.
     NotRun {
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -35,8 +35,18 @@
 
     /// Handles the announcement that an instance is leaving.
     pub fn leave(&self, state: &Rc<State>, lifetime: &Lifetime) {
+        self.leave_by(state, lifetime, "goodbye");
+    }
+
+    /// Handles the announcement that an instance is leaving, from this source.
+    pub(super) fn leave_by(
+        &self,
+        state: &Rc<State>,
+        lifetime: &Lifetime,
+        source: &str,
+    ) {
         let change = self.tracker.borrow_mut().leave(lifetime);
-        self.apply(state, change, "goodbye");
+        self.apply(state, change, source);
     }
 
     /// Records departed lifetimes that a former incarnation of this node
@@ -96,6 +106,7 @@
         if change == Change::Lifetime {
             self.pool.clear();
             self.named_limit.borrow_mut().start_lifetime();
+            self.malformed_logged.set(false);
             let rate = self.named_limit();
             self.bulkhead.borrow_mut().limit_rate(state.now(), rate);
         }
@@ -135,11 +146,12 @@
         state.journal.log_event(state.now(), Event::Instance, &fields);
     }
 
-    /// The id of the current instance; empty if it is not known.
-    pub(super) fn instance_id(&self) -> String {
+    /// The current lifetime of the instance; its id is empty if it is not
+    /// known.
+    pub(super) fn lifetime(&self) -> Lifetime {
         let tracker = self.tracker.borrow();
-        let id = tracker.current().map(|current| current.lifetime.id.clone());
-        id.unwrap_or_default()
+        let current = tracker.current();
+        current.map(|current| current.lifetime.clone()).unwrap_or_default()
     }
 
     /// Stops taking work until the instance accepts connections again.
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -22,7 +22,7 @@
 use super::Link;
 use crate::mesh::{
     desired::Source,
-    frame::{self, Frame, Hello, PROTOCOL_VERSION},
+    frame::{self, Frame, Hello, PROTOCOL_VERSION, Reply},
     journal::Event,
     state::State,
     suspicion::SOURCE_PEER,
@@ -258,6 +258,9 @@
     match frame {
         Frame::Answer(id, reply, load) => {
             state.record_load(link.node, load);
+            if let Reply::Answered { departed: Some(instance), .. } = &reply {
+                state.record_departed(link.node, instance.clone());
+            }
             link.complete(id, reply);
         }
         Frame::Pong(edition, reaches_store, load) => {
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -10,6 +10,7 @@
 
 use http::HeaderMap;
 use walnutmoor_core::{
+    lifetime::Lifetime,
     rate_limit::{Change, Rate},
     time::Millis,
 };
@@ -27,12 +28,12 @@
     }
 
     /// Observes the outcome of a request that was sent at `sent_at` to the
-    /// instance with this id.
+    /// instance while it had this lifetime.
     pub(super) fn observe_response(
         &self,
         state: &Rc<State>,
         sent_at: Millis,
-        instance: &str,
+        lifetime: &Lifetime,
         attempt: &str,
         outcome: &Outcome,
     ) {
@@ -42,9 +43,11 @@
                 let why = format!("untrusted response with status {status}");
                 log_broken(state, attempt, &why);
             }
+            Outcome::Response(Verdict::Misdirected, ..) => {}
             Outcome::Response(verdict, _, headers, _) => {
-                if instance == self.instance_id() {
+                if self.is_current(lifetime) {
                     self.observe_limit(state, sent_at, *verdict, headers);
+                    self.observe_leaving(state, lifetime, headers);
                 }
             }
             Outcome::Unreachable => {}
@@ -62,7 +65,6 @@
             Ok(named) => named,
             Err(error) => return self.log_malformed(state, &error),
         };
-        self.malformed_logged.set(false);
         // A rejection without a limit does not end one.
         let may_observe = match verdict {
             Verdict::Trusted => true,
@@ -79,6 +81,31 @@
         self.apply_limit(state, change, "response");
     }
 
+    /// Handles the headers of a response that may say that its instance is
+    /// leaving. A heartbeat or a goodbye may say so as well; whichever comes
+    /// first counts.
+    fn observe_leaving(
+        &self,
+        state: &Rc<State>,
+        lifetime: &Lifetime,
+        headers: &HeaderMap,
+    ) {
+        match header::is_leaving(headers) {
+            Ok(true) if self.tracker.borrow().is_ready() => {
+                self.leave_by(state, lifetime, "response");
+            }
+            Ok(_) => {}
+            Err(error) => self.log_malformed(state, &error),
+        }
+    }
+
+    /// True if the instance is still in this lifetime.
+    fn is_current(&self, lifetime: &Lifetime) -> bool {
+        let tracker = self.tracker.borrow();
+        let current = tracker.current();
+        current.is_some_and(|current| current.lifetime.matches(lifetime))
+    }
+
     /// Adopts the limit that another node remembers from an earlier
     /// incarnation of this one.
     pub(super) fn adopt_limit(&self, state: &Rc<State>, rate: Rate) {
@@ -109,7 +136,7 @@
         self.advance(state);
     }
 
-    /// Logs a malformed header, once until the next valid response.
+    /// Logs a malformed header, once in each lifetime of the instance.
     fn log_malformed(&self, state: &State, error: &Error) {
         if self.malformed_logged.replace(true) {
             return;
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -11,6 +11,7 @@
     error::Kind,
     footprint::{Footprint, Key},
     id::{Account, CallId},
+    lifetime::Lifetime,
     time::Millis,
 };
 use walnutmoor_platform::header::{self, Verdict};
@@ -52,16 +53,17 @@
     let run = Run { parent, footprint: Footprint::default() };
     serve.runs.borrow_mut().insert(call.attempt.clone(), run);
     serve.arrivals.set(serve.arrivals.get() + 1);
-    let instance = serve.instance_id();
+    let lifetime = serve.lifetime();
     let (attempt, effect) = (call.attempt.clone(), call.effect);
     let fingerprint = call.fingerprint;
-    let Some(request) = request(call, deadline.since(now), &instance) else {
+    let Some(request) = request(call, deadline.since(now), &lifetime.id)
+    else {
         finish(&state, id, not_run(Kind::Malformed, false), false);
         return;
     };
     let clock = || state.now();
     let outcome = serve.pool.send(clock, request, &attempt, effect).await;
-    serve.observe_response(&state, now, &instance, &attempt, &outcome);
+    serve.observe_response(&state, now, &lifetime, &attempt, &outcome);
     let mut crash = None;
     match outcome {
         Outcome::Broken(_) => {
@@ -150,7 +152,10 @@
         Outcome::Broken(_) => return Reply::Unknown(Kind::Broken),
     };
     match verdict {
-        Verdict::Trusted => answered(status, headers, body, footprint),
+        Verdict::Trusted => {
+            let departed = state.serve.departed();
+            answered(status, headers, body, footprint, departed)
+        }
         // Not a sign of overload: the instance never gets more calls than it
         // has slots, so it would reject this one at any load.
         Verdict::NotRun => not_run(Kind::Overloaded, true),
@@ -167,10 +172,11 @@
     mut headers: HeaderMap,
     body: Bytes,
     footprint: Footprint,
+    departed: Option<Lifetime>,
 ) -> Reply {
     header::strip_hop_by_hop(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
     let headers = wire::pack(&headers);
     let status = status.as_u16();
-    Reply::Answered { status, headers, body, footprint }
+    Reply::Answered { status, headers, body, footprint, departed }
 }
