Acknowledge a departure only when the peers have recorded it

After a quick restart of its node an instance that had said goodbye, and was acknowledged, got callers' requests again. The goodbye was answered 200 before any peer had heard of it; a node killed in that moment, whose peers alone could tell its next incarnation, took the instance's successful health check for a ready instance.

Peers now confirm that they have recorded a departure, and the acknowledgement of a goodbye or of a draining report waits for those that are reachable, half a second at most; what is then missing is logged.

--- a/crates/walnutmoor/src/mesh/control.rs
+++ b/crates/walnutmoor/src/mesh/control.rs
@@ -109,6 +109,9 @@
         Ok(Call::Leave(lifetime)) => state.serve.leave(state, &lifetime),
         Err(error) => return refuse(state, error.to_string()),
     }
+    if state.serve.has_left() {
+        state.await_departure_recorded().await;
+    }
     reply(StatusCode::OK, heartbeat::ACKNOWLEDGEMENT)
 }
 
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -95,6 +95,8 @@
     /// The rate limit that the receiver's instance last named to an earlier
     /// incarnation of the receiver.
     KnownLimit(Rate),
+    /// The departure of the receiver's instance was recorded.
+    DepartureRecorded,
 }
 
 /// The protocol version. Incremented with each incompatible change of the
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -142,6 +142,7 @@
     let now = state.now();
     link.outgoing.borrow_mut().take();
     state.balancer.borrow_mut().down(link.node, Millis::NEVER);
+    state.departures.record_peer(link.node);
     let fields = [
         ("peer", link.node.to_string().into()),
         ("why", why.into()),
@@ -268,6 +269,7 @@
             state.record_load(link.node, load);
             state.record_peer_edition(edition, link.node);
         }
+        Frame::DepartureRecorded => state.departures.record_peer(link.node),
         Frame::Desired(stamp, raw) => {
             state.adopt(stamp, raw, Source::Peer);
         }
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 | [`run`](mod@run) | sends one call to the local instance |
 | [`notice`] | acts on what the local instance says in its responses |
 | [`lifetime`] | follows the lifetime of the local instance |
+| [`departure`] | remembers departed instances for the nodes beside them |
 | [`crash`] | detects crashes of the local instance |
 | [`quotas`] | enforces the quotas of client accounts |
 | [`suspicion`] | tracks requests suspected of crashing instances |
@@ -42,6 +43,7 @@
 pub mod connection;
 pub mod control;
 pub mod crash;
+pub mod departure;
 pub mod desired;
 pub mod dispatch;
 pub mod frame;
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -284,7 +284,8 @@
             session.send(Frame::QuotaResponse(account, response));
         }
         Frame::Departed(instance) => {
-            state.record_departed(hello.node, instance)
+            state.record_departed(hello.node, instance);
+            session.send(Frame::DepartureRecorded);
         }
         Frame::Evidence(evidence) => {
             state.merge_evidence(&evidence, SOURCE_PEER)
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -5,7 +5,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
     rc::Rc,
 };
 
@@ -16,7 +15,6 @@
     bulkhead::Load,
     digest::Map,
     id::{Incarnation, NodeId},
-    lifetime::Lifetime,
     rate_limit::Rate,
     table::Splitter,
     throttle::Throttle,
@@ -24,6 +22,7 @@
 };
 
 use super::{
+    departure::Departures,
     desired::Desired,
     frame::{Frame, Hello, PROTOCOL_VERSION},
     journal::{Event, Journal},
@@ -90,8 +89,8 @@
     pub(super) eras: EraTracker,
     /// The quotas of client accounts.
     pub(crate) quotas: Quotas,
-    /// Departed instances, by the node that announced them.
-    departed: RefCell<Map<NodeId, VecDeque<Lifetime>>>,
+    /// Departed instances.
+    pub(super) departures: Departures,
     /// The longest timeout that a caller of each route has sent.
     longest_timeouts: RefCell<Map<String, Millis>>,
     rng: RefCell<SmallRng>,
@@ -103,9 +102,6 @@
 /// are found in the store's directory or in other hellos.
 const MAX_HELLO_NODES: usize = 8;
 
-/// The maximum number of departed instances that are kept for each node.
-const MAX_DEPARTED_INSTANCES: usize = 4;
-
 /// A request with less than this percentage of its route's longest timeout
 /// left counts as a retry.
 const RETRY_TIMEOUT_PERCENT: u64 = 98;
@@ -138,7 +134,7 @@
             desired: Desired::default(),
             eras: EraTracker::default(),
             quotas: Quotas::new(settings.bounds().quota()),
-            departed: RefCell::new(Map::default()),
+            departures: Departures::default(),
             longest_timeouts: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
             started_at: Instant::now(),
@@ -203,34 +199,6 @@
         }
     }
 
-    /// Announces to every linked node that the local instance has departed,
-    /// so that they can report it to this node after a restart.
-    pub fn broadcast_departure(&self, instance: &Lifetime) {
-        for link in self.links() {
-            link.send(Frame::Departed(instance.clone()));
-        }
-    }
-
-    /// Records that the instance of a node has departed.
-    pub fn record_departed(&self, node: NodeId, instance: Lifetime) {
-        let mut departed = self.departed.borrow_mut();
-        let lifetimes = departed.entry(node).or_default();
-        if lifetimes.contains(&instance) {
-            return;
-        }
-        if lifetimes.len() == MAX_DEPARTED_INSTANCES {
-            lifetimes.pop_front();
-        }
-        lifetimes.push_back(instance);
-    }
-
-    /// The departed instances that an earlier incarnation of a node announced.
-    pub fn departed(&self, node: NodeId) -> Vec<Lifetime> {
-        let departed = self.departed.borrow();
-        let lifetimes = departed.get(&node).into_iter().flatten();
-        lifetimes.cloned().collect()
-    }
-
     /// The hello that this node sends on a new link.
     pub fn hello(&self) -> Hello {
         Hello {
@@ -285,7 +253,7 @@
             return;
         };
         link.close();
-        self.departed.borrow_mut().remove(&node);
+        self.departures.remove_node(node);
         self.balancer.borrow_mut().leave(node);
         let fields = [("gone", node.to_string().into())];
         self.journal.log_event(self.now(), Event::Directory, &fields);
