--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -86,6 +86,14 @@
 pub enum Choice {
     /// Send the request to the instance of this node.
     Send(NodeId),
+    /// Send the request to a sibling, since the rate limit of the best
+    /// instance leaves no room.
+    Instead {
+        /// The node of the sibling.
+        to: NodeId,
+        /// The node of the best instance.
+        best: NodeId,
+    },
     /// No eligible instance is known.
     None,
 }
@@ -244,7 +252,7 @@
         let (_, server) = self.servers.get_mut(&best).expect("it was chosen");
         match server.takes_share() {
             true => Choice::Send(best),
-            false => Choice::Send(unlimited),
+            false => Choice::Instead { to: unlimited, best },
         }
     }
 
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -467,7 +467,7 @@
         let mut load = Load {
             accepting: self.open,
             limit: saturate(self.capacity().max(1.0)),
-            limited: self.limiter.as_ref().map(|l| l.report()),
+            limited: self.limiter.as_ref().map(|l| l.report(now)),
             held: saturate((self.running.len() + self.queue.len()) as f64),
             shedding: self.is_shedding(now),
             demand: saturate(
--- a/crates/walnutmoor-core/src/rate_limit/limiter.rs
+++ b/crates/walnutmoor-core/src/rate_limit/limiter.rs
@@ -37,6 +37,8 @@
 pub struct Limited {
     /// The limit.
     pub rate: Rate,
+    /// How long the instance has named a limit.
+    pub age: Millis,
     /// The share of the requests placed on the instance that fits, in
     /// thousandths; the rest is to be placed on siblings.
     pub share: u16,
@@ -46,6 +48,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limiter {
     rate: Rate,
+    since: Millis,
     tokens: f64,
     refilled_at: Millis,
     share: f64,
@@ -61,6 +64,7 @@
         let fitting = rate.per_second() / offered_per_second.max(MIN_RATE);
         Limiter {
             rate,
+            since: now,
             tokens: 1.0,
             refilled_at: now,
             share: fitting.clamp(MIN_SHARE, 1.0),
@@ -120,8 +124,12 @@
     }
 
     /// The report to other nodes.
-    pub fn report(&self) -> Limited {
-        Limited { rate: self.rate, share: (self.share * 1_000.0) as u16 }
+    pub fn report(&self, now: Millis) -> Limited {
+        Limited {
+            rate: self.rate,
+            age: now.since(self.since),
+            share: (self.share * 1_000.0) as u16,
+        }
     }
 
     /// The most tokens that the bucket holds.
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -4,6 +4,7 @@
     balance::{Balancer, Choice, Pick},
     bulkhead::Load,
     id::{NodeId, Service},
+    rate_limit::{Limited, Rate},
     retry_state::Scope,
     time::Millis,
 };
@@ -234,3 +235,42 @@
 
     assert!(balance.retry_may_succeed(id(1)));
 }
+
+/// A report of an instance whose rate limit leaves room for this share.
+fn limited(share: u16) -> Load {
+    let rate = Rate::new(10.0).unwrap();
+    let limited = Some(Limited { rate, age: Millis(0), share });
+    Load { limited, ..load(20, 0) }
+}
+
+#[test]
+fn a_limited_instance_gets_the_share_that_fits() {
+    let mut balance = balance();
+    balance.report(id(1), limited(250));
+
+    let choices = (0..100).map(|_| choose(&mut balance, &[]));
+    let to_limited =
+        choices.filter(|choice| *choice == Choice::Send(id(1))).count();
+
+    assert!((23..=25).contains(&to_limited), "{to_limited}");
+}
+
+#[test]
+fn a_request_beyond_the_share_goes_to_a_sibling() {
+    let mut balance = balance();
+    balance.report(id(1), limited(0));
+
+    let choice = choose(&mut balance, &[id(3)]);
+
+    assert_eq!(choice, Choice::Instead { to: id(2), best: id(1) });
+}
+
+#[test]
+fn a_limited_instance_is_used_if_all_siblings_are_limited() {
+    let mut balance = balance();
+    for port in 1..=3 {
+        balance.report(id(port), limited(0));
+    }
+
+    assert_eq!(choose(&mut balance, &[]), Choice::Send(id(1)));
+}
--- a/crates/walnutmoor-core/tests/rate_limit.rs
+++ b/crates/walnutmoor-core/tests/rate_limit.rs
@@ -60,3 +60,36 @@
 
     assert_eq!(limit.age(Millis(400)), Millis(300));
 }
+
+#[test]
+fn an_adopted_limit_applies_until_the_instance_responds() {
+    let mut limit = NamedLimit::default();
+    assert_eq!(limit.adopt(Millis(10), rate(5.0)), Change::Begun);
+
+    assert_eq!(limit.observe(Millis(90), Millis(20), None), Change::Ended);
+    assert_eq!(limit.adopt(Millis(95), rate(5.0)), Change::None);
+}
+
+#[test]
+fn an_adopted_limit_outlasts_the_first_heartbeat() {
+    let mut adopted = NamedLimit::default();
+    adopted.adopt(Millis(10), rate(5.0));
+    let mut observed = named(5.0);
+
+    adopted.start_lifetime();
+    observed.start_lifetime();
+
+    assert_eq!(adopted.rate(), Some(rate(5.0)));
+    assert_eq!(observed.rate(), None);
+}
+
+#[test]
+fn a_rate_is_finite_and_not_negative() {
+    for text in ["", "-1", "NaN", "inf", "1e999", "many"] {
+        assert!(text.parse::<Rate>().is_err(), "{text:?}");
+    }
+    for (text, per_second) in [("0", 0.0), ("-0", 0.0), ("0.25", 0.25)] {
+        assert_eq!(text.parse(), Ok(rate(per_second)));
+    }
+    assert_eq!(rate(12.5).to_string(), "12.5");
+}
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -18,7 +18,7 @@
     footprint::Footprint,
     id::{Account, CallId, NodeId, Service},
     poison::{self, Fingerprint, Placement, Standing},
-    rate_limit::Rate,
+    rate_limit::Limited,
     retry_state::{self, Decision, Outcome},
     table::{Effect, Route},
     time::Millis,
@@ -79,6 +79,9 @@
     pub tried: Vec<NodeId>,
     /// How often instances ran it, or may have.
     pub runs: u32,
+    /// The last node whose instance did not get it for its rate limit, and
+    /// that limit.
+    pub limited: Option<(NodeId, Limited)>,
 }
 
 /// The result of a dispatched request.
@@ -135,7 +138,8 @@
     let mut progress = Progress::new(&request.route);
     let end = send_with_retries(state, request, &mut progress).await;
     let runs = progress.retry_state.runs();
-    Finished { end, tried: progress.retry_state.tried().to_vec(), runs }
+    let tried = progress.retry_state.tried().to_vec();
+    Finished { end, tried, runs, limited: progress.limited }
 }
 
 async fn send_with_retries(
@@ -187,7 +191,7 @@
     Barred(Millis),
 }
 
-fn choose(state: &State, request: &Request, progress: &Progress) -> Next {
+fn choose(state: &State, request: &Request, progress: &mut Progress) -> Next {
     let choice = match state.standing(request.fingerprint) {
         Standing::Barred(left) => return Next::Barred(left),
         Standing::Suspect(crashes) => {
@@ -197,6 +201,10 @@
     };
     match choice {
         Choice::Send(node) => Next::Send(node),
+        Choice::Instead { to, best } => {
+            progress.record_limit(state, best);
+            Next::Send(to)
+        }
         Choice::None => Next::NoInstance,
     }
 }
@@ -255,6 +263,9 @@
     failed_reply: Option<Reply>,
     /// The reason of the last rejection, and when to retry.
     rejection: Option<(Kind, Millis)>,
+    /// The last node whose instance did not get the request for its rate
+    /// limit, and that limit.
+    limited: Option<(NodeId, Limited)>,
 }
 
 impl Progress {
@@ -262,7 +273,12 @@
         let idempotent = route.effect == Effect::Idempotent;
         let retry_state =
             retry_state::RetryState::new(route.attempts, idempotent);
-        Progress { retry_state, failed_reply: None, rejection: None }
+        Progress {
+            retry_state,
+            failed_reply: None,
+            rejection: None,
+            limited: None,
+        }
     }
 
     /// Records a reply. Returns the result of the request, or `None` if it is
@@ -279,11 +295,13 @@
             Reply::Answered { .. } => ("the instance failed", Kind::Broken),
             Reply::NotRun { kind, retry, .. } => {
                 self.rejection = Some((*kind, *retry));
-                let why = match kind {
-                    Kind::Limited => Kind::Limited.as_str(),
-                    _ => "turned away",
-                };
-                (why, *kind)
+                match kind {
+                    Kind::Limited => {
+                        self.record_limit(state, node);
+                        (kind.as_str(), *kind)
+                    }
+                    _ => ("turned away", *kind),
+                }
             }
             Reply::Unknown(kind) => (kind.as_str(), *kind),
             Reply::Crashed(crash) => {
@@ -308,6 +326,13 @@
         None
     }
 
+    /// Records that an instance does not get the request for its rate limit.
+    fn record_limit(&mut self, state: &State, node: NodeId) {
+        let load = state.balancer.borrow().load(node);
+        let limited = load.and_then(|load| load.limited);
+        self.limited = limited.map(|limited| (node, limited));
+    }
+
     fn log_retry(
         &self,
         state: &State,
@@ -319,13 +344,11 @@
         if !state.journal.has_room(now, Event::Retry) {
             return;
         }
-        let limit = state.known_limit(node).map(Rate::per_second);
         let fields = [
             ("from", node.to_string().into()),
             ("why", why.into()),
             ("fingerprint", request.fingerprint.to_string().into()),
             ("reached", self.retry_state.arrivals().into()),
-            ("limit_per_second", limit.into()),
         ];
         state.journal.log_request(
             now,
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -473,7 +473,7 @@
     request: &dispatch::Request,
     finished: Finished,
 ) -> Answer {
-    let Finished { end, tried, .. } = finished;
+    let Finished { end, tried, limited, .. } = finished;
     let now = state.now();
     let after = now.since(in_flight.received_at);
     let route = &request.route;
@@ -510,6 +510,11 @@
             ("after_ms", after.0.into()),
             ("left_ms", request.deadline.since(now).0.into()),
         ];
+        if let Some((node, limited)) = limited {
+            fields.push(("limited_at", node.to_string().into()));
+            fields.push(("limit", limited.rate.per_second().into()));
+            fields.push(("limit_age_ms", limited.age.0.into()));
+        }
         if let Some(evidence) = state.evidence(request.fingerprint) {
             fields.push(("crashes", evidence.crashes.len().into()));
             fields.push(("refuted", evidence.refuted.len().into()));
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -106,12 +106,18 @@
         current.is_some_and(|current| current.lifetime.matches(lifetime))
     }
 
-    /// Adopts the limit that another node remembers from an earlier
-    /// incarnation of this one.
-    pub(super) fn adopt_limit(&self, state: &Rc<State>, rate: Rate) {
+    /// Adopts a limit that was learned other than from a response to a
+    /// request: from a health check, or from a node that remembers it from an
+    /// earlier incarnation of this one.
+    pub(super) fn adopt_limit(
+        &self,
+        state: &Rc<State>,
+        rate: Rate,
+        source: &str,
+    ) {
         let now = state.now();
         let change = self.named_limit.borrow_mut().adopt(now, rate);
-        self.apply_limit(state, change, "a former life of this node");
+        self.apply_limit(state, change, source);
     }
 
     /// Puts the named limit in force, and tells other nodes of a change.
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -293,7 +293,10 @@
         Frame::KnownDepartures(instances) => {
             state.serve.record_departed(state, instances)
         }
-        Frame::KnownLimit(rate) => state.serve.adopt_limit(state, rate),
+        Frame::KnownLimit(rate) => {
+            let source = "a former life of this node";
+            state.serve.adopt_limit(state, rate, source);
+        }
         Frame::Era(era) => state.observe_peer_era(era),
         Frame::Fetch => {
             if let Some(desired) = state.desired_frame() {
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -73,3 +73,15 @@
     "#]],
     );
 }
+
+#[test]
+fn a_request_moved_for_a_rate_limit_names_the_limit() {
+    check(
+        "1a2b",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        at 60010 ms on a: it is retried on another instance; fingerprint "9c02"; from "10.0.0.2:7500"; reached 0; why "limited"
+        at 60080 ms on a: an instance answered it; after_ms 72; limit 65.4; limit_age_ms 2300; limited_at "10.0.0.2:7500"; tried ["10.0.0.2:7500","10.0.0.3:7500"]; why ""
+    "#]],
+    );
+}
