--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -130,7 +130,8 @@
     let mut failed = 0;
     for seed in first..first + number("count", 1)? {
         let config = soak::Config::new(program.clone(), seed);
-        let config = config.length(length).poison(true).restores(true);
+        let config = config.length(length);
+        let config = config.poison(true).restores(true).notices(true);
         let report = runtime()?.block_on(soak::run(&config));
         failed += u32::from(!report.violations.is_empty());
         print_report(&report);
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -92,6 +92,8 @@
     pub id: String,
     /// The request body.
     pub body: String,
+    /// The id of the instance.
+    pub instance: String,
     /// The instance's service.
     pub service: Service,
     /// When it arrived.
@@ -193,6 +195,7 @@
         let arrival = Arrival {
             id: id.to_string(),
             body: request.body.clone(),
+            instance: self.id(),
             service: self.service.clone(),
             at: Instant::now(),
             ran,
--- a/crates/walnutmoor-standin/src/soak/load.rs
+++ b/crates/walnutmoor-standin/src/soak/load.rs
@@ -20,11 +20,12 @@
 use walnutmoor_platform::header;
 
 use super::{
+    notice::Said,
     plan::Poison,
     verdict::Exchange,
     world::{HOST, ROUTES, World, caller_address, probe_route},
 };
-use crate::mesh::caller::Connection;
+use crate::mesh::caller::{Connection, Response};
 
 /// The deadline of each request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(4_000);
@@ -68,51 +69,54 @@
             number += 1;
             let id = format!("{}-{number}", self.id_prefix);
             let route_index = (rng.next_u64() % ROUTES.len() as u64) as usize;
-            if send_request(&world, &mut connection, route_index, id).await {
+            if self.send(&world, &mut connection, route_index, id).await {
                 idle = Some(connection);
             }
             sleep(Duration::from_millis(rng.next_u64() % MAX_THINK_TIME_MS))
                 .await;
         }
     }
+
+    /// Sends one request and records the exchange. True if the connection can
+    /// be reused.
+    async fn send(
+        &self,
+        world: &World,
+        connection: &mut Connection,
+        route_index: usize,
+        id: String,
+    ) -> bool {
+        let (route, service, effect) = ROUTES[route_index];
+        let at = Instant::now();
+        let path = format!("/{route}/thing");
+        let response = exchange(connection, &path, &id).await;
+        let reusable = response.is_some() && !connection.is_closing();
+        world.record.record_exchange(Exchange {
+            id,
+            service: service.parse().expect("a service name"),
+            effect,
+            node: self.node,
+            at,
+            ended_at: Instant::now(),
+            said: response.as_ref().and_then(Said::read),
+            response: response.map(|r| (r.status, r.body)),
+        });
+        reusable
+    }
 }
 
 async fn connect(address: std::net::SocketAddr) -> Option<Connection> {
     timeout(CONNECT_TIMEOUT, Connection::open(address)).await.ok()?
 }
 
-/// Sends one request and records the exchange. True if the connection can be
-/// reused.
-async fn send_request(
-    world: &World,
-    connection: &mut Connection,
-    route_index: usize,
-    id: String,
-) -> bool {
-    let (route, service, effect) = ROUTES[route_index];
-    let at = Instant::now();
-    let path = format!("/{route}/thing");
-    let response = exchange(connection, &path, &id).await;
-    let reusable = response.is_some() && !connection.is_closing();
-    world.record.record_exchange(Exchange {
-        id,
-        service: service.parse().expect("a service name"),
-        effect,
-        at,
-        response,
-    });
-    reusable
-}
-
 async fn exchange(
     connection: &mut Connection,
     path: &str,
     id: &str,
-) -> Option<(u16, String)> {
+) -> Option<Response> {
     let headers = headers(id);
     let sent = connection.send(Method::POST, path, &headers, "body");
-    let response = timeout(REQUEST_TIMEOUT, sent).await.ok()??;
-    Some((response.status, response.body))
+    timeout(REQUEST_TIMEOUT, sent).await.ok()?
 }
 
 fn headers(id: &str) -> Vec<(HeaderName, String)> {
@@ -168,7 +172,7 @@
     let id = format!("probe-{node}-{version}-{}", world.next_serial());
     let response =
         exchange(&mut connection, &format!("/{route}/x"), &id).await;
-    match response?.0 {
+    match response?.status {
         200 => Some(true),
         404 => Some(false),
         _ => None,
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -24,6 +24,7 @@
 */
 
 pub mod load;
+pub mod notice;
 pub mod plan;
 pub mod proxy;
 pub mod restore;
@@ -62,13 +63,21 @@
     length: Duration,
     poison: bool,
     restores: bool,
+    notices: bool,
 }
 
 impl Config {
     /// A run of this program with 20 seconds of faults.
     pub fn new(program: PathBuf, seed: u64) -> Config {
         let length = Duration::from_secs(20);
-        Config { program, seed, length, poison: false, restores: false }
+        Config {
+            program,
+            seed,
+            length,
+            poison: false,
+            restores: false,
+            notices: false,
+        }
     }
 
     /// Whether a request that crashes instances is sent during the faults.
@@ -83,6 +92,13 @@
         self
     }
 
+    /// Whether instances name rate limits and say that they are leaving in
+    /// their responses.
+    pub fn notices(mut self, notices: bool) -> Config {
+        self.notices = notices;
+        self
+    }
+
     /// The time during which new faults begin.
     pub fn length(mut self, length: Duration) -> Config {
         self.length = length;
@@ -131,6 +147,11 @@
         let restores = restore::draw(config.seed, config.length);
         faults.spawn(restore::run(world.clone(), restores));
     }
+    if config.notices {
+        for notice in notice::draw(config.seed, nodes, config.length) {
+            faults.spawn(notice::give(world.clone(), notice));
+        }
+    }
     for event in &plan {
         faults.spawn(world.clone().inject(*event));
     }
@@ -144,7 +165,7 @@
         seed: config.seed,
         faults: plan.len(),
         status_counts: world.record.status_counts(),
-        violations: world.record.check(&world.arrivals()),
+        violations: world.check(),
         logs: world.members.iter().map(world::Member::log).collect(),
     }
 }
--- a/crates/walnutmoor-standin/src/soak/plan.rs
+++ b/crates/walnutmoor-standin/src/soak/plan.rs
@@ -98,6 +98,8 @@
     Goodbye,
     /// Stops at once, without draining.
     Crash,
+    /// Says so in its responses only.
+    Notice,
 }
 
 /// A fault and its time.
--- a/crates/walnutmoor-standin/src/soak/verdict.rs
+++ b/crates/walnutmoor-standin/src/soak/verdict.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Duration, Instant};
 use walnutmoor_core::{id::Service, table::Effect};
 
+use super::notice::Said;
 use crate::mesh::instance::Arrival;
 
 /// The retry budget of a service, as a ratio of its requests.
@@ -46,8 +47,14 @@
     pub service: Service,
     /// Whether it may run more than once.
     pub effect: Effect,
+    /// The index of the node that it was sent to.
+    pub node: usize,
     /// When it was sent.
     pub at: Instant,
+    /// When the response arrived, or was given up.
+    pub ended_at: Instant,
+    /// What the response said of its instance, if anything.
+    pub said: Option<Said>,
     /// The status and body of the response. `None` if none arrived
     /// completely.
     pub response: Option<(u16, String)>,
@@ -75,6 +82,11 @@
         violations.push(Violation { invariant, detail });
     }
 
+    /// All finished exchanges.
+    pub fn exchanges(&self) -> Vec<Exchange> {
+        self.exchanges.lock().expect("no holder panics").clone()
+    }
+
     /// The number of requests by response status.
     pub fn status_counts(&self) -> StatusCounts {
         let mut status_counts = StatusCounts::new();
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -24,9 +24,10 @@
 
 use super::{
     load::FATAL_BODY,
+    notice,
     plan::{Departure, Event, Fault, Link},
     proxy::{Mode, Proxy},
-    verdict::{self, Record},
+    verdict::{self, Record, Violation},
 };
 use crate::mesh::{
     instance::{Arrival, Behavior, Instance},
@@ -44,6 +45,10 @@
 /// How long an instance keeps running after it has announced its departure.
 const DRAIN_DURATION: Duration = Duration::from_millis(2_500);
 
+/// How long an instance keeps running after it has said in its responses that
+/// it is leaving.
+const NOTICE_DURATION: Duration = Duration::from_millis(6_000);
+
 /// How long requests may still reach an instance after its node has
 /// acknowledged its departure.
 const DRAIN_GRACE: Duration = Duration::from_millis(2_000);
@@ -98,7 +103,8 @@
         self.node.lock().expect("no holder panics")
     }
 
-    fn instance(&self) -> Arc<Instance> {
+    /// Its current instance.
+    pub fn instance(&self) -> Arc<Instance> {
         self.instance.lock().expect("no holder panics").clone()
     }
 
@@ -154,6 +160,8 @@
     /// Former instances, with the indices of their nodes.
     past_instances: Mutex<Vec<(usize, Arc<Instance>)>>,
     disruptions: Mutex<Vec<Disruption>>,
+    /// The limits that instances have named.
+    pub(super) limits: notice::Limits,
 }
 
 /// The time span of a fault.
@@ -161,6 +169,8 @@
 struct Disruption {
     /// The affected node; `None` for all nodes.
     node: Option<usize>,
+    /// True if it stops the process for a while or for good.
+    stops: bool,
     from: Instant,
     to: Option<Instant>,
 }
@@ -197,6 +207,7 @@
             downtime,
             past_instances: Mutex::default(),
             disruptions: Mutex::default(),
+            limits: notice::Limits::default(),
         })
     }
 
@@ -242,7 +253,11 @@
         let node = affected_node(fault);
         let mut disruptions =
             self.disruptions.lock().expect("no holder panics");
-        disruptions.push(Disruption { node, from, to: None });
+        let stops = matches!(
+            fault,
+            Fault::Kill(_) | Fault::KillAll | Fault::Pause(_) | Fault::Term(_)
+        );
+        disruptions.push(Disruption { node, stops, from, to: None });
         Some(disruptions.len() - 1)
     }
 
@@ -305,6 +320,27 @@
         }
     }
 
+    /// True if the process of a node was stopped between two times.
+    pub(super) fn was_stopped(
+        &self,
+        node: usize,
+        from: Instant,
+        to: Instant,
+    ) -> bool {
+        let disruptions = self.disruptions.lock().expect("no holder panics");
+        let mut stops = disruptions.iter().filter(|d| d.stops);
+        stops.any(|disruption| disruption.overlaps(node, from, to))
+    }
+
+    /// Checks all invariants and returns the violations.
+    pub fn check(&self) -> Vec<Violation> {
+        let arrivals = self.arrivals();
+        let exchanges = self.record.exchanges();
+        let mut violations = self.record.check(&arrivals);
+        violations.extend(notice::check(self, &exchanges, &arrivals));
+        violations
+    }
+
     /// Checks that, some time after the third crash, undisturbed nodes no
     /// longer pass the fatal request to their instances.
     pub fn check_poison(&self) {
@@ -443,6 +479,11 @@
         self.version.store(version, Ordering::SeqCst);
     }
 
+    /// Makes an instance leave that says so only in its responses.
+    pub(super) async fn leave_by_notice(&self, node: usize) {
+        self.replace(node, Departure::Notice).await;
+    }
+
     /// Makes an instance leave, and starts a new one at its address.
     async fn replace(&self, node: usize, departure: Departure) {
         let member = &self.members[node];
@@ -454,10 +495,18 @@
             Departure::Drain => former.drain().await == 200,
             Departure::Goodbye => former.send_goodbye().await == 200,
             Departure::Crash => false,
+            Departure::Notice => {
+                former.say_leaving();
+                false
+            }
         };
         let left_at = Instant::now();
-        if departure != Departure::Crash {
-            sleep(DRAIN_DURATION).await;
+        match departure {
+            Departure::Crash => {}
+            Departure::Notice => sleep(NOTICE_DURATION).await,
+            Departure::Drain | Departure::Goodbye => {
+                sleep(DRAIN_DURATION).await
+            }
         }
         if acknowledged {
             self.check_drain(&former, left_at);
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -38,6 +38,11 @@
     run_seed(22, config(22, 14).restores(true));
 }
 
+#[test]
+fn nodes_heed_what_instances_say_in_responses_under_faults() {
+    run_seed(31, config(31, 12).notices(true));
+}
+
 #[test]
 fn seeds_that_failed_before_hold() {
     let seeds = include_str!("../testdata/soak-seeds.txt");
@@ -51,7 +56,8 @@
         let options: Vec<&str> = words.collect();
         let config = config(seed, seconds)
             .poison(options.contains(&"poison"))
-            .restores(options.contains(&"restores"));
+            .restores(options.contains(&"restores"))
+            .notices(options.contains(&"notices"));
         run_seed(seed, config);
     }
 }
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -18,7 +18,10 @@
         id: id.into(),
         service: "desk".parse().unwrap(),
         effect,
+        node: 0,
         at: Instant::now(),
+        ended_at: Instant::now(),
+        said: None,
         response: response.map(|(status, body)| (status, body.into())),
     }
 }
@@ -26,7 +29,9 @@
 fn ran(id: &str) -> Arrival {
     let service = "desk".parse().unwrap();
     let body = String::new();
-    Arrival { id: id.into(), body, service, at: Instant::now(), ran: true }
+    let instance = String::new();
+    let at = Instant::now();
+    Arrival { id: id.into(), body, instance, service, at, ran: true }
 }
 
 fn violated(
