Count a named limit in requests where demand is reported

The capacity of a limited instance was reckoned in slots from the mean of the run times of all ranks, in which one rare rank with long runs weighs as much as the common one, so demand looked small.

Demand is now reported relative to the scarcer of slots and limit, the limit in requests a second. The reported number of slots weighs run times by their arrivals.

A malformed header in a health check is logged like any other. Limits are also replayed beside a sibling that is full.

--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -116,9 +116,6 @@
 /// shedding. Single rejections also happen under low load.
 const MIN_SHEDDING_REJECTIONS: usize = 3;
 
-/// The lowest capacity of a rate-limited instance, in slots.
-const MIN_LIMITED_CAPACITY: f64 = 0.01;
-
 /// The weight of one run in the moving average of run times.
 const RUN_TIME_WEIGHT: f64 = 0.05;
 
@@ -183,6 +180,25 @@
 /// The order of the queue: rank, deadline and order of arrival.
 type QueueKey = (usize, Millis, u64);
 
+/// Work that arrived recently: its run time and its number of requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrivals {
+    work: Demand,
+    /// One millisecond for each request.
+    count: Demand,
+}
+
+impl Arrivals {
+    fn add(&mut self, now: Millis, run_time: f64) {
+        self.work.add(now, run_time);
+        self.count.add(now, 1.0);
+    }
+
+    fn per_second(&self, now: Millis) -> f64 {
+        self.count.slots(now) * 1_000.0
+    }
+}
+
 /// The slots and the queue of one instance.
 #[derive(Debug)]
 pub struct Bulkhead {
@@ -197,11 +213,11 @@
     arrivals: u64,
     /// Times of the latest rejections of work above the least urgent rank.
     rejections: VecDeque<Millis>,
-    demand: Demand,
-    urgent: Demand,
-    least_urgent: Demand,
-    /// All work that was offered, as one millisecond each.
-    offers: Demand,
+    demand: Arrivals,
+    urgent: Arrivals,
+    least_urgent: Arrivals,
+    /// All requests that were offered.
+    offers: Arrivals,
     limiter: Option<Limiter>,
     diverted: u64,
 }
@@ -226,10 +242,10 @@
             run_times: [0.0; RANKS],
             arrivals: 0,
             rejections: VecDeque::new(),
-            demand: Demand::new(),
-            urgent: Demand::new(),
-            least_urgent: Demand::new(),
-            offers: Demand::new(),
+            demand: Arrivals::default(),
+            urgent: Arrivals::default(),
+            least_urgent: Arrivals::default(),
+            offers: Arrivals::default(),
             limiter: None,
             diverted: 0,
         }
@@ -244,7 +260,7 @@
         match &mut self.limiter {
             Some(limiter) => limiter.set_rate(now, rate),
             None => {
-                let offered = self.offers.slots(now) * 1_000.0;
+                let offered = self.offers.per_second(now);
                 self.limiter = Some(Limiter::new(now, rate, offered));
             }
         }
@@ -259,7 +275,7 @@
     /// rate limit leaves no room. Returns the estimated time until it would
     /// run here.
     pub fn divert(&mut self, now: Millis, work: &Work) -> Option<Millis> {
-        self.offers.add(now, 1.0);
+        self.offers.add(now, 0.0);
         let limiter = self.limiter.as_mut()?;
         limiter.record_offer(now);
         let is_free = self.queue.is_empty() && limiter.has_token(now);
@@ -397,20 +413,18 @@
 
     /// The number of slots that can be busy: all, or those that the rate limit
     /// keeps busy.
-    fn capacity(&self) -> f64 {
+    fn capacity(&self, now: Millis) -> f64 {
         let slots = self.limit as f64;
         let Some(limiter) = &self.limiter else {
             return slots;
         };
-        let known = self.run_times.iter().filter(|time| **time > 0.0);
-        let count = known.clone().count();
-        match count {
-            0 => slots,
-            _ => {
-                let run_time = known.sum::<f64>() / count as f64;
-                slots.min(limiter.per_second() * run_time / 1_000.0)
-            }
+        let arrivals = [&self.demand, &self.least_urgent];
+        let count: f64 = arrivals.map(|a| a.per_second(now)).iter().sum();
+        if count == 0.0 {
+            return slots;
         }
+        let work: f64 = arrivals.map(|a| a.work.slots(now)).iter().sum();
+        slots.min(limiter.per_second() * work / count)
     }
 
     /// Records a rejection of work above the least urgent rank.
@@ -438,19 +452,22 @@
         }
     }
 
-    /// The demand relative to the capacity left after this many reserves.
+    /// The demand relative to the capacity left after this many reserves: to
+    /// that of the slots or of the rate limit, whichever is scarcer.
     fn demand_ratio(
         &self,
         now: Millis,
-        demand: &Demand,
+        demand: &Arrivals,
         reserves: usize,
     ) -> f64 {
-        let min_capacity = match self.limiter {
-            Some(_) => MIN_LIMITED_CAPACITY,
-            None => 1.0,
+        let unreserved = unreserved_share(reserves);
+        let slots = self.limit as f64 * unreserved;
+        let of_slots = demand.work.slots(now) / slots.max(1.0);
+        let Some(limiter) = &self.limiter else {
+            return of_slots;
         };
-        let capacity = self.capacity() * unreserved_share(reserves);
-        demand.slots(now) / capacity.max(min_capacity)
+        let rate = limiter.per_second() * unreserved;
+        of_slots.max(demand.per_second(now) / rate)
     }
 
     /// True if work above the least urgent rank was rejected repeatedly within
@@ -466,7 +483,7 @@
         let saturate = |value: f64| value.min(f64::from(u16::MAX)) as u16;
         let mut load = Load {
             accepting: self.open,
-            limit: saturate(self.capacity().max(1.0)),
+            limit: saturate(self.capacity(now).max(1.0)),
             limited: self.limiter.as_ref().map(|l| l.report(now)),
             held: saturate((self.running.len() + self.queue.len()) as f64),
             shedding: self.is_shedding(now),
--- a/crates/walnutmoor-core/tests/limited/mod.rs
+++ b/crates/walnutmoor-core/tests/limited/mod.rs
@@ -38,9 +38,10 @@
     pub per_second: f64,
     /// The limits of the instances over time: time, instance, limit.
     pub limits: Vec<(Millis, usize, Option<f64>)>,
-    pub instances: usize,
     /// The fraction of urgent requests.
     pub urgent: f64,
+    /// The slots of the instances.
+    pub slots: Vec<u32>,
 }
 
 /// What the callers got.
@@ -98,9 +99,6 @@
 /// The target latency.
 const TARGET: Millis = Millis(1_200);
 
-/// The slots of an instance.
-const SLOTS: u32 = 100;
-
 /// The end of the arrivals.
 pub const END: u64 = 16_000;
 
@@ -153,19 +151,19 @@
     pub fn new(scenario: Scenario, seed: u64) -> Simulation {
         let balancer = |node| {
             let mut balancer = Balancer::new(zone(node));
-            for instance in 0..scenario.instances {
+            for instance in 0..scenario.slots.len() {
                 balancer.join(id(instance), &service(), &zone(instance));
             }
             balancer
         };
-        let open = || {
+        let open = |slots| {
             let mut bulkhead = Bulkhead::new();
-            bulkhead.open(SLOTS);
+            bulkhead.open(slots);
             bulkhead
         };
         let nodes = (0..scenario.nodes).map(balancer).collect();
-        let instances = (0..scenario.instances).map(|_| open()).collect();
-        let arrivals = vec![Vec::new(); scenario.instances];
+        let instances = scenario.slots.iter().copied().map(open).collect();
+        let arrivals = vec![Vec::new(); scenario.slots.len()];
         let mut simulation = Simulation {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
@@ -397,7 +395,7 @@
     }
 
     fn report_all(&mut self) {
-        for instance in 0..self.scenario.instances {
+        for instance in 0..self.scenario.slots.len() {
             let load = self.report(instance);
             for balancer in &mut self.nodes {
                 balancer.report(id(instance), load);
@@ -407,7 +405,7 @@
 
     fn step(&mut self) {
         self.push(10, Event::Step);
-        for instance in 0..self.scenario.instances {
+        for instance in 0..self.scenario.slots.len() {
             self.advance(instance);
         }
         // Idle links are pinged once a second.
--- a/crates/walnutmoor-core/tests/limited_replay.rs
+++ b/crates/walnutmoor-core/tests/limited_replay.rs
@@ -21,8 +21,8 @@
             (Millis(BEGIN), 0, Some(65.0)),
             (Millis(BEGIN), 1, Some(63.0)),
         ],
-        instances: 3,
         urgent: 0.3,
+        slots: vec![100; 3],
     }
 }
 
@@ -146,3 +146,23 @@
         assert!(tally.moves * 10 < tally.sent, "seed {seed}");
     }
 }
+
+#[test]
+fn limits_are_used_while_the_sibling_without_one_is_full() {
+    // The third instance runs about 90 requests per second.
+    let slots = vec![100, 100, 6];
+    let scenario =
+        Scenario { slots, per_second: 600.0, ..scenario(Policy::Share) };
+    for seed in 0..20 {
+        let tally = run(&scenario, seed);
+
+        let seconds = (END - BEGIN - SETTLE) as f64 / 1_000.0;
+        for (instance, limit) in [(0, 65.0), (1, 63.0)] {
+            let used = tally.count(instance, BEGIN + SETTLE, END) as f64;
+            assert!(used >= 0.9 * limit * seconds, "seed {seed}: {used}");
+        }
+        let urgent = f64::from(tally.served_urgent);
+        let share = urgent / f64::from(tally.sent_urgent);
+        assert!(share > 0.95, "seed {seed}: {share}");
+    }
+}
--- a/crates/walnutmoor-core/tests/overload.rs
+++ b/crates/walnutmoor-core/tests/overload.rs
@@ -20,8 +20,15 @@
     throttled: bool,
     inherit_priority: bool,
 ) -> Map<Class, Tally> {
-    let scenario =
-        Scenario { rate, throttled, inherit_priority, ..Scenario::default() };
+    run_scenario(Scenario {
+        rate,
+        throttled,
+        inherit_priority,
+        ..Scenario::default()
+    })
+}
+
+fn run_scenario(scenario: Scenario) -> Map<Class, Tally> {
     let mut total: Map<Class, Tally> = Map::default();
     for seed in 1..=3 {
         for (class, tally) in Simulation::new(scenario, seed).run() {
@@ -81,3 +88,34 @@
     assert!(with.failed * 10 < without.failed, "{with:?} {without:?}");
     assert!(with.in_time * 10 > without.in_time * 9, "{with:?} {without:?}");
 }
+
+/// All instances of the called service name a limit below demand, though they
+/// have slots left: 1,500 calls per second of 2,500, of which claims make 960.
+fn limited(throttled: bool) -> Scenario {
+    Scenario {
+        rate: 600,
+        throttled,
+        inherit_priority: true,
+        limit: Some(500.0),
+        ..Scenario::default()
+    }
+}
+
+#[test]
+fn claims_are_served_if_the_called_service_names_a_limit() {
+    let tallies = run_scenario(limited(true));
+
+    let claims = tallies[&Class::Claim];
+    assert!(claims.served() > 0.95, "{claims:?}");
+    let lookups = tallies[&Class::Lookup];
+    assert!(lookups.served() > 0.2, "{lookups:?}");
+}
+
+#[test]
+fn requests_are_rejected_at_the_ingress_for_a_limit_of_a_called_service() {
+    let without = run_scenario(limited(false))[&Class::Lookup];
+    let with = run_scenario(limited(true))[&Class::Lookup];
+
+    assert!(with.failed * 4 < without.failed, "{with:?} {without:?}");
+    assert!(with.in_time > without.in_time, "{with:?} {without:?}");
+}
--- a/crates/walnutmoor-core/tests/simulation/mod.rs
+++ b/crates/walnutmoor-core/tests/simulation/mod.rs
@@ -20,6 +20,7 @@
     digest::Map,
     footprint::{Footprint, Key},
     id::{CallId, NodeId, Service},
+    rate_limit::Rate,
     retry_budget::{Config, Priority, RetryBudget, SampleKey},
     retry_state::{Decision, Outcome, RetryState},
     throttle::{self, Throttle},
@@ -105,6 +106,8 @@
     pub check_completion: bool,
     /// Whether each service has many instances.
     pub large: bool,
+    /// The rate limit that every instance of `parts` names, if any.
+    pub limit: Option<f64>,
 }
 
 impl Scenario {
@@ -266,6 +269,7 @@
         for _ in 0..count {
             let mut bulkhead = Bulkhead::new();
             bulkhead.open(SLOTS);
+            bulkhead.limit_rate(Millis(0), scenario.limit.and_then(Rate::new));
             parts.push(bulkhead);
         }
         let mut simulation = Simulation {
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -271,11 +271,8 @@
     if let (Some(id), Some(load)) =
         (header::instance(&headers), header::load(&headers))
     {
-        let ready = status.is_success()
-            && !header::is_leaving(&headers).unwrap_or(false);
-        if let Ok(Some(rate)) = header::named_limit(&headers) {
-            state.serve.adopt_limit(state, rate, "health check");
-        }
+        let leaving = state.serve.observe_health_check(state, &headers);
+        let ready = status.is_success() && !leaving;
         state.serve.record_health_check(state, id, load.slots, ready);
     }
 }
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -106,6 +106,24 @@
         current.is_some_and(|current| current.lifetime.matches(lifetime))
     }
 
+    /// Observes the response to a health check. Returns true if it says that
+    /// the instance is leaving.
+    pub(super) fn observe_health_check(
+        &self,
+        state: &Rc<State>,
+        headers: &HeaderMap,
+    ) -> bool {
+        match header::named_limit(headers) {
+            Ok(Some(rate)) => self.adopt_limit(state, rate, "health check"),
+            Ok(None) => {}
+            Err(error) => self.log_malformed(state, &error),
+        }
+        header::is_leaving(headers).unwrap_or_else(|error| {
+            self.log_malformed(state, &error);
+            false
+        })
+    }
+
     /// Adopts a limit that was learned other than from a response to a
     /// request: from a health check, or from a node that remembers it from an
     /// earlier incarnation of this one.
