Test what a restarted peer is told of its instance

With the reply's departure switched off no test turned red, since the broadcast of the node beside the instance mostly arrives as well. A played peer that sends nothing but the reply shows what the node that passed it on remembers; another shows the limit that a restarted peer is told before any call.

--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -1,5 +1,5 @@
-//! The outcome of calls when the link between two nodes breaks. The tests play
-//! the node that sends the calls.
+//! The outcome of calls when the link between two nodes breaks, and what a node
+//! tells a peer that has restarted. The tests play one of the two nodes.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -7,7 +7,7 @@
 use http::Method;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
 };
 use walnutmoor::mesh::frame::{
     self, Call, Frame, Hello, PROTOCOL_VERSION, Reply,
@@ -15,8 +15,11 @@
 use walnutmoor_core::{
     bulkhead::Load,
     edition::Edition,
+    footprint::Footprint,
     id::{CallId, Era, Incarnation, NodeId},
+    lifetime::{Lifetime, StartTime},
     poison::Fingerprint,
+    rate_limit::{Limited, Rate},
     table::Effect,
     time::Millis,
 };
@@ -31,30 +34,70 @@
     bytes: BytesMut,
 }
 
+fn hello(
+    node: SocketAddr,
+    incarnation: u64,
+    service: &str,
+    load: Load,
+) -> Frame {
+    Frame::Hello(Hello {
+        protocol: PROTOCOL_VERSION,
+        node: NodeId(node),
+        incarnation: Incarnation(incarnation),
+        zone: "a".parse().unwrap(),
+        service: service.parse().unwrap(),
+        edition: Edition::default(),
+        era: Era::default(),
+        load,
+        known: Vec::new(),
+        fleet: 0,
+    })
+}
+
 impl Peer {
     async fn open(address: SocketAddr, incarnation: u64) -> Peer {
-        let stream = TcpStream::connect(address).await.unwrap();
-        let mut peer = Peer { stream, bytes: BytesMut::new() };
         // Nothing listens on this port, so the node cannot open a link of its
         // own.
-        let node = NodeId(([127, 0, 0, 1], 9).into());
-        peer.send(&Frame::Hello(Hello {
-            protocol: PROTOCOL_VERSION,
-            node,
-            incarnation: Incarnation(incarnation),
-            zone: "a".parse().unwrap(),
-            service: "front".parse().unwrap(),
-            edition: Edition::default(),
-            era: Era::default(),
-            load: Load::default(),
-            known: Vec::new(),
-            fleet: 0,
-        }))
-        .await;
+        let node = ([127, 0, 0, 1], 9).into();
+        Peer::open_as(node, address, incarnation).await
+    }
+
+    /// Opens a link under the address of a peer.
+    async fn open_as(
+        node: SocketAddr,
+        address: SocketAddr,
+        incarnation: u64,
+    ) -> Peer {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let mut peer = Peer { stream, bytes: BytesMut::new() };
+        peer.send(&hello(node, incarnation, "front", Load::default())).await;
         assert!(matches!(peer.receive().await, Frame::Hello(_)));
         peer
     }
 
+    /// Accepts the link of a node, as the node of an instance of `desk`.
+    async fn accept(
+        listener: &TcpListener,
+        incarnation: u64,
+        load: Load,
+    ) -> Peer {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut peer = Peer { stream, bytes: BytesMut::new() };
+        assert!(matches!(peer.receive().await, Frame::Hello(_)));
+        let node = listener.local_addr().unwrap();
+        peer.send(&hello(node, incarnation, "desk", load)).await;
+        peer
+    }
+
+    /// The next call that the node sends.
+    async fn call(&mut self) -> Box<Call> {
+        loop {
+            if let Frame::Call(call) = self.receive().await {
+                return call;
+            }
+        }
+    }
+
     async fn send(&mut self, frame: &Frame) {
         let mut bytes = BytesMut::new();
         frame::encode(frame, &mut bytes);
@@ -235,3 +278,67 @@
         assert_eq!(world.runs("w1"), 0);
     });
 }
+
+/// The load of an instance that accepts work.
+fn accepting() -> Load {
+    Load { accepting: true, limit: 10, ..Load::default() }
+}
+
+#[test]
+fn a_node_that_passed_on_a_departure_tells_the_restarted_peer() {
+    run(async {
+        let world = World::start(&["front"]).await;
+        let addresses = world.pairs[0].node.addresses();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let own = listener.local_addr().unwrap();
+        let _link = Peer::open_as(own, addresses.peers, 7).await;
+        let mut peer = Peer::accept(&listener, 7, accepting()).await;
+        let lifetime = Lifetime::new("i-9", Some(StartTime(5)));
+
+        let answer = async {
+            let call = peer.call().await;
+            let reply = Reply::Answered {
+                status: 200,
+                headers: Vec::new(),
+                body: Bytes::new(),
+                footprint: Footprint::default(),
+                departed: Some(lifetime.clone()),
+            };
+            peer.send(&Frame::Answer(call.id, reply, accepting())).await;
+        };
+        let (sent, ()) =
+            tokio::join!(world.send(0, "order", "passed-on"), answer);
+        assert_eq!(sent.unwrap().status, 200);
+        drop(peer);
+        let mut restarted = Peer::accept(&listener, 8, accepting()).await;
+
+        let told = Frame::KnownDepartures(vec![lifetime]);
+        assert_eq!(restarted.receive().await, told);
+    });
+}
+
+#[test]
+fn a_restarted_peer_is_told_the_limit_of_its_instance() {
+    run(async {
+        let world = World::start(&["front"]).await;
+        let addresses = world.pairs[0].node.addresses();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let own = listener.local_addr().unwrap();
+        let _link = Peer::open_as(own, addresses.peers, 7).await;
+        let rate = Rate::new(12.5).unwrap();
+        let limited = Some(Limited { rate, age: Millis(0), share: 500 });
+        let load = Load { limited, ..accepting() };
+
+        let peer = Peer::accept(&listener, 7, load).await;
+        until("the node knows the instance", || async {
+            let log = world.pairs[0].node.log();
+            log.contains("\"accepting\":true")
+                && log.contains(&format!("\"peer\":\"{own}\""))
+        })
+        .await;
+        drop(peer);
+        let mut restarted = Peer::accept(&listener, 8, accepting()).await;
+
+        assert_eq!(restarted.receive().await, Frame::KnownLimit(rate));
+    });
+}
