--- a/crates/walnutmoor-core/tests/limited_replay.rs
+++ b/crates/walnutmoor-core/tests/limited_replay.rs
@@ -166,3 +166,17 @@
         assert!(share > 0.95, "seed {seed}: {share}");
     }
 }
+
+#[test]
+fn an_instance_that_takes_none_is_asked_whether_its_limit_has_ended() {
+    let limits = vec![(Millis(BEGIN), 0, Some(0.0))];
+    let scenario = Scenario { limits, ..scenario(Policy::Share) };
+    for seed in 0..20 {
+        let tally = run(&scenario, seed);
+
+        let count = tally.count(0, BEGIN + SETTLE, END);
+        assert!(count >= 2, "seed {seed}: {count}");
+        let peak = tally.peak(0, BEGIN + SETTLE, END);
+        assert!(peak <= allowed(0.0), "seed {seed}: {peak}");
+    }
+}
