Report all slots of a limited instance while its run times are unknown

Before the first run a limited instance reported one slot, as the work of its arrivals counted as nothing. Only the path of an instance with a limit changes. Two tests of peers share their set-up.

--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -419,11 +419,12 @@
             return slots;
         };
         let arrivals = [&self.demand, &self.least_urgent];
-        let count: f64 = arrivals.map(|a| a.per_second(now)).iter().sum();
-        if count == 0.0 {
+        let work: f64 = arrivals.map(|a| a.work.slots(now)).iter().sum();
+        // Run times are not known yet.
+        if work == 0.0 {
             return slots;
         }
-        let work: f64 = arrivals.map(|a| a.work.slots(now)).iter().sum();
+        let count: f64 = arrivals.map(|a| a.per_second(now)).iter().sum();
         slots.min(limiter.per_second() * work / count)
     }
 
--- a/crates/walnutmoor-core/tests/bulkhead.rs
+++ b/crates/walnutmoor-core/tests/bulkhead.rs
@@ -233,6 +233,18 @@
     assert_eq!(bulkhead.offer(Millis(0), third), rejected);
 }
 
+#[test]
+fn a_limited_instance_without_known_run_times_reports_all_its_slots() {
+    let mut bulkhead = Bulkhead::new();
+    bulkhead.open(SLOTS);
+    bulkhead.limit_rate(Millis(0), Rate::new(10.0));
+    bulkhead.offer(Millis(0), work(1, 0, 5_000));
+
+    let load = bulkhead.load(Millis(1));
+
+    assert_eq!(usize::from(load.limit), LIMIT);
+}
+
 #[test]
 fn queued_work_runs_at_the_rate_of_the_limit() {
     let mut bulkhead = Bulkhead::new();
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -279,6 +279,14 @@
     });
 }
 
+/// Listens as a peer, and makes node 0 open a link to it by opening one.
+async fn listen(world: &World) -> (TcpListener, Peer) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let own = listener.local_addr().unwrap();
+    let address = world.pairs[0].node.addresses().peers;
+    (listener, Peer::open_as(own, address, 7).await)
+}
+
 /// The load of an instance that accepts work.
 fn accepting() -> Load {
     Load { accepting: true, limit: 10, ..Load::default() }
@@ -288,10 +296,7 @@
 fn a_node_that_passed_on_a_departure_tells_the_restarted_peer() {
     run(async {
         let world = World::start(&["front"]).await;
-        let addresses = world.pairs[0].node.addresses();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let own = listener.local_addr().unwrap();
-        let _link = Peer::open_as(own, addresses.peers, 7).await;
+        let (listener, _link) = listen(&world).await;
         let mut peer = Peer::accept(&listener, 7, accepting()).await;
         let lifetime = Lifetime::new("i-9", Some(StartTime(5)));
 
@@ -321,10 +326,7 @@
 fn a_restarted_peer_is_told_the_limit_of_its_instance() {
     run(async {
         let world = World::start(&["front"]).await;
-        let addresses = world.pairs[0].node.addresses();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let own = listener.local_addr().unwrap();
-        let _link = Peer::open_as(own, addresses.peers, 7).await;
+        let (listener, _link) = listen(&world).await;
         let rate = Rate::new(12.5).unwrap();
         let limited = Some(Limited { rate, age: Millis(0), share: 500 });
         let load = Load { limited, ..accepting() };
@@ -332,6 +334,7 @@
         let peer = Peer::accept(&listener, 7, load).await;
         until("the node knows the instance", || async {
             let log = world.pairs[0].node.log();
+            let own = listener.local_addr().unwrap();
             log.contains("\"accepting\":true")
                 && log.contains(&format!("\"peer\":\"{own}\""))
         })
