Soak: let an instance name one limit at a time

Two notices had overlapped at an instance that a crash had given a new id between them: the end of the first made it stop naming, while the check counted the second as in force.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -268,6 +268,11 @@
         *named = limit.map(str::to_string);
     }
 
+    /// True if it names a limit.
+    pub fn names_limit(&self) -> bool {
+        self.named_limit.lock().expect("no holder panics").is_some()
+    }
+
     /// Says in its responses that it is leaving. Its heartbeats and health
     /// checks don't change.
     pub fn say_leaving(&self) {
--- a/crates/walnutmoor-standin/src/soak/notice.rs
+++ b/crates/walnutmoor-standin/src/soak/notice.rs
@@ -140,7 +140,8 @@
     let id = instance.lifetime().id;
     let from = Instant::now();
     let limit = Limit { per_second, from, to: from + span };
-    if !world.limits.insert(id, limit) {
+    // A limit outlasts a crash of its instance, and ends once.
+    if instance.names_limit() || !world.limits.insert(id, limit) {
         return;
     }
     instance.name_limit(Some(&per_second.to_string()));
