Trust a health check only after the peers could report

A node that starts now asks its instance's health only once all peers that it reaches have linked to it, or after a second; a heartbeat opens the instance at once, as before.

--- a/crates/walnutmoor/src/mesh/departure.rs
+++ b/crates/walnutmoor/src/mesh/departure.rs
@@ -4,7 +4,8 @@
 A node that restarts knows nothing of its instance, whose health check may
 still succeed after it has announced its departure. Its peers remember the
 departure and report it before any call. So an announcement is acknowledged
-only when the peers that are reachable have recorded it.
+only when the peers that are reachable have recorded it, and a node that starts
+trusts a health check only after its peers have had the time to report.
 */
 
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
@@ -14,6 +15,7 @@
     digest::{Map, Set},
     id::NodeId,
     lifetime::Lifetime,
+    time::Millis,
 };
 
 use super::{frame::Frame, journal::Event, state::State};
@@ -25,6 +27,10 @@
 /// acknowledgement that comes later than a second for none.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a node that starts waits for its peers to report. It exceeds the
+/// interval at which they try to reconnect.
+const REPORT_TIMEOUT: Millis = Millis(1_000);
+
 /// Departed instances of all nodes.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
@@ -63,6 +69,21 @@
 }
 
 impl State {
+    /// True once all reachable peers have linked to this node, and have thus
+    /// reported what they remember of its instance, or have had the time to.
+    pub(super) fn peers_have_reported(&self) -> bool {
+        if self.now() >= REPORT_TIMEOUT {
+            return true;
+        }
+        let sessions = self.sessions.borrow();
+        let connected: Set<NodeId> =
+            sessions.values().filter_map(|s| s.connected_node()).collect();
+        let links = self.links();
+        let mut reachable = links.iter().filter(|link| link.is_up());
+        self.has_directory.get()
+            && reachable.all(|link| connected.contains(&link.node))
+    }
+
     /// Announces to every linked node that the local instance has departed,
     /// so that they can report it to this node after a restart.
     pub fn broadcast_departure(&self, instance: &Lifetime) {
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -47,6 +47,9 @@
 /// heartbeat yet.
 const MIN_HEALTH_CHECK_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause between checks whether the peers have reported.
+const REPORT_CHECK_PAUSE: Duration = Duration::from_millis(50);
+
 /// The maximum pause between health checks.
 const MAX_HEALTH_CHECK_PAUSE: Duration = Duration::from_millis(1_600);
 
@@ -236,6 +239,9 @@
 /// Checks the instance's health until it is known, so that a node that starts
 /// after its instance need not wait for the next heartbeat.
 async fn check_unknown_instance(state: Rc<State>) {
+    while !state.peers_have_reported() {
+        sleep(REPORT_CHECK_PAUSE).await;
+    }
     let mut pause = MIN_HEALTH_CHECK_PAUSE;
     loop {
         sleep(pause).await;
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -26,7 +26,7 @@
 use walnutmoor_core::{
     digest::Map,
     error::Kind,
-    id::{CallId, Incarnation},
+    id::{CallId, NodeId},
     time::Millis,
 };
 
@@ -56,6 +56,8 @@
 /// The calls of one incarnation of another node.
 #[derive(Debug)]
 pub struct Session {
+    /// The node that has opened it.
+    node: NodeId,
     outgoing: RefCell<Option<UnboundedSender<Frame>>>,
     task: RefCell<Option<AbortHandle>>,
     /// The greatest call number received. Calls are numbered in the order of
@@ -68,8 +70,9 @@
 }
 
 impl Session {
-    fn new() -> Rc<Session> {
+    fn new(node: NodeId) -> Rc<Session> {
         Rc::new(Session {
+            node,
             outgoing: RefCell::new(None),
             task: RefCell::new(None),
             last_call_id: Cell::new(0),
@@ -78,6 +81,11 @@
         })
     }
 
+    /// The other node, if it is connected.
+    pub(super) fn connected_node(&self) -> Option<NodeId> {
+        self.outgoing.borrow().as_ref().map(|_| self.node)
+    }
+
     /// Sends a frame, if the other node is connected.
     pub fn send(&self, frame: Frame) {
         if let Some(outgoing) = &*self.outgoing.borrow() {
@@ -155,7 +163,7 @@
     let Ok(Ok(hello)) = first else {
         return;
     };
-    let session = session(&state, hello.incarnation);
+    let session = session(&state, &hello);
     if let Some(older) = session.task.borrow_mut().take() {
         older.abort();
     }
@@ -194,12 +202,13 @@
 }
 
 /// The session of an incarnation, created if needed.
-fn session(state: &State, incarnation: Incarnation) -> Rc<Session> {
+fn session(state: &State, hello: &Hello) -> Rc<Session> {
     let mut sessions = state.sessions.borrow_mut();
     if sessions.len() >= MAX_SESSIONS {
         sessions.retain(|_, session| session.outgoing.borrow().is_some());
     }
-    sessions.entry(incarnation).or_insert_with(Session::new).clone()
+    let session = sessions.entry(hello.incarnation);
+    session.or_insert_with(|| Session::new(hello.node)).clone()
 }
 
 async fn read_hello(
--- a/crates/walnutmoor/tests/mesh/leaving.rs
+++ b/crates/walnutmoor/tests/mesh/leaving.rs
@@ -165,6 +165,30 @@
     });
 }
 
+#[test]
+fn a_departed_instance_is_not_used_after_its_node_and_a_peer_restarted() {
+    run(async {
+        let mut world = World::start(&["front", "desk", "desk"]).await;
+        // Its health check still succeeds.
+        assert_eq!(world.pairs[1].instance.send_goodbye().await, 200);
+        let before = world.pairs[1].instance.total_runs();
+
+        world.pairs[1].node.kill();
+        // The peer that remembers the departure tries to reconnect less and
+        // less often.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        world.pairs[0].node.restart();
+        world.pairs[1].node.restart();
+        until("the node is ready again", || world.is_ready(0)).await;
+        for n in 0..60 {
+            world.send(0, "order", &format!("both-{n}")).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+
+        assert_eq!(world.pairs[1].instance.total_runs(), before);
+    });
+}
+
 #[test]
 fn a_terminating_node_finishes_requests_in_flight() {
     run(async {
