--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -43,6 +43,12 @@
     run_seed(31, config(31, 12).notices(true));
 }
 
+#[test]
+fn a_departed_instance_is_not_used_after_all_nodes_were_killed() {
+    let config = config(39224, 12).poison(true).restores(true).notices(true);
+    run_seed(39224, config);
+}
+
 #[test]
 fn seeds_that_failed_before_hold() {
     let seeds = include_str!("../testdata/soak-seeds.txt");
