Test a limit over a freeze of its node, and one that is named twice

Asked for in review: a freeze of the node beside a limited instance had been met in the soak only, and two different values in one response by the decoder's test only. Both now have real processes.

Tests only; no product code changes.

--- a/crates/walnutmoor/tests/mesh/limits.rs
+++ b/crates/walnutmoor/tests/mesh/limits.rs
@@ -2,7 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::{Instant, interval};
+use tokio::time::{Instant, interval, sleep};
+use walnutmoor_platform::header;
 use walnutmoor_standin::mesh::{
     caller,
     instance::Instance,
@@ -102,6 +103,30 @@
     });
 }
 
+#[test]
+fn a_frozen_node_keeps_to_the_limit_of_its_instance() {
+    run(async {
+        // No sibling takes what exceeds the limit.
+        let world = World::start(&["front", "desk"]).await;
+        world.pairs[1].instance.name_limit(Some("5"));
+        let since = Instant::now() + NOTICE_TIME;
+        let span = SETTLE_TIME + WINDOW;
+
+        let load = Load { nodes: &[0], per_second: 60, span };
+        let freeze = async {
+            sleep(SETTLE_TIME).await;
+            world.pairs[1].node.signal("STOP");
+            sleep(Duration::from_millis(1_500)).await;
+            world.pairs[1].node.signal("CONT");
+        };
+        tokio::join!(load.send(&world, "frozen"), freeze);
+
+        let desk = &world.pairs[1].instance;
+        let (peak, allowed) = (peak(desk, since), window::allowed(5.0));
+        assert!(peak <= allowed, "{peak} of {allowed}");
+    });
+}
+
 #[test]
 fn a_limit_that_is_no_longer_named_ends() {
     run(async {
@@ -132,7 +157,8 @@
         let world = World::start(&["front", "desk"]).await;
         let desk = &world.pairs[1].instance;
 
-        for limit in ["", "-1", "NaN", "inf", "many", "1e999"] {
+        let twice = format!("5\r\n{}: 6", header::NAMED_LIMIT);
+        for limit in ["", "-1", "NaN", "inf", "many", "1e999", &twice] {
             desk.name_limit(Some(limit));
             for n in 0..10 {
                 let id = format!("malformed-{limit}-{n}");
