Log the requests that an exiting node leaves unanswered, with their stage

Each request is now listed from its head to the last byte of its response, with the stage that it has reached: reading, quota, unsent, sent (to which node), writing. An exiting node writes a line `unanswered` for each that is left, and every `stop` line has the counts; a request that was read and not started leaves `abandoned`. A gauge walnutmoor_requests by stage; `explain` reads both lines. No decision was changed: the exit still looks at the old count.

--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -91,6 +91,8 @@
                 "an older desired state was not adopted"
             }
             "canceled" => "its caller canceled it before an answer",
+            "unanswered" => "its node exited before it was answered",
+            "abandoned" => "it was not started, and its connection closed",
             other => other,
         };
         let mut text =
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -7,7 +7,7 @@
 not read its responses, no further requests are read.
 */
 
-use std::{io, pin::pin, rc::Rc, time::Duration};
+use std::{collections::VecDeque, io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::{Buf, Bytes};
 use futures_util::{
@@ -26,6 +26,7 @@
 use super::{
     ingress::{self, Arrival, InFlight, Rejection},
     output::Output,
+    requests::{self, Stage},
     state::State,
     wire::Answer,
 };
@@ -59,7 +60,7 @@
 struct Completed {
     answer: Answer,
     method: Method,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// The part of a request that is read next.
@@ -82,6 +83,11 @@
     pipeline: Pipeline,
     pending: FuturesOrdered<LocalBoxFuture<'static, Completed>>,
     output: Output,
+    /// The number of bytes that were queued for writing.
+    queued: u64,
+    /// Requests whose responses are not completely written, each with the
+    /// value of `queued` at the end of its response.
+    unwritten: VecDeque<(u64, Rc<requests::Request>)>,
     /// The bytes read ahead on this connection, as counted in the total of
     /// the node.
     read_ahead: usize,
@@ -144,6 +150,8 @@
             pipeline: Pipeline::new(settings.requests),
             pending: FuturesOrdered::new(),
             output: Output::default(),
+            queued: 0,
+            unwritten: VecDeque::new(),
             read_ahead: 0,
             max_read_ahead: settings.bytes.max(max_head_bytes),
             last_progress: state.now(),
@@ -171,6 +179,7 @@
                     if self.output.has_remaining() =>
                 {
                     written?;
+                    self.remove_written();
                     self.last_progress = self.state.now();
                 }
                 completed = self.pending.next(),
@@ -231,7 +240,20 @@
             && !has_pending
             && arrival.take_expect_continue()
         {
-            self.output.push(Bytes::from_static(http1::CONTINUE));
+            self.push_output(Bytes::from_static(http1::CONTINUE));
+        }
+    }
+
+    fn push_output(&mut self, part: Bytes) {
+        self.queued += part.len() as u64;
+        self.output.push(part);
+    }
+
+    /// Removes the requests whose responses are completely written.
+    fn remove_written(&mut self) {
+        let written = self.queued - self.output.remaining() as u64;
+        while self.unwritten.front().is_some_and(|(end, _)| *end <= written) {
+            self.unwritten.pop_front();
         }
     }
 
@@ -299,7 +321,7 @@
     /// not allow that.
     fn reject(&mut self, rejection: Rejection) -> ReadState {
         let Rejection { answer, method, max_discard, in_flight } = rejection;
-        let completed = Completed { answer, method, _in_flight: in_flight };
+        let completed = Completed { answer, method, in_flight };
         self.pipeline.begin(true);
         self.pending.push_back(future::ready(completed).boxed_local());
         match max_discard {
@@ -337,7 +359,7 @@
         let method = arrival.method().clone();
         let serve = async move {
             let (answer, in_flight) = arrival.serve(&state).await;
-            Completed { answer, method, _in_flight: in_flight }
+            Completed { answer, method, in_flight }
         };
         self.pending.push_back(serve.boxed_local());
         true
@@ -352,8 +374,11 @@
         let (head, body) =
             http1::encode(completed.answer, &completed.method, closes);
         self.last_progress = self.state.now();
-        self.output.push(head);
-        self.output.push(body);
+        self.push_output(head);
+        self.push_output(body);
+        let request = completed.in_flight.request().clone();
+        request.set_stage(Stage::Writing);
+        self.unwritten.push_back((self.queued, request));
     }
 
     /// Starts no more requests. A request that was not started is abandoned;
@@ -363,7 +388,7 @@
         let reading = std::mem::replace(&mut self.reading, ReadState::Head);
         if let ReadState::Body(arrival) | ReadState::Blocked(arrival) = reading
         {
-            arrival.abandon();
+            arrival.abandon(&self.state);
         }
     }
 }
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -28,6 +28,7 @@
     frame::{Call, Headers, Reply},
     journal::Event,
     link::Link,
+    requests::{self, Stage},
     serve::Sink,
     state::State,
 };
@@ -68,6 +69,8 @@
     pub deadline: Millis,
     /// When the caller stops waiting.
     pub caller_deadline: Millis,
+    /// The request as listed until its response is written.
+    pub tracked: Rc<requests::Request>,
 }
 
 /// A finished request.
@@ -168,8 +171,10 @@
             progress.retry_state.exclude(node);
             continue;
         };
-        let Some(reply) = await_reply(state, request, attempt, receiver).await
-        else {
+        request.tracked.set_stage(Stage::Sent(node));
+        let reply = await_reply(state, request, attempt, receiver).await;
+        request.tracked.set_stage(Stage::Unsent);
+        let Some(reply) = reply else {
             progress.retry_state.record_timeout(node);
             return progress.give_up(Kind::Timeout);
         };
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -23,6 +23,7 @@
     connection,
     dispatch::{self, End, Finished},
     journal::Event,
+    requests::{self, Stage},
     serve::Parent,
     state::{Phase, State},
     wire::{self, Answer},
@@ -85,24 +86,30 @@
     received_at: Millis,
     held_bytes: usize,
     is_finished: bool,
+    request: Rc<requests::Request>,
 }
 
 impl InFlight {
     fn new(state: &Rc<State>, attempt: &str) -> InFlight {
         state.in_flight.set(state.in_flight.get() + 1);
+        let now = state.now();
         InFlight {
             state: state.clone(),
             attempt: attempt.to_string(),
             route: String::new(),
             account: None,
-            received_at: state.now(),
+            received_at: now,
             held_bytes: 0,
             is_finished: false,
+            request: state.requests.add(attempt, now),
         }
     }
-}
 
-impl InFlight {
+    /// The request as listed until its response is written.
+    pub(super) fn request(&self) -> &Rc<requests::Request> {
+        &self.request
+    }
+
     /// The name of the account, for logs.
     fn account(&self) -> Option<&str> {
         self.account.as_ref().map(|account| account.name.as_str())
@@ -262,8 +269,14 @@
 
     /// Drops the request without an answer, as its connection closes. It is
     /// not recorded as canceled.
-    pub(super) fn abandon(mut self: Box<Arrival>) {
+    pub(super) fn abandon(mut self: Box<Arrival>, state: &State) {
         self.in_flight.is_finished = true;
+        metrics::counter!("walnutmoor_abandoned_total").increment(1);
+        let now = state.now();
+        let after = now.since(self.in_flight.received_at);
+        let fields = [("after_ms", after.0.into())];
+        let id = &self.in_flight.attempt;
+        state.journal.log_request(now, Event::Abandoned, id, &fields);
     }
 
     /// Returns true, once, if the caller waits for `100 Continue` before it
@@ -306,7 +319,9 @@
     ) -> Result<Answer, Refusal> {
         let account = self.origin.account().cloned();
         let target = self.route.target_latency;
+        self.in_flight.request.set_stage(Stage::Quota);
         let permit = state.acquire(account.as_deref(), target).await?;
+        self.in_flight.request.set_stage(Stage::Unsent);
         let request = match admission::admit(state, self) {
             Ok(request) => request,
             Err(refusal) => {
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -76,7 +76,10 @@
         }
     };
     header::sanitize(&mut head.headers);
+    let deadline = in_flight.received_at + time_left.min(route.timeout);
+    in_flight.request().set_deadline(deadline);
     Ok(dispatch::Request {
+        tracked: in_flight.request().clone(),
         urgency,
         is_nested: parent.is_some(),
         parent_is_retry: parent.is_some_and(|parent| parent.is_retry),
@@ -88,7 +91,7 @@
         path: path(head),
         headers: wire::pack(&head.headers),
         body: std::mem::take(body).freeze(),
-        deadline: in_flight.received_at + time_left.min(route.timeout),
+        deadline,
         caller_deadline: in_flight.received_at + time_left,
         route: route.clone(),
     })
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -86,6 +86,10 @@
     Retry,
     /// A caller disconnected before its request was answered.
     Canceled,
+    /// The process exits before the response of a request is written.
+    Unanswered,
+    /// A request was read but not started, and its connection closes.
+    Abandoned,
     /// The admission rate of a route has changed.
     Admission,
     /// Counters since the start of the process.
@@ -116,6 +120,8 @@
         Event::Unknown,
         Event::Retry,
         Event::Canceled,
+        Event::Unanswered,
+        Event::Abandoned,
         Event::Admission,
         Event::Counters,
         Event::Fault,
@@ -144,6 +150,8 @@
             Event::Unknown => "unknown",
             Event::Retry => "retry",
             Event::Canceled => "canceled",
+            Event::Unanswered => "unanswered",
+            Event::Abandoned => "abandoned",
             Event::Admission => "admission",
             Event::Counters => "counters",
             Event::Fault => "fault",
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -14,6 +14,7 @@
 | [`connection`] | serves a caller's connection, with pipelining |
 | [`output`] | buffers bytes to be written to a caller |
 | [`ingress`] | handles callers' requests at the entry node |
+| [`requests`] | lists the callers' requests without a complete response |
 | [`dispatch`] | selects instances for a request, and retries it |
 | [`link`] | keeps the outgoing connection to another node |
 | [`peer`] | serves incoming connections of other nodes |
@@ -57,6 +58,7 @@
 pub mod output;
 pub mod peer;
 pub mod quotas;
+pub mod requests;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -19,9 +19,10 @@
     control::{self, Endpoint},
     ingress,
     instance::Outcome,
-    journal::{Event, Journal},
+    journal::{Event, Field, Journal},
     link::{self, CHECK_INTERVAL},
     peer,
+    requests::Stage,
     settings::Settings,
     state::{Phase, State},
     store,
@@ -288,8 +289,7 @@
 async fn shut_down(state: &Rc<State>) {
     let started_at = state.now();
     state.phase.set(Phase::Leaving);
-    let fields = [("phase", "leaving".into())];
-    state.journal.log_event(started_at, Event::Stop, &fields);
+    log_stop(state, "leaving");
     let deadline = started_at + (state.settings.grace() - SHUTDOWN_MARGIN);
     if state.serve.has_left() {
         let state = state.clone();
@@ -302,6 +302,7 @@
         if leaving && now.since(started_at) >= DRAIN_DELAY {
             state.phase.set(Phase::Finishing);
             state.serve.drain(state);
+            log_stop(state, "finishing");
         }
         let (running, queued) = state.serve.job_counts();
         let idle = state.in_flight.get() + running + queued == 0;
@@ -310,10 +311,42 @@
             break;
         }
     }
-    let fields = [
-        ("phase", "ended".into()),
+    log_unanswered(state);
+    log_stop(state, "ended");
+    state.journal.close();
+}
+
+/// Logs a phase of the shutdown, with the number of callers' requests at each
+/// stage and of the calls at the local instance.
+fn log_stop(state: &State, phase: &str) {
+    let (running, queued) = state.serve.job_counts();
+    let mut fields: Vec<Field<'_>> = vec![
+        ("phase", phase.into()),
         ("under_way", state.in_flight.get().into()),
+        ("running", running.into()),
+        ("waiting", queued.into()),
     ];
+    let requests = state.requests.list();
+    for name in Stage::NAMES {
+        let at_stage = requests.iter().filter(|r| r.stage.as_str() == name);
+        fields.push((name, at_stage.count().into()));
+    }
     state.journal.log_event(state.now(), Event::Stop, &fields);
-    state.journal.close();
+}
+
+/// Logs the requests that the exit leaves without a complete response.
+fn log_unanswered(state: &State) {
+    let now = state.now();
+    for request in state.requests.list() {
+        let node = request.stage.node().map(|node| node.to_string());
+        let left = request.deadline.map(|deadline| deadline.since(now).0);
+        let fields = [
+            ("stage", request.stage.as_str().into()),
+            ("at", node.into()),
+            ("after_ms", now.since(request.received_at).0.into()),
+            ("left_ms", left.into()),
+        ];
+        let id = &request.attempt;
+        state.journal.log_request(now, Event::Unanswered, id, &fields);
+    }
 }
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -29,6 +29,7 @@
     link::Link,
     peer::Session,
     quotas::Quotas,
+    requests::Requests,
     serve::Serve,
     settings::Settings,
     store::EraTracker,
@@ -72,6 +73,8 @@
     pub phase: Cell<Phase>,
     /// The number of callers' requests in flight.
     pub in_flight: Cell<usize>,
+    /// The callers' requests without a complete response.
+    pub requests: Requests,
     /// The number of open connections of callers.
     pub connections: Cell<usize>,
     /// Bytes of request and response bodies that are buffered for callers.
@@ -125,6 +128,7 @@
             suspicion: Suspicion::default(),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
+            requests: Requests::default(),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
             undecoded_bytes: Cell::new(0),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -157,6 +157,12 @@
     for (name, value) in gauges {
         gauge!(name).set(value as f64);
     }
+    let requests = state.requests.list();
+    for stage in mesh::requests::Stage::NAMES {
+        let at_stage = requests.iter().filter(|r| r.stage.as_str() == stage);
+        gauge!("walnutmoor_requests", "stage" => stage)
+            .set(at_stage.count() as f64);
+    }
     let limit = state.serve.named_limit();
     gauge!("walnutmoor_named_limit")
         .set(limit.map_or(f64::INFINITY, Rate::per_second));
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -66,11 +66,12 @@
     check(
         "c0de",
         expect![[r#"
-        in force at 47000 ms on a: desired; era 1; revision 7; routes 3; source "store"; version 7
-        since then at 49000 ms on a: the store was restored from an older copy; from 1; source "store"; to 2
-        since then at 49010 ms on a: an older desired state was not adopted; era 2; era_in_force 1; passed_over true; revision 4; revision_in_force 7; version 2; version_in_force 7
-        at 52000 ms on a: an instance answered it; after_ms 110; revision 7; route "claims"; version 7; why ""
-    "#]],
+            in force at 47000 ms on a: desired; era 1; revision 7; routes 3; source "store"; version 7
+            since then at 49000 ms on a: the store was restored from an older copy; from 1; source "store"; to 2
+            since then at 49010 ms on a: an older desired state was not adopted; era 2; era_in_force 1; passed_over true; revision 4; revision_in_force 7; version 2; version_in_force 7
+            context at 51000 ms on a: stop; phase "leaving"; quota 0; reading 0; running 0; sent 1; under_way 1; unsent 0; waiting 0; writing 0
+            at 52000 ms on a: an instance answered it; after_ms 110; revision 7; route "claims"; version 7; why ""
+        "#]],
     );
 }
 
@@ -85,3 +86,15 @@
     "#]],
     );
 }
+
+#[test]
+fn a_request_that_its_node_left_unanswered_is_printed() {
+    check(
+        "e79e",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        context at 56600 ms on a: stop; phase "ended"; quota 0; reading 0; running 0; sent 1; under_way 1; unsent 0; waiting 0; writing 0
+        at 56600 ms on a: its node exited before it was answered; after_ms 2500; at "10.0.0.2:7500"; left_ms 1500; stage "sent"
+    "#]],
+    );
+}
