--- a/crates/walnutmoor-standin/src/mesh/caller.rs
+++ b/crates/walnutmoor-standin/src/mesh/caller.rs
@@ -74,11 +74,16 @@
     is_closing: bool,
 }
 
+impl From<TcpStream> for Connection {
+    fn from(stream: TcpStream) -> Connection {
+        Connection { stream, buffer: Vec::new(), is_closing: false }
+    }
+}
+
 impl Connection {
     /// Connects to an address. `None` if that fails.
     pub async fn open(address: SocketAddr) -> Option<Connection> {
-        let stream = TcpStream::connect(address).await.ok()?;
-        Some(Connection { stream, buffer: Vec::new(), is_closing: false })
+        TcpStream::connect(address).await.ok().map(Connection::from)
     }
 
     /// True if the last response had `connection: close`.
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -14,4 +14,5 @@
 mod poison;
 mod restore;
 mod resume;
+mod shutdown;
 mod watching;
--- /dev/null
+++ b/crates/walnutmoor/tests/mesh/shutdown.rs
@@ -0,0 +1,257 @@
+//! What callers get from a node that has received SIGTERM.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::Method;
+use tokio::{
+    net::TcpSocket,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+use walnutmoor_core::{
+    table::{Effect, Limits, Route, Spec},
+    time::Millis,
+};
+use walnutmoor_platform::standin;
+use walnutmoor_standin::mesh::{
+    caller::{Connection, Response, format_request},
+    instance::Behavior,
+};
+
+use crate::fixture::{World, headers, route, run, until};
+
+/// The time budget of a request that outlasts any grace period.
+const LONG_TIMEOUT: Millis = Millis(30_000);
+
+/// More bytes than the socket buffers of a connection hold.
+const LARGE_BODY_BYTES: usize = 24 << 20;
+
+/// Routes whose requests may be queued and may run for a long time.
+fn patient_routes() -> Vec<Route> {
+    let patient = |name, effect| Route {
+        timeout: LONG_TIMEOUT,
+        target_latency: LONG_TIMEOUT,
+        ..route(name, effect, &[("desk", 1)])
+    };
+    vec![patient("browse", Effect::Idempotent), patient("order", Effect::Once)]
+}
+
+fn desired(version: u64) -> String {
+    let spec = Spec { health_path: "/health".into(), max_connections: 64 };
+    let services = [("desk".parse().unwrap(), spec)];
+    let limits =
+        Limits { max_body_bytes: LARGE_BODY_BYTES, ..Limits::default() };
+    standin::desired(version, &patient_routes(), &services, &limits)
+}
+
+/// Starts pairs with [`patient_routes`].
+async fn start(services: &[&str]) -> World {
+    let world = World::start(services).await;
+    world.store.write_desired(&desired(2));
+    for index in 0..services.len() {
+        until("the new desired state is in force", || async {
+            world.pairs[index].node.log().contains("\"version\":2")
+        })
+        .await;
+    }
+    world
+}
+
+/// The result of a request: the time of sending and the response, if it was
+/// complete.
+struct Sent {
+    id: String,
+    at: Instant,
+    response: Option<Response>,
+}
+
+/// Sends a request on a new connection. Resolves to `None` if there was no
+/// connection.
+fn send(
+    address: SocketAddr,
+    route: &'static str,
+    id: String,
+) -> JoinHandle<Option<Sent>> {
+    tokio::spawn(async move {
+        let headers = headers(&id, LONG_TIMEOUT.0);
+        let path = format!("/{route}/x");
+        let text = format_request(Method::POST, &path, &headers, "body");
+        let mut connection = Connection::open(address).await?;
+        let at = Instant::now();
+        connection.write(&text).await?;
+        let response = connection.read().await;
+        Some(Sent { id, at, response })
+    })
+}
+
+fn callers(world: &World) -> SocketAddr {
+    world.pairs[0].node.addresses().callers
+}
+
+/// The ids of the requests that a node named when it exited.
+fn unanswered(world: &World) -> Vec<String> {
+    let log = world.pairs[0].node.log();
+    let lines = log.lines().filter(|line| line.contains("\"unanswered\""));
+    lines.map(str::to_string).collect()
+}
+
+/// Waits until the first node has exited.
+async fn wait_for_exit(world: &mut World) {
+    let node = std::cell::RefCell::new(&mut world.pairs[0].node);
+    until("the node has exited", || async { node.borrow_mut().has_exited() })
+        .await;
+}
+
+/// Sends requests that may and that may not run twice in turn, every 100 ms
+/// from the signal to the exit of the first node.
+async fn send_until_exit(world: &mut World) -> (Instant, Vec<Sent>) {
+    let address = callers(world);
+    world.pairs[0].node.signal("TERM");
+    let signal_at = Instant::now();
+    let mut pending = Vec::new();
+    while !world.pairs[0].node.has_exited() {
+        let route = ["browse", "order"][pending.len() % 2];
+        let id = format!("{route}-{}", pending.len());
+        pending.push(send(address, route, id));
+        sleep(Duration::from_millis(100)).await;
+    }
+    let mut sent = Vec::new();
+    for request in pending {
+        sent.extend(request.await.unwrap());
+    }
+    (signal_at, sent)
+}
+
+#[test]
+fn a_request_read_late_in_a_shutdown_is_answered() {
+    run(async {
+        let mut world = start(&["front", "desk", "desk"]).await;
+        for pair in &world.pairs {
+            pair.instance.set_run_time(Duration::from_millis(2_500));
+        }
+
+        let (signal_at, sent) = send_until_exit(&mut world).await;
+
+        assert_eq!(unanswered(&world), [""; 0]);
+        for Sent { id, at, response } in sent {
+            let after = at.duration_since(signal_at).as_millis();
+            let runs = world.runs(&id);
+            let Some(response) = response else {
+                assert_eq!(runs, 0, "{id}, sent after {after} ms, was cut");
+                continue;
+            };
+            match response.status {
+                200 | 504 => assert_eq!(runs, 1, "{id}: {response:?}"),
+                503 => assert_eq!(runs, 0, "{id}: {response:?}"),
+                _ => panic!("{id}, sent after {after} ms: {response:?}"),
+            }
+        }
+    });
+}
+
+#[test]
+fn a_queued_request_is_refused_before_its_node_exits() {
+    run(async {
+        let mut world = start(&["front", "desk"]).await;
+        let desk = world.pairs[1].instance.clone();
+        // The instance has eight slots, of which seven are used.
+        let held: Vec<String> = (0..7).map(|n| format!("held-{n}")).collect();
+        held.iter().for_each(|id| desk.hold(id));
+        let address = callers(&world);
+        let held: Vec<_> =
+            held.into_iter().map(|id| send(address, "order", id)).collect();
+        until("all slots are taken", || async { desk.total_runs() == 7 })
+            .await;
+        let queued = ["order", "browse"]
+            .map(|route| send(address, route, format!("queued-{route}")));
+        until("two requests are queued", || async {
+            let load = world.pairs[1].node.addresses().metrics;
+            queued_calls(load).await == Some(2)
+        })
+        .await;
+
+        world.pairs[0].node.signal("TERM");
+        wait_for_exit(&mut world).await;
+
+        assert_eq!(unanswered(&world), [""; 0]);
+        for request in queued {
+            let sent = request.await.unwrap().unwrap();
+            let response = sent.response.unwrap();
+            assert_eq!(response.status, 503, "{}", sent.id);
+            assert!(response.headers.contains_key("retry-after"));
+            assert_eq!(world.runs(&sent.id), 0);
+        }
+        for request in held {
+            let sent = request.await.unwrap().unwrap();
+            assert_eq!(sent.response.unwrap().status, 504, "{}", sent.id);
+        }
+    });
+}
+
+/// The number of queued calls in the metrics of a node.
+async fn queued_calls(metrics: SocketAddr) -> Option<u32> {
+    let mut connection = Connection::open(metrics).await?;
+    let headers = [];
+    let sent = connection.send(Method::GET, "/metrics", &headers, "").await?;
+    let mut lines = sent.body.lines();
+    let line = lines.find(|line| line.starts_with("walnutmoor_queued "))?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+#[test]
+fn a_request_at_a_silent_instance_is_answered_before_its_node_exits() {
+    run(async {
+        let mut world = start(&["front", "desk"]).await;
+        let desk = world.pairs[1].instance.clone();
+        desk.set_behavior(Behavior::NeverResponds);
+        let address = callers(&world);
+        let ids = ["order", "browse"];
+        let sent = ids.map(|route| send(address, route, route.to_string()));
+        until("both run", || async { desk.total_runs() == 2 }).await;
+
+        world.pairs[0].node.signal("TERM");
+        wait_for_exit(&mut world).await;
+
+        assert_eq!(unanswered(&world), [""; 0]);
+        for request in sent {
+            let sent = request.await.unwrap().unwrap();
+            assert_eq!(sent.response.unwrap().status, 504, "{}", sent.id);
+        }
+    });
+}
+
+/// Connects with a small receive buffer.
+async fn connect_slow_reader(address: SocketAddr) -> Connection {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    Connection::from(socket.connect(address).await.unwrap())
+}
+
+#[test]
+fn a_slow_reader_gets_the_whole_response_of_a_terminating_node() {
+    run(async {
+        let mut world = start(&["front", "desk"]).await;
+        let desk = world.pairs[1].instance.clone();
+        desk.hold("large");
+        let headers = headers("large", LONG_TIMEOUT.0);
+        let body = "x".repeat(LARGE_BODY_BYTES - 1);
+        let text = format_request(Method::POST, "/order/x", &headers, &body);
+        let mut caller = connect_slow_reader(callers(&world)).await;
+        caller.write(&text).await.unwrap();
+        until("the request runs", || async { world.runs("large") == 1 }).await;
+
+        world.pairs[0].node.signal("TERM");
+        desk.release("large");
+        until("the node refuses new requests", || async {
+            world.pairs[0].node.log().contains("\"finishing\"")
+        })
+        .await;
+        sleep(Duration::from_millis(500)).await;
+
+        let response = caller.read().await.expect("a complete response");
+        assert_eq!(response.status, 200);
+        assert!(response.body.ends_with(&body));
+        wait_for_exit(&mut world).await;
+        assert_eq!(unanswered(&world), [""; 0]);
+    });
+}
