Count a request as in flight until its response is written

Callers that read slowly got a part of a large response, and then the end of the connection, from a node that had received SIGTERM. Cause: a request stopped counting when its response was queued; a node with nothing in flight exits within 50 ms, with the rest of the response in its own buffer. Ruled out: the kernel, which goes on sending what was written after the exit.

The count is now that of the listed requests, which last until the socket took the last byte. It also bounds the memory of callers that don't read.

--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -55,8 +55,7 @@
 /// clocks.
 const IDLE_TIMEOUT_MARGIN: Millis = Millis(1_000);
 
-/// A request with its response. It counts as in flight until the response is
-/// queued for writing.
+/// A request with its response.
 struct Completed {
     answer: Answer,
     method: Method,
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -76,7 +76,7 @@
     too_many || state.phase.get() != Phase::Serving
 }
 
-/// Counts a request as in flight until it is dropped. If it is dropped before
+/// A request until its response is queued for writing. If it is dropped before
 /// it has finished, the request is recorded as canceled by its caller.
 pub(super) struct InFlight {
     state: Rc<State>,
@@ -91,7 +91,6 @@
 
 impl InFlight {
     fn new(state: &Rc<State>, attempt: &str) -> InFlight {
-        state.in_flight.set(state.in_flight.get() + 1);
         let now = state.now();
         InFlight {
             state: state.clone(),
@@ -119,7 +118,6 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let state = &self.state;
-        state.in_flight.set(state.in_flight.get() - 1);
         state.buffered_bytes.set(state.buffered_bytes.get() - self.held_bytes);
         if self.is_finished {
             return;
@@ -345,7 +343,7 @@
     if state.phase.get() == Phase::Finishing {
         return Err(Kind::Leaving);
     }
-    if state.in_flight.get() > MAX_IN_FLIGHT {
+    if state.requests.len() > MAX_IN_FLIGHT {
         return Err(Kind::Full);
     }
     if in_flight.attempt.is_empty() {
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -214,7 +214,7 @@
         let fields = [
             ("quota_alone", local.into()),
             ("quota_denied", refused.into()),
-            ("under_way", state.in_flight.get().into()),
+            ("under_way", state.requests.len().into()),
             ("running", running.into()),
             ("waiting", queued.into()),
             ("arrivals", serve.arrivals.get().into()),
@@ -305,7 +305,7 @@
             log_stop(state, "finishing");
         }
         let (running, queued) = state.serve.job_counts();
-        let idle = state.in_flight.get() + running + queued == 0;
+        let idle = state.requests.len() + running + queued == 0;
         let finishing = state.phase.get() == Phase::Finishing;
         if (finishing && idle) || now >= deadline {
             break;
@@ -322,7 +322,7 @@
     let (running, queued) = state.serve.job_counts();
     let mut fields: Vec<Field<'_>> = vec![
         ("phase", phase.into()),
-        ("under_way", state.in_flight.get().into()),
+        ("under_way", state.requests.len().into()),
         ("running", running.into()),
         ("waiting", queued.into()),
     ];
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -71,8 +71,6 @@
     pub(super) suspicion: Suspicion,
     /// The phase of the shutdown.
     pub phase: Cell<Phase>,
-    /// The number of callers' requests in flight.
-    pub in_flight: Cell<usize>,
     /// The callers' requests without a complete response.
     pub requests: Requests,
     /// The number of open connections of callers.
@@ -127,7 +125,6 @@
             serve,
             suspicion: Suspicion::default(),
             phase: Cell::new(Phase::Serving),
-            in_flight: Cell::new(0),
             requests: Requests::default(),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -144,7 +144,7 @@
     let gauges = [
         ("walnutmoor_running", running),
         ("walnutmoor_queued", waiting),
-        ("walnutmoor_under_way", state.in_flight.get()),
+        ("walnutmoor_under_way", state.requests.len()),
         ("walnutmoor_held_bytes", state.buffered_bytes.get()),
         ("walnutmoor_links", state.links().len()),
         ("walnutmoor_suspects", state.suspects()),
