End requests in flight before a terminating node exits

Callers of a node that had received SIGTERM saw their connection closed with no answer, although the node had read the request. Cause: requests were taken for 3.2 s, whatever they might take, and the process exited at 5.6 s of a grace of 6 s with whatever was in flight; each figure fitted the other only for short runs. The platform excuses a cut run if its request was sent within 3 s of the signal and the run lasts into the last sixth of the grace; one sent 3.17 s after it and running for 2.44 s falls between the two.

Ruled out: overload (let_in 1.0), a response that was not written (the instance was still at work).

A request that ends so has not run (503) or may have (504); one that waits for quota or between attempts is refused. Deadlines sent to instances are capped alike.

--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -155,6 +155,9 @@
         if now >= request.deadline {
             return progress.give_up(Kind::Timeout);
         }
+        if state.has_expired() {
+            return progress.give_up(Kind::Leaving);
+        }
         let node = match choose(state, request, progress) {
             Next::Send(node) => node,
             Next::NoInstance => return progress.refuse_no_instance(),
@@ -255,7 +258,8 @@
         idempotent: request.route.effect == Effect::Idempotent,
     };
     let now = state.now();
-    let time_left = Some(request.deadline.since(now));
+    let deadline = state.cap_deadline(request.deadline);
+    let time_left = Some(deadline.since(now));
     let scope =
         retry_state::Scope { time_left, ..progress.retry_state.scope() };
     state.balancer.borrow_mut().choose_within(now, pick, &scope)
@@ -392,7 +396,7 @@
         }
         if self.retry_state.may_have_run() {
             let kind = match kind {
-                Kind::Timeout => Kind::Timeout,
+                Kind::Timeout | Kind::Leaving => Kind::Timeout,
                 _ => Kind::Broken,
             };
             return End::Failed(kind);
@@ -468,7 +472,7 @@
         effect: request.route.effect,
         priority: request.urgency,
         target: request.route.target_latency,
-        time_left: request.deadline.since(now),
+        time_left: state.cap_deadline(request.deadline).since(now),
         caller_time_left: request.caller_deadline.since(now),
         is_retry: progress.retry_state.arrivals() > 0,
         parent_is_retry: request.parent_is_retry,
@@ -493,7 +497,8 @@
     Some((Attempt { state, node, handle, is_finished: false }, receiver))
 }
 
-/// Waits for the reply. Returns `None` if the deadline passes first.
+/// Waits for the reply. Returns `None` if the deadline passes first or the
+/// node exits.
 async fn await_reply(
     state: &Rc<State>,
     request: &Request,
@@ -509,5 +514,6 @@
             Some(reply.unwrap_or(Reply::Unknown(Kind::Broken)))
         }
         () = sleep(Duration::from_millis(left.0)) => None,
+        () = state.expired() => None,
     }
 }
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -318,7 +318,10 @@
         let account = self.origin.account().cloned();
         let target = self.route.target_latency;
         self.in_flight.request.set_stage(Stage::Quota);
-        let permit = state.acquire(account.as_deref(), target).await?;
+        let permit = tokio::select! {
+            permit = state.acquire(account.as_deref(), target) => permit?,
+            () = state.expired() => return Err(not_run(Kind::Leaving)),
+        };
         self.in_flight.request.set_stage(Stage::Unsent);
         let request = match admission::admit(state, self) {
             Ok(request) => request,
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -30,6 +30,7 @@
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
 | [`store`] | syncs desired state and directory with the platform's store |
+| `shutdown` | shuts the node down gracefully |
 | [`journal`] | writes the log |
 
 # Example
@@ -62,6 +63,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+mod shutdown;
 pub mod state;
 pub mod store;
 pub mod suspicion;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -19,12 +19,12 @@
     control::{self, Endpoint},
     ingress,
     instance::Outcome,
-    journal::{Event, Field, Journal},
+    journal::{Event, Journal},
     link::{self, CHECK_INTERVAL},
     peer,
-    requests::Stage,
     settings::Settings,
-    state::{Phase, State},
+    shutdown,
+    state::State,
     store,
     suspicion::SWEEP_INTERVAL,
 };
@@ -33,14 +33,6 @@
 /// The listen backlog of each port.
 const LISTEN_BACKLOG: u32 = 1_024;
 
-/// How long new requests are served after the signal to exit, until the
-/// platform's readiness checks have failed and it sends no more.
-const DRAIN_DELAY: Millis = Millis(3_200);
-
-/// How long before the end of the grace period the process exits, even with
-/// work in flight.
-const SHUTDOWN_MARGIN: Millis = Millis(400);
-
 /// The delay of a timer from which on the process counts as suspended.
 const PAUSE_THRESHOLD: Millis = Millis(400);
 
@@ -107,7 +99,7 @@
     spawn_local(async move { expiry.serve.expire_queued(&expiry).await });
     spawn_local(reload(state.clone(), path));
     wait_for_sigterm().await?;
-    shut_down(&state).await;
+    shutdown::run(&state).await;
     // Exits without dropping the remaining tasks one by one, which could
     // exceed the grace period on a slow host.
     std::process::exit(0);
@@ -283,70 +275,3 @@
         state.serve.record_health_check(state, id, load.slots, ready);
     }
 }
-
-/// Shuts down: first reports that the node is not ready, then refuses new
-/// requests and finishes those in flight.
-async fn shut_down(state: &Rc<State>) {
-    let started_at = state.now();
-    state.phase.set(Phase::Leaving);
-    log_stop(state, "leaving");
-    let deadline = started_at + (state.settings.grace() - SHUTDOWN_MARGIN);
-    if state.serve.has_left() {
-        let state = state.clone();
-        spawn_local(async move { store::unregister(&state).await });
-    }
-    loop {
-        sleep(Duration::from_millis(50)).await;
-        let now = state.now();
-        let leaving = state.phase.get() == Phase::Leaving;
-        if leaving && now.since(started_at) >= DRAIN_DELAY {
-            state.phase.set(Phase::Finishing);
-            state.serve.drain(state);
-            log_stop(state, "finishing");
-        }
-        let (running, queued) = state.serve.job_counts();
-        let idle = state.requests.len() + running + queued == 0;
-        let finishing = state.phase.get() == Phase::Finishing;
-        if (finishing && idle) || now >= deadline {
-            break;
-        }
-    }
-    log_unanswered(state);
-    log_stop(state, "ended");
-    state.journal.close();
-}
-
-/// Logs a phase of the shutdown, with the number of callers' requests at each
-/// stage and of the calls at the local instance.
-fn log_stop(state: &State, phase: &str) {
-    let (running, queued) = state.serve.job_counts();
-    let mut fields: Vec<Field<'_>> = vec![
-        ("phase", phase.into()),
-        ("under_way", state.requests.len().into()),
-        ("running", running.into()),
-        ("waiting", queued.into()),
-    ];
-    let requests = state.requests.list();
-    for name in Stage::NAMES {
-        let at_stage = requests.iter().filter(|r| r.stage.as_str() == name);
-        fields.push((name, at_stage.count().into()));
-    }
-    state.journal.log_event(state.now(), Event::Stop, &fields);
-}
-
-/// Logs the requests that the exit leaves without a complete response.
-fn log_unanswered(state: &State) {
-    let now = state.now();
-    for request in state.requests.list() {
-        let node = request.stage.node().map(|node| node.to_string());
-        let left = request.deadline.map(|deadline| deadline.since(now).0);
-        let fields = [
-            ("stage", request.stage.as_str().into()),
-            ("at", node.into()),
-            ("after_ms", now.since(request.received_at).0.into()),
-            ("left_ms", left.into()),
-        ];
-        let id = &request.attempt;
-        state.journal.log_request(now, Event::Unanswered, id, &fields);
-    }
-}
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -32,6 +32,7 @@
     requests::Requests,
     serve::Serve,
     settings::Settings,
+    shutdown::Shutdown,
     store::EraTracker,
     suspicion::Suspicion,
 };
@@ -71,6 +72,8 @@
     pub(super) suspicion: Suspicion,
     /// The phase of the shutdown.
     pub phase: Cell<Phase>,
+    /// The shutdown, if it has begun.
+    pub(super) shutdown: Shutdown,
     /// The callers' requests without a complete response.
     pub requests: Requests,
     /// The number of open connections of callers.
@@ -125,6 +128,7 @@
             serve,
             suspicion: Suspicion::default(),
             phase: Cell::new(Phase::Serving),
+            shutdown: Shutdown::default(),
             requests: Requests::default(),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
