Refuse a request truthfully if its call has not started when the node exits

A caller whose request was still queued at another node when its own node exited was told 504, may have run, and could not repeat an order that had never run. Cause: a canceled call was never answered, so the sender could not know. Now a canceled call that has not started is answered so, and an exiting node withdraws its calls and waits for that for half of the time it has left.

--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -122,6 +122,16 @@
     Remote(Rc<Link>, CallId),
 }
 
+impl Attempt<'_> {
+    /// Cancels the call, but still accepts a reply that it has not run.
+    fn withdraw(&self) {
+        match &self.handle {
+            Handle::Local(id) => self.state.serve.cancel(self.state, *id),
+            Handle::Remote(link, id) => link.withdraw(*id),
+        }
+    }
+}
+
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         if self.is_finished {
@@ -497,23 +507,30 @@
     Some((Attempt { state, node, handle, is_finished: false }, receiver))
 }
 
-/// Waits for the reply. Returns `None` if the deadline passes first or the
-/// node exits.
+/// Waits for the reply. Returns `None` if the deadline passes first. If the
+/// node exits, withdraws the call and returns `None` unless it has not run.
 async fn await_reply(
     state: &Rc<State>,
     request: &Request,
     mut attempt: Attempt<'_>,
-    receiver: oneshot::Receiver<Reply>,
+    mut receiver: oneshot::Receiver<Reply>,
 ) -> Option<Reply> {
     let left = request.deadline.since(state.now());
     tokio::select! {
         biased;
-        reply = receiver => {
+        reply = &mut receiver => {
             attempt.is_finished = true;
             // The sender is dropped only when the node shuts down.
             Some(reply.unwrap_or(Reply::Unknown(Kind::Broken)))
         }
         () = sleep(Duration::from_millis(left.0)) => None,
-        () = state.expired() => None,
+        () = state.expired() => {
+            attempt.withdraw();
+            let timeout = state.withdraw_timeout();
+            let reply = tokio::time::timeout(timeout, receiver).await;
+            let reply = reply.ok()?.ok()?;
+            attempt.is_finished = true;
+            Some(reply)
+        }
     }
 }
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -60,7 +60,8 @@
     Hello(Hello),
     /// Asks the receiver to run a request.
     Call(Box<Call>),
-    /// Cancels a call: its caller has disconnected or its deadline has passed.
+    /// Cancels a call: its caller has disconnected, its deadline has passed or
+    /// the sender exits. Answered only if the call has not started.
     Cancel(CallId),
     /// Asks for the replies to these calls after the link has reconnected.
     Query(Vec<CallId>),
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -185,6 +185,13 @@
         Some((id, receiver))
     }
 
+    /// Cancels a pending call, but still accepts a reply that it has not run.
+    pub fn withdraw(&self, id: CallId) {
+        if self.pending.borrow().contains_key(&id) {
+            self.send(Frame::Cancel(id));
+        }
+    }
+
     /// Cancels a pending call.
     pub fn cancel(&self, id: CallId) {
         if self.pending.borrow_mut().remove(&id).is_some() {
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -269,9 +269,10 @@
             state.serve.submit(state, local_id, *call, sink);
         }
         Frame::Cancel(id) => {
-            let local_id = session.running.borrow_mut().remove(&id);
+            let local_id = session.running.borrow().get(&id).copied();
             if let Some(local_id) = local_id {
                 state.serve.cancel(state, local_id);
+                session.running.borrow_mut().remove(&id);
             }
         }
         Frame::Query(ids) => {
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -441,15 +441,16 @@
         self.retry_budget.borrow_mut().try_retry_for(now, priority)
     }
 
-    /// Cancels a call that nobody waits for any more. A call that may run only
-    /// once is not interrupted after it has started.
+    /// Cancels a call that nobody waits for any more, and replies that it has
+    /// not run if it has not started. A call that may run only once is not
+    /// interrupted after it has started.
     pub fn cancel(&self, state: &Rc<State>, id: CallId) {
         let was_queued = self.bulkhead.borrow_mut().cancel(id);
         let mut jobs = self.jobs.borrow_mut();
         let Some(job) = jobs.get_mut(&id) else {
             return;
         };
-        job.sink = None;
+        let sink = job.sink.take();
         let started = job.call.is_none();
         if !was_queued && started && job.effect == Effect::Once {
             return;
@@ -462,6 +463,9 @@
             self.detector.record_interrupted(state.now(), job.fingerprint);
             self.finish(state, id, &job.attempt, false);
         }
+        if let Some(sink) = sink.filter(|_| !started) {
+            reject(state, sink, Kind::Canceled, Millis(0));
+        }
     }
 
     /// Starts or rejects queued work until the bulkhead has no more to decide.
--- a/crates/walnutmoor/src/mesh/shutdown.rs
+++ b/crates/walnutmoor/src/mesh/shutdown.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// How long a request waits for the reply that its withdrawn call has not
+    /// run. The rest of the time is for writing the response.
+    pub(super) fn withdraw_timeout(&self) -> Duration {
+        let schedule = self.shutdown.schedule.get();
+        let exit_at = schedule.map_or(Millis(0), |at| at.exit_at());
+        Duration::from_millis(exit_at.since(self.now()).0 / 2)
+    }
+
     fn expire(&self) {
         if !self.shutdown.has_expired.replace(true) {
             log_phase(self, "expired");
