Serve the calls of runs that a terminating node finishes

A run that a terminating node had promised to finish failed with 500 if it made a call after the node had begun to refuse: nobody else serves the calls of that instance. Nested calls of runs in progress are now served in the last phase, too, if their deadline falls before the end of requests in flight, so that none is cut; others are refused.

--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -343,7 +343,10 @@
     head: &Head,
 ) -> Result<(Arc<Route>, Origin), Kind> {
     let table = state.table().ok_or(Kind::Starting)?;
-    if state.phase.get() == Phase::Finishing {
+    let is_finishing = state.phase.get() == Phase::Finishing;
+    // The runs that the node still finishes may depend on their calls.
+    let is_nested = state.serve.is_nested_call(&in_flight.attempt);
+    if is_finishing && !is_nested {
         return Err(Kind::Leaving);
     }
     if state.requests.len() > MAX_IN_FLIGHT {
@@ -354,6 +357,10 @@
     }
     let route = host(head).and_then(|host| table.find(host, head.uri.path()));
     let route = route.ok_or(Kind::NoRoute)?.clone();
+    let deadline = admission::deadline(in_flight.received_at, head, &route);
+    if is_finishing && state.cap_deadline(deadline) < deadline {
+        return Err(Kind::Leaving);
+    }
     let origin = identify(state, &table.accounts, &route, in_flight, head)?;
     if let Framing::Length(length) = head.framing {
         let length = usize::try_from(length).unwrap_or(usize::MAX);
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -48,8 +48,7 @@
     let Arrival {
         in_flight, head, route, origin, content_hasher, body, ..
     } = arrival;
-    let time_left =
-        header::time_left(&head.headers).unwrap_or(DEFAULT_TIME_LEFT);
+    let time_left = time_left(head);
     let account = origin.account().cloned();
     let parent = match origin {
         Origin::Run(parent) => Some(*parent),
@@ -76,7 +75,7 @@
         }
     };
     header::sanitize(&mut head.headers);
-    let deadline = in_flight.received_at + time_left.min(route.timeout);
+    let deadline = deadline(in_flight.received_at, head, route);
     in_flight.request().set_deadline(deadline);
     Ok(dispatch::Request {
         tracked: in_flight.request().clone(),
@@ -97,6 +96,21 @@
     })
 }
 
+/// The time left until the caller stops waiting.
+fn time_left(head: &Head) -> Millis {
+    header::time_left(&head.headers).unwrap_or(DEFAULT_TIME_LEFT)
+}
+
+/// When the response to a request is due: after the route's timeout or at the
+/// caller's deadline, whichever is earlier.
+pub(super) fn deadline(
+    received_at: Millis,
+    head: &Head,
+    route: &Route,
+) -> Millis {
+    received_at + time_left(head).min(route.timeout)
+}
+
 /// True if a caller's request with this time left is admitted.
 fn is_admitted(
     state: &State,
--- a/crates/walnutmoor/tests/mesh/shutdown.rs
+++ b/crates/walnutmoor/tests/mesh/shutdown.rs
@@ -18,7 +18,7 @@
     instance::Behavior,
 };
 
-use crate::fixture::{World, headers, route, run, until};
+use crate::fixture::{Pair, World, headers, route, run, until};
 
 /// The time budget of a request that outlasts any grace period.
 const LONG_TIMEOUT: Millis = Millis(30_000);
@@ -255,3 +255,40 @@
         assert_eq!(unanswered(&world), [""; 0]);
     });
 }
+
+/// Sends a nested call to a node.
+async fn send_nested(world: &World, index: usize, id: &str, left: u64) -> u16 {
+    let address = world.pairs[index].node.addresses().callers;
+    let headers = headers(id, left);
+    let text = format_request(Method::GET, "/browse/x", &headers, "");
+    let mut connection = Connection::open(address).await.unwrap();
+    connection.write(&text).await.unwrap();
+    connection.read().await.unwrap().status
+}
+
+#[test]
+fn a_run_that_a_terminating_node_finishes_may_still_make_calls() {
+    run(async {
+        let world = start(&["front", "desk", "desk"]).await;
+        world.pairs.iter().for_each(|pair| pair.instance.hold("root"));
+        let root = send(callers(&world), "order", "root".into());
+        until("the request runs", || async { world.runs("root") == 1 }).await;
+        let running = |pair: &Pair| pair.instance.runs("root") == 1;
+        let ending = world.pairs.iter().position(running).unwrap();
+
+        world.pairs[ending].node.signal("TERM");
+        until("the node refuses new requests", || async {
+            world.pairs[ending].node.log().contains("\"finishing\"")
+        })
+        .await;
+        let short = send_nested(&world, ending, "root.1", 700).await;
+        let long = send_nested(&world, ending, "root.2", LONG_TIMEOUT.0).await;
+        world.pairs[ending].instance.release("root");
+
+        assert_eq!(short, 200);
+        assert_eq!(long, 503, "it might not end before the node exits");
+        assert_eq!(world.runs("root.2"), 0);
+        let root = root.await.unwrap().unwrap();
+        assert_eq!(root.response.unwrap().status, 200);
+    });
+}
