Write the replies to other nodes before a terminating node exits

Callers of a healthy node got 504 or 502 for an order that had run, when the node beside the instance ended. Each session now counts its frames that are not written, and the node exits when there are none, or at its time.

--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -196,7 +196,7 @@
             Ok(()) => "closed by the peer".into(),
             Err(error) => error.to_string(),
         },
-        end = transmit(write, frames) => match end {
+        end = transmit(write, frames, |_| ()) => match end {
             Ok(()) => "closed locally".into(),
             Err(error) => error.to_string(),
         },
@@ -205,7 +205,7 @@
 }
 
 /// Writes frames until the channel closes. Frames that wait together are
-/// written together.
+/// written together; `record_written` gets their number.
 ///
 /// # Errors
 ///
@@ -213,14 +213,18 @@
 pub async fn transmit(
     mut write: OwnedWriteHalf,
     mut frames: UnboundedReceiver<Frame>,
+    record_written: impl Fn(usize),
 ) -> io::Result<()> {
     let mut bytes = BytesMut::new();
     while let Some(first) = frames.recv().await {
         frame::encode(&first, &mut bytes);
+        let mut count = 1;
         while let Ok(next) = frames.try_recv() {
             frame::encode(&next, &mut bytes);
+            count += 1;
         }
         write.write_all(&bytes).await?;
+        record_written(count);
         recycle(&mut bytes);
     }
     Ok(())
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -59,6 +59,8 @@
     /// The node that has opened it.
     node: NodeId,
     outgoing: RefCell<Option<UnboundedSender<Frame>>>,
+    /// The number of frames of this connection that are not written yet.
+    unwritten: Cell<usize>,
     task: RefCell<Option<AbortHandle>>,
     /// The greatest call number received. Calls are numbered in the order of
     /// sending, and an older connection is closed before a newer one is read,
@@ -74,6 +76,7 @@
         Rc::new(Session {
             node,
             outgoing: RefCell::new(None),
+            unwritten: Cell::new(0),
             task: RefCell::new(None),
             last_call_id: Cell::new(0),
             running: RefCell::new(Map::default()),
@@ -91,10 +94,22 @@
         if let Some(outgoing) = &*self.outgoing.borrow() {
             // Fails if the link has broken. The other node then queries for
             // its replies.
-            let _ = outgoing.send(frame);
+            if outgoing.send(frame).is_ok() {
+                self.unwritten.set(self.unwritten.get() + 1);
+            }
         }
     }
 
+    /// True if some frames for the other node are not written yet.
+    pub(super) fn has_unwritten(&self) -> bool {
+        self.unwritten.get() > 0
+    }
+
+    fn record_written(&self, count: usize) {
+        let left = self.unwritten.get().saturating_sub(count);
+        self.unwritten.set(left);
+    }
+
     /// Sends and retains the reply to a call, unless it was canceled.
     pub fn reply(&self, state: &State, id: CallId, reply: Reply) {
         let now = state.now();
@@ -168,11 +183,12 @@
         older.abort();
     }
     let (outgoing, frames) = unbounded_channel();
-    let _ = outgoing.send(Frame::Hello(state.hello()));
+    *session.outgoing.borrow_mut() = Some(outgoing);
+    session.unwritten.set(0);
+    session.send(Frame::Hello(state.hello()));
     if let Some(evidence) = state.evidence_frame() {
-        let _ = outgoing.send(evidence);
+        session.send(evidence);
     }
-    *session.outgoing.borrow_mut() = Some(outgoing);
     state.add_node(hello.node);
     state.quotas.record_reported_size(hello.fleet);
     state.observe_peer_era(hello.era);
@@ -194,11 +210,12 @@
     tokio::select! {
         // Errors are ignored: the other node reopens the link.
         _ = receive(&state, &session, read, bytes, hello) => {}
-        _ = transmit(write, frames) => {}
+        _ = transmit(write, frames, |count| session.record_written(count)) => {}
     }
     // The session is still this task's: a newer connection aborts the task
     // before it takes the session over.
     session.outgoing.borrow_mut().take();
+    session.unwritten.set(0);
 }
 
 /// The session of an incarnation, created if needed.
--- a/crates/walnutmoor/src/mesh/shutdown.rs
+++ b/crates/walnutmoor/src/mesh/shutdown.rs
@@ -98,9 +98,12 @@
     state.journal.close();
 }
 
-/// True if no request and no call is in progress.
+/// True if no request and no call is in progress, and all replies are written.
 fn is_idle(state: &State) -> bool {
-    state.requests.is_empty() && state.serve.job_counts() == (0, 0)
+    let sessions = state.sessions.borrow();
+    state.requests.is_empty()
+        && state.serve.job_counts() == (0, 0)
+        && !sessions.values().any(|session| session.has_unwritten())
 }
 
 /// Logs a phase of the shutdown, with the number of callers' requests at each
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -1,6 +1,6 @@
 //! Starts a store, nodes and instances for a test, and sends requests to them.
 
-use std::{path::PathBuf, sync::Arc};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 use http::{HeaderName, Method};
 use walnutmoor_core::{
@@ -84,7 +84,24 @@
 
     /// Starts another pair.
     pub async fn add(&mut self, service: &str) {
+        self.start_pair(service, Addresses::allocate(), None).await;
+    }
+
+    /// Starts another pair with a proxy between its node and all others.
+    pub async fn add_behind_proxy(&mut self, service: &str) -> Arc<Proxy> {
         let addresses = Addresses::allocate();
+        let proxy = Proxy::start(addresses.peers).await;
+        let advertise = Some(proxy.address());
+        self.start_pair(service, addresses, advertise).await;
+        proxy
+    }
+
+    async fn start_pair(
+        &mut self,
+        service: &str,
+        addresses: Addresses,
+        advertise: Option<SocketAddr>,
+    ) {
         let store = Proxy::start(self.store.address()).await;
         let setup = Setup {
             program: PathBuf::from(env!("CARGO_BIN_EXE_walnutmoor")),
@@ -92,7 +109,7 @@
             service: service.into(),
             store: store.address(),
             addresses,
-            advertise: None,
+            advertise,
             server: None,
             descriptors: DESCRIPTORS,
             bounds: vec![("grace".into(), "6s".into())],
@@ -201,7 +218,7 @@
 }
 
 /// True if the instance of a node accepts work, by the last log line about it.
-fn is_accepting(log: &str, node: std::net::SocketAddr) -> bool {
+fn is_accepting(log: &str, node: SocketAddr) -> bool {
     let peer = format!("\"peer\":\"{node}\"");
     let mut reports =
         log.lines().filter(|line| line.contains("\"accepting\""));
--- a/crates/walnutmoor/tests/mesh/shutdown.rs
+++ b/crates/walnutmoor/tests/mesh/shutdown.rs
@@ -13,9 +13,12 @@
     time::Millis,
 };
 use walnutmoor_platform::standin;
-use walnutmoor_standin::mesh::{
-    caller::{Connection, Response, format_request},
-    instance::Behavior,
+use walnutmoor_standin::{
+    mesh::{
+        caller::{Connection, Response, format_request},
+        instance::Behavior,
+    },
+    soak::proxy::Mode,
 };
 
 use crate::fixture::{Pair, World, headers, route, run, until};
@@ -292,3 +295,32 @@
         assert_eq!(root.response.unwrap().status, 200);
     });
 }
+
+#[test]
+fn a_peer_gets_the_whole_reply_of_a_terminating_node() {
+    run(async {
+        let mut world = start(&["front"]).await;
+        let proxy = world.add_behind_proxy("desk").await;
+        world.send_until_ok(0, "order", "first").await;
+        let desk = world.pairs[1].instance.clone();
+        desk.hold("large");
+        let headers = headers("large", LONG_TIMEOUT.0);
+        let body = "x".repeat(LARGE_BODY_BYTES / 2);
+        let text = format_request(Method::POST, "/order/x", &headers, &body);
+        let mut caller = Connection::open(callers(&world)).await.unwrap();
+        caller.write(&text).await.unwrap();
+        until("the request runs", || async { world.runs("large") == 1 }).await;
+
+        proxy.set_mode(Mode::Delay(Duration::from_millis(1)));
+        world.pairs[1].node.signal("TERM");
+        until("the node refuses new requests", || async {
+            world.pairs[1].node.log().contains("\"finishing\"")
+        })
+        .await;
+        desk.release("large");
+
+        let response = caller.read().await.expect("a complete response");
+        assert_eq!(response.status, 200);
+        assert!(response.body.ends_with(&body));
+    });
+}
