Take requests for 2.8 s of a shutdown instead of 2.6 s

What binds is the 3 s of the platform's excuse, less the time in which a calm process notices the signal, for which 200 ms are left.

--- a/crates/walnutmoor-core/src/shutdown.rs
+++ b/crates/walnutmoor-core/src/shutdown.rs
@@ -32,11 +32,11 @@
 use crate::time::Millis;
 
 /// The fraction of the grace period for which new requests are taken.
-const TAKE_SHARE: f64 = 0.45;
+const TAKE_SHARE: f64 = 0.47;
 
 /// The longest time for which new requests are taken. It covers two failed
 /// readiness checks, one second apart, after which the platform sends no more.
-const MAX_TAKE: Millis = Millis(2_600);
+const MAX_TAKE: Millis = Millis(2_800);
 
 /// The fraction of the grace period after which requests in flight are ended.
 const EXPIRE_SHARE: f64 = 0.91;
