Soak: runs with planned work only, and a check that no request is lost

The soak had no check for whole answers: under its faults the platform excuses nearly every request. A new kind of run (`--planned`) has terminations, some of two nodes at once, reloads and new desired states, and nothing else. Callers keep, renew and pipeline connections, or read large responses slowly, and go on sending to a node until it is gone; one run in twenty lasts up to nine seconds under a grace of six. `lost` counts as the platform does: no complete answer after the request was passed on or 200 ms after it was sent, or an answer of the node's own in place of an instance at work, unless its time was up, or it was sent within 3 s of SIGTERM and its run lasted into the last sixth of the grace.

tests/verdict.rs shows that it finds each kind and accepts each excuse.

--- a/crates/walnutmoor-standin/src/mesh/caller.rs
+++ b/crates/walnutmoor-standin/src/mesh/caller.rs
@@ -9,6 +9,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time::sleep,
 };
 
 /// A request read from a connection.
@@ -72,11 +73,17 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     is_closing: bool,
+    read_pause: Duration,
 }
 
 impl From<TcpStream> for Connection {
     fn from(stream: TcpStream) -> Connection {
-        Connection { stream, buffer: Vec::new(), is_closing: false }
+        Connection {
+            stream,
+            buffer: Vec::new(),
+            is_closing: false,
+            read_pause: Duration::ZERO,
+        }
     }
 }
 
@@ -86,6 +93,11 @@
         TcpStream::connect(address).await.ok().map(Connection::from)
     }
 
+    /// Pauses before each read from the socket.
+    pub fn set_read_pause(&mut self, pause: Duration) {
+        self.read_pause = pause;
+    }
+
     /// True if the last response had `connection: close`.
     pub fn is_closing(&self) -> bool {
         self.is_closing
@@ -110,7 +122,8 @@
 
     /// Reads the next response. `None` if it is incomplete.
     pub async fn read(&mut self) -> Option<Response> {
-        let message = read_message(&mut self.stream, &mut self.buffer).await;
+        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
+        let message = read_message(stream, buffer, self.read_pause).await;
         let (first, headers, body) = message?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
         let connection = headers.get(http::header::CONNECTION);
@@ -134,7 +147,7 @@
         stream.write_all(text.as_bytes()).await.ok()?;
         let mut buffer = Vec::new();
         let (first, headers, body) =
-            read_message(&mut stream, &mut buffer).await?;
+            read_message(&mut stream, &mut buffer, Duration::ZERO).await?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
         Some((Response { status, headers, body }, stream))
     };
@@ -147,21 +160,27 @@
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
 ) -> Option<Request> {
-    let (first, headers, body) = read_message(stream, buffer).await?;
+    let message = read_message(stream, buffer, Duration::ZERO).await;
+    let (first, headers, body) = message?;
     let path = first.split(' ').nth(1)?.to_string();
     Some(Request { path, headers, body })
 }
 
-/// Reads one message: its first line, its headers and its body.
+/// Reads one message: its first line, its headers and its body. Pauses before
+/// each read.
 async fn read_message(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
+    pause: Duration,
 ) -> Option<(String, HeaderMap, String)> {
     let end = loop {
         let head_end = buffer.windows(4).position(|w| w == b"\r\n\r\n");
         if let Some(at) = head_end {
             break at + 4;
         }
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
         fill(stream, buffer).await?;
     };
     let head: Vec<u8> = buffer.drain(..end).collect();
@@ -181,6 +200,9 @@
     let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
     let length: usize = length.unwrap_or(0);
     while buffer.len() < length {
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
         fill(stream, buffer).await?;
     }
     let body: Vec<u8> = buffer.drain(..length).collect();
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -16,6 +16,10 @@
 };
 
 use http::HeaderMap;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -68,6 +72,7 @@
     control: SocketAddr,
     behavior: Mutex<Behavior>,
     run_ms: AtomicU64,
+    has_long_tail: AtomicBool,
     held: Mutex<BTreeSet<String>>,
     sequence: AtomicU64,
     draining: AtomicBool,
@@ -100,6 +105,16 @@
     pub at: Instant,
     /// False if the instance rejected it.
     pub ran: bool,
+    /// When its run ended; `None` while it runs.
+    pub ended_at: Option<Instant>,
+}
+
+impl Arrival {
+    /// True if it was running at this time.
+    pub fn is_running(&self, at: Instant) -> bool {
+        let ended_later = self.ended_at.is_none_or(|ended| ended >= at);
+        self.ran && self.at <= at && ended_later
+    }
 }
 
 /// The interval between heartbeats.
@@ -139,6 +154,7 @@
             control,
             behavior: Mutex::new(Behavior::Healthy),
             run_ms: AtomicU64::new(5),
+            has_long_tail: AtomicBool::new(false),
             held: Mutex::default(),
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
@@ -199,11 +215,21 @@
             service: self.service.clone(),
             at: Instant::now(),
             ran,
+            ended_at: None,
         };
         let mut arrivals = self.arrivals.lock().expect("no holder panics");
         arrivals.push(arrival);
     }
 
+    /// Records the end of the last run of an attempt.
+    fn record_end(&self, attempt: &str) {
+        let mut arrivals = self.arrivals.lock().expect("no holder panics");
+        let last = arrivals.iter_mut().rev().find(|a| a.id == attempt);
+        if let Some(arrival) = last {
+            arrival.ended_at = Some(Instant::now());
+        }
+    }
+
     /// Its current lifetime.
     pub fn lifetime(&self) -> Lifetime {
         self.lifetime.lock().expect("no holder panics").clone()
@@ -228,6 +254,12 @@
         self.run_ms.store(time.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Lets some runs last up to nine seconds and others a fraction of one,
+    /// depending on the attempt id.
+    pub fn set_long_tail(&self) {
+        self.has_long_tail.store(true, Ordering::Relaxed);
+    }
+
     /// Delays the end of an attempt's run until [`Instance::release`].
     pub fn hold(&self, attempt: &str) {
         let mut held = self.held.lock().expect("no holder panics");
@@ -247,7 +279,10 @@
 
     /// Waits for the duration of a run.
     async fn simulate_work(&self, attempt: &str) {
-        let run_ms = self.run_ms.load(Ordering::Relaxed);
+        let run_ms = match self.has_long_tail.load(Ordering::Relaxed) {
+            true => long_tailed_run_ms(attempt),
+            false => self.run_ms.load(Ordering::Relaxed),
+        };
         tokio::time::sleep(Duration::from_millis(run_ms)).await;
         while self.is_held(attempt) {
             tokio::time::sleep(POLL_INTERVAL).await;
@@ -526,7 +561,7 @@
     instance.record_run(request);
     let id = header::attempt(&request.headers).unwrap_or_default();
     let mut byte = [0];
-    tokio::select! {
+    let has_run = tokio::select! {
         () = instance.simulate_work(id) => !instance.crash_if_fatal(request),
         read = stream.read(&mut byte) => {
             // The node sends nothing while a request runs, so a read can
@@ -535,6 +570,23 @@
             instance.aborted_runs.fetch_add(1, Ordering::Relaxed);
             false
         }
+    };
+    instance.record_end(id);
+    has_run
+}
+
+/// The percentage of long runs at an instance with a long tail.
+const LONG_RUN_PERCENT: u64 = 5;
+
+/// The run time of an attempt at an instance with a long tail.
+fn long_tailed_run_ms(attempt: &str) -> u64 {
+    let seed = attempt.bytes().fold(7, |sum: u64, byte| {
+        sum.wrapping_mul(31).wrapping_add(u64::from(byte))
+    });
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    match rng.next_u64() % 100 < LONG_RUN_PERCENT {
+        true => 1_000 + rng.next_u64() % 8_000,
+        false => 5 + rng.next_u64() % 200,
     }
 }
 
--- a/crates/walnutmoor-standin/src/soak/load.rs
+++ b/crates/walnutmoor-standin/src/soak/load.rs
@@ -31,10 +31,10 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 /// Upper bound of the pause between two requests of a caller, in milliseconds.
-const MAX_THINK_TIME_MS: u64 = 30;
+pub(super) const MAX_THINK_TIME_MS: u64 = 30;
 
 /// The pause after a failed connection attempt.
-const RECONNECT_BACKOFF: Duration = Duration::from_millis(50);
+pub(super) const RECONNECT_BACKOFF: Duration = Duration::from_millis(50);
 
 /// The time limit to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -98,6 +98,8 @@
             node: self.node,
             at,
             ended_at: Instant::now(),
+            is_behind: false,
+            is_signed: response.as_ref().is_some_and(is_signed),
             said: response.as_ref().and_then(Said::read),
             response: response.map(|r| (r.status, r.body)),
         });
@@ -105,7 +107,10 @@
     }
 }
 
-async fn connect(address: std::net::SocketAddr) -> Option<Connection> {
+/// Connects to a node. `None` if that fails.
+pub(super) async fn connect(
+    address: std::net::SocketAddr,
+) -> Option<Connection> {
     timeout(CONNECT_TIMEOUT, Connection::open(address)).await.ok()?
 }
 
@@ -127,6 +132,11 @@
     ]
 }
 
+/// True if the response is signed by an instance.
+pub(super) fn is_signed(response: &Response) -> bool {
+    response.headers.contains_key(header::SIGNATURE)
+}
+
 /// The body of requests that crash instances.
 pub const FATAL_BODY: &str = "fatal";
 
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -28,6 +28,7 @@
 pub mod plan;
 pub mod proxy;
 pub mod restore;
+pub mod shutdown;
 pub mod verdict;
 pub mod world;
 
@@ -41,6 +42,7 @@
 };
 
 use tokio::{task::JoinSet, time::Instant};
+use walnutmoor_core::time::Millis;
 
 use self::{
     load::Caller,
@@ -48,6 +50,9 @@
     world::{SERVICES, World},
 };
 
+/// The timeout of all routes under faults.
+const ROUTE_TIMEOUT: Millis = Millis(3_000);
+
 /// The number of callers of each node.
 const CALLERS_PER_NODE: u64 = 2;
 
@@ -64,6 +69,7 @@
     poison: bool,
     restores: bool,
     notices: bool,
+    planned_only: bool,
 }
 
 impl Config {
@@ -77,6 +83,7 @@
             poison: false,
             restores: false,
             notices: false,
+            planned_only: false,
         }
     }
 
@@ -99,6 +106,13 @@
         self
     }
 
+    /// Whether there is planned work only. All other faults are left out, and
+    /// no request may be lost.
+    pub fn planned_only(mut self, planned_only: bool) -> Config {
+        self.planned_only = planned_only;
+        self
+    }
+
     /// The time during which new faults begin.
     pub fn length(mut self, length: Duration) -> Config {
         self.length = length;
@@ -123,9 +137,22 @@
 
 /// Executes a run.
 pub async fn run(config: &Config) -> Report {
+    match config.planned_only {
+        true => run_planned(config).await,
+        false => run_faults(config).await,
+    }
+}
+
+/// Executes a run with faults of all kinds.
+async fn run_faults(config: &Config) -> Report {
     let nodes = SERVICES.len();
     let poison = plan::draw_poison(config.seed, nodes, config.length);
-    let world = World::start(&config.program, poison.downtime).await;
+    let properties = world::Config {
+        downtime: poison.downtime,
+        route_timeout: ROUTE_TIMEOUT,
+        has_long_tail: false,
+    };
+    let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
     let mut load = JoinSet::new();
     wait_recovered(&world).await;
@@ -170,6 +197,42 @@
     }
 }
 
+/// Executes a run with planned work only.
+async fn run_planned(config: &Config) -> Report {
+    let properties = world::Config {
+        downtime: Duration::ZERO,
+        route_timeout: shutdown::ROUTE_TIMEOUT,
+        has_long_tail: true,
+    };
+    let world = World::start(&config.program, properties).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut load = JoinSet::new();
+    wait_recovered(&world).await;
+    for node in 0..SERVICES.len() {
+        for caller in shutdown::callers(node, config.seed) {
+            load.spawn(caller.run(world.clone(), stop.clone()));
+        }
+    }
+    let plan = plan::draw_planned(config.seed, SERVICES.len(), config.length);
+    let mut work = JoinSet::new();
+    for event in &plan {
+        work.spawn(world.clone().inject(*event));
+    }
+    while work.join_next().await.is_some() {}
+    wait_recovered(&world).await;
+    stop.store(true, Ordering::Relaxed);
+    while load.join_next().await.is_some() {}
+    let mut violations = world.check();
+    violations.extend(world.check_lost());
+    Report {
+        seed: config.seed,
+        faults: plan.len(),
+        status_counts: world.record.status_counts(),
+        violations,
+        logs: world.members.iter().map(world::Member::log).collect(),
+    }
+}
+
 /// Waits until every node serves the newest desired state. Records a violation
 /// after [`RECOVERY_TIMEOUT`].
 async fn wait_recovered(world: &World) {
--- a/crates/walnutmoor-standin/src/soak/plan.rs
+++ b/crates/walnutmoor-standin/src/soak/plan.rs
@@ -138,6 +138,34 @@
     }
 }
 
+/// The mean interval between two events of planned work, in milliseconds.
+const MEAN_WORK_INTERVAL_MS: u64 = 1_500;
+
+/// Draws planned work only: terminations, some of several nodes at once,
+/// reloads and changes of the desired state.
+pub fn draw_planned(seed: u64, nodes: usize, length: Duration) -> Vec<Event> {
+    let rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(17));
+    let mut draw = Sampler { rng, nodes };
+    let mut events = Vec::new();
+    let mut at = 0;
+    loop {
+        at += draw.below(2 * MEAN_WORK_INTERVAL_MS);
+        if u128::from(at) >= length.as_millis() {
+            return events;
+        }
+        let faults = match draw.below(6) {
+            0 => vec![Fault::Reload(draw.node())],
+            1 => vec![Fault::ChangeDesired(1 + draw.below(3) as u32)],
+            2 => vec![Fault::Term(draw.node()), Fault::Term(draw.node())],
+            _ => vec![Fault::Term(draw.node())],
+        };
+        let at = Duration::from_millis(at);
+        let span = Duration::from_millis(draw.below(MAX_FAULT_SPAN_MS));
+        let event = |fault| Event { at, span, fault };
+        events.extend(faults.into_iter().map(event));
+    }
+}
+
 /// Draws random values. The order of draws determines the plan of a seed.
 struct Sampler {
     rng: ChaCha8Rng,
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -27,6 +27,7 @@
     notice,
     plan::{Departure, Event, Fault, Link},
     proxy::{Mode, Proxy},
+    shutdown::{self, Termination},
     verdict::{self, Record, Violation},
 };
 use crate::mesh::{
@@ -42,6 +43,9 @@
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
 
+/// The grace period of a node that receives SIGTERM.
+pub const GRACE: Duration = Duration::from_secs(6);
+
 /// How long an instance keeps running after it has announced its departure.
 const DRAIN_DURATION: Duration = Duration::from_millis(2_500);
 
@@ -63,6 +67,17 @@
 /// The delay before another instance reuses an address.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_millis(2_000);
 
+/// The properties of a world.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// The downtime of crashed instances.
+    pub downtime: Duration,
+    /// The timeout of all routes.
+    pub route_timeout: Millis,
+    /// Whether instances have some runs longer than the grace period.
+    pub has_long_tail: bool,
+}
+
 /// A node with its instance and proxies.
 pub struct Member {
     service: Service,
@@ -160,6 +175,11 @@
     /// Former instances, with the indices of their nodes.
     past_instances: Mutex<Vec<(usize, Arc<Instance>)>>,
     disruptions: Mutex<Vec<Disruption>>,
+    terminations: Mutex<Vec<Termination>>,
+    /// The timeout of all routes.
+    route_timeout: Millis,
+    /// Whether instances have some long runs.
+    has_long_tail: bool,
     /// The limits that instances have named.
     pub(super) limits: notice::Limits,
 }
@@ -185,14 +205,17 @@
 }
 
 impl World {
-    /// Starts all components. `downtime` is that of crashed instances.
-    pub async fn start(program: &Path, downtime: Duration) -> Arc<World> {
+    /// Starts all components.
+    pub async fn start(program: &Path, config: Config) -> Arc<World> {
         let store = Store::start().await;
-        store.write_desired(&desired_state(1));
+        store.write_desired(&desired_state(1, config.route_timeout));
         let mut members = Vec::new();
         for (index, service) in SERVICES.iter().enumerate() {
             let member = start_member(program, &store, index, service).await;
-            member.instance().crash_on(FATAL_BODY, downtime);
+            member.instance().crash_on(FATAL_BODY, config.downtime);
+            if config.has_long_tail {
+                member.instance().set_long_tail();
+            }
             members.push(member);
         }
         Arc::new(World {
@@ -204,9 +227,12 @@
             serial: AtomicU64::new(SERVICES.len() as u64),
             active_faults: Mutex::default(),
             past_arrivals: Mutex::default(),
-            downtime,
+            downtime: config.downtime,
             past_instances: Mutex::default(),
             disruptions: Mutex::default(),
+            terminations: Mutex::default(),
+            route_timeout: config.route_timeout,
+            has_long_tail: config.has_long_tail,
             limits: notice::Limits::default(),
         })
     }
@@ -332,6 +358,13 @@
         stops.any(|disruption| disruption.overlaps(node, from, to))
     }
 
+    /// Checks that no request was lost in a run with planned work only.
+    pub fn check_lost(&self) -> Vec<Violation> {
+        let terminations = self.terminations.lock().expect("no holder panics");
+        let exchanges = self.record.exchanges();
+        shutdown::check(&exchanges, &self.arrivals(), &terminations)
+    }
+
     /// Checks all invariants and returns the violations.
     pub fn check(&self) -> Vec<Violation> {
         let arrivals = self.arrivals();
@@ -416,7 +449,8 @@
     /// Writes the newest desired state again, after the store has lost it.
     pub fn rewrite_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
-        self.store.write_desired(&desired_state(self.version()));
+        let state = desired_state(self.version(), self.route_timeout);
+        self.store.write_desired(&state);
     }
 
     async fn kill(&self, nodes: &[usize], span: Duration) {
@@ -440,6 +474,8 @@
         if !member.mark_down() {
             return;
         }
+        let termination = Termination { node, at: Instant::now() };
+        self.terminations.lock().expect("no holder panics").push(termination);
         // Waits for the shutdown. A paused process doesn't exit and is killed
         // by the restart.
         let end = Instant::now() + Duration::from_secs(7);
@@ -475,7 +511,8 @@
     fn write_next_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
         let version = self.version() + 1;
-        self.store.write_desired(&desired_state(version));
+        let state = desired_state(version, self.route_timeout);
+        self.store.write_desired(&state);
         self.version.store(version, Ordering::SeqCst);
     }
 
@@ -523,6 +560,9 @@
         let replacement =
             Instance::start(&id, name, at.server, at.control).await;
         replacement.crash_on(FATAL_BODY, self.downtime);
+        if self.has_long_tail {
+            replacement.set_long_tail();
+        }
         *member.instance.lock().expect("no holder panics") = replacement;
         member.leaving.store(false, Ordering::SeqCst);
     }
@@ -613,7 +653,7 @@
 
 fn bounds() -> Vec<(String, String)> {
     standin::bounds(
-        Millis(6_000),
+        Millis(GRACE.as_millis() as u64),
         verdict::RETRY_RATIO,
         verdict::RETRY_SLACK,
         Millis(verdict::RETRY_WINDOW.as_millis() as u64),
@@ -635,13 +675,14 @@
 
 /// The desired state of a version. Each version adds a route, so that a node's
 /// responses show which version it has applied.
-fn desired_state(version: u64) -> String {
+fn desired_state(version: u64, timeout: Millis) -> String {
     let mut routes: Vec<Route> = ROUTES
         .iter()
-        .map(|(name, service, effect)| route(name, service, *effect))
+        .map(|(name, service, effect)| route(name, service, *effect, timeout))
         .collect();
     for number in 1..=version {
-        routes.push(route(&probe_route(number), "desk", Effect::Idempotent));
+        let name = probe_route(number);
+        routes.push(route(&name, "desk", Effect::Idempotent, timeout));
     }
     let spec = || Spec { health_path: "/health".into(), max_connections: 64 };
     let names = ["front", "desk", "parts"];
@@ -652,14 +693,14 @@
     standin::desired(version, &routes, &services, &Limits::default())
 }
 
-fn route(name: &str, service: &str, effect: Effect) -> Route {
+fn route(name: &str, service: &str, effect: Effect, timeout: Millis) -> Route {
     let service = service.parse().expect("a service name");
     Route {
         name: name.into(),
         host: HOST.into(),
         prefix: format!("/{name}/"),
         effect,
-        timeout: Millis(3_000),
+        timeout,
         target_latency: Millis(500),
         priority: if effect == Effect::Once { 0 } else { 2 },
         attempts: 2,
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -43,6 +43,11 @@
     run_seed(31, config(31, 12).notices(true));
 }
 
+#[test]
+fn no_request_is_lost_by_planned_work() {
+    run_seed(42001, config(42001, 8).planned_only(true));
+}
+
 #[test]
 fn a_departed_instance_is_not_used_after_all_nodes_were_killed() {
     let config = config(39224, 12).poison(true).restores(true).notices(true);
@@ -63,7 +68,8 @@
         let config = config(seed, seconds)
             .poison(options.contains(&"poison"))
             .restores(options.contains(&"restores"))
-            .notices(options.contains(&"notices"));
+            .notices(options.contains(&"notices"))
+            .planned_only(options.contains(&"planned"));
         run_seed(seed, config);
     }
 }
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -6,7 +6,10 @@
 use walnutmoor_core::table::Effect;
 use walnutmoor_standin::{
     mesh::instance::Arrival,
-    soak::verdict::{Exchange, Record},
+    soak::{
+        shutdown::{Termination, check as check_lost},
+        verdict::{Exchange, Record},
+    },
 };
 
 fn exchange(
@@ -21,6 +24,8 @@
         node: 0,
         at: Instant::now(),
         ended_at: Instant::now(),
+        is_behind: false,
+        is_signed: false,
         said: None,
         response: response.map(|(status, body)| (status, body.into())),
     }
@@ -31,7 +36,15 @@
     let body = String::new();
     let instance = String::new();
     let at = Instant::now();
-    Arrival { id: id.into(), body, instance, service, at, ran: true }
+    Arrival {
+        id: id.into(),
+        body,
+        instance,
+        service,
+        at,
+        ran: true,
+        ended_at: None,
+    }
 }
 
 fn violated(
@@ -112,3 +125,76 @@
 
     assert_eq!(violated(&exchanges, &arrivals), ["few repeats"]);
 }
+
+/// A request without a response to a node that is terminated at `start`, sent
+/// and ended this many milliseconds after it.
+fn unanswered(start: Instant, sent: u64, ended: u64) -> Exchange {
+    Exchange {
+        at: start + Duration::from_millis(sent),
+        ended_at: start + Duration::from_millis(ended),
+        ..exchange("a", Effect::Idempotent, None)
+    }
+}
+
+/// A run between two times, in milliseconds after `start`.
+fn run_between(start: Instant, from: u64, to: Option<u64>) -> Arrival {
+    let after = |ms| start + Duration::from_millis(ms);
+    Arrival { at: after(from), ended_at: to.map(after), ..ran("a") }
+}
+
+fn is_lost(start: Instant, exchange: Exchange, runs: &[Arrival]) -> bool {
+    let termination = Termination { node: 0, at: start };
+    !check_lost(&[exchange], runs, &[termination]).is_empty()
+}
+
+#[test]
+fn requests_without_a_whole_answer_are_lost() {
+    let start = Instant::now();
+    let in_place = |status| Exchange {
+        response: Some((status, String::new())),
+        ..unanswered(start, 4_000, 5_500)
+    };
+    let running = run_between(start, 4_010, Some(5_500));
+
+    // Passed on, and cut.
+    let cut = unanswered(start, 3_100, 5_600);
+    let run = run_between(start, 3_110, Some(5_600));
+    assert!(is_lost(start, cut.clone(), &[run]));
+    // Not passed on, and cut long after it was sent.
+    assert!(is_lost(start, cut, &[]));
+    // Answered by the node in place of an instance at work.
+    assert!(is_lost(start, in_place(504), std::slice::from_ref(&running)));
+    assert!(is_lost(start, in_place(502), std::slice::from_ref(&running)));
+    // Cut after a run that had ended early, which excuses nothing.
+    let ended = run_between(start, 1_010, Some(3_000));
+    assert!(is_lost(start, unanswered(start, 1_000, 5_600), &[ended]));
+}
+
+#[test]
+fn requests_that_the_platform_excuses_are_not_lost() {
+    let start = Instant::now();
+    let answered = |status, is_signed| Exchange {
+        response: Some((status, String::new())),
+        is_signed,
+        ..unanswered(start, 4_000, 5_500)
+    };
+    let running = || [run_between(start, 4_010, Some(5_500))];
+
+    // A promise that it has not run, or the answer of the instance.
+    assert!(!is_lost(start, answered(503, false), &[]));
+    assert!(!is_lost(start, answered(504, true), &running()));
+    // A failure when no instance was at work.
+    assert!(!is_lost(start, answered(502, false), &[]));
+    // It crossed the close of its connection, and was not passed on.
+    assert!(!is_lost(start, unanswered(start, 5_500, 5_600), &[]));
+    // It was sent behind another one.
+    let behind =
+        Exchange { is_behind: true, ..unanswered(start, 1_000, 5_600) };
+    assert!(!is_lost(start, behind, &[]));
+    // Its time was up.
+    let late = unanswered(start, 1_000, 9_000);
+    assert!(!is_lost(start, late, &[run_between(start, 1_010, None)]));
+    // Sent soon after the signal, and at work until the end.
+    let cut = unanswered(start, 2_900, 5_600);
+    assert!(!is_lost(start, cut, &[run_between(start, 2_910, None)]));
+}
