Test the quota wait and the deadlines of a terminating node

Two parts of the fix turned no test red when switched off: a request that waits for quota when requests in flight end, and the deadline that an instance is told. Without the first the new test names five requests at the stage `quota` as unanswered.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -103,6 +103,8 @@
     pub service: Service,
     /// When it arrived.
     pub at: Instant,
+    /// The time left until its caller stops waiting, in milliseconds.
+    pub time_left: Option<u64>,
     /// False if the instance rejected it.
     pub ran: bool,
     /// When its run ended; `None` while it runs.
@@ -214,6 +216,7 @@
             instance: self.id(),
             service: self.service.clone(),
             at: Instant::now(),
+            time_left: header::time_left(&request.headers).map(|t| t.0),
             ran,
             ended_at: None,
         };
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -42,6 +42,7 @@
         instance,
         service,
         at,
+        time_left: None,
         ran: true,
         ended_at: None,
     }
--- a/crates/walnutmoor/tests/mesh/shutdown.rs
+++ b/crates/walnutmoor/tests/mesh/shutdown.rs
@@ -9,10 +9,11 @@
     time::{Instant, sleep},
 };
 use walnutmoor_core::{
+    account::{Account, Quota},
     table::{Effect, Limits, Route, Spec},
     time::Millis,
 };
-use walnutmoor_platform::standin;
+use walnutmoor_platform::{header, standin};
 use walnutmoor_standin::{
     mesh::{
         caller::{Connection, Response, format_request},
@@ -26,6 +27,9 @@
 /// The time budget of a request that outlasts any grace period.
 const LONG_TIMEOUT: Millis = Millis(30_000);
 
+/// The target latency of a request that may wait for longer than that.
+const LONG_TARGET: Millis = Millis(60_000);
+
 /// More bytes than the socket buffers of a connection hold.
 const LARGE_BODY_BYTES: usize = 24 << 20;
 
@@ -33,7 +37,7 @@
 fn patient_routes() -> Vec<Route> {
     let patient = |name, effect| Route {
         timeout: LONG_TIMEOUT,
-        target_latency: LONG_TIMEOUT,
+        target_latency: LONG_TARGET,
         ..route(name, effect, &[("desk", 1)])
     };
     vec![patient("browse", Effect::Idempotent), patient("order", Effect::Once)]
@@ -68,6 +72,9 @@
     response: Option<Response>,
 }
 
+/// The key of the only account, if there are accounts.
+const KEY: &str = "kmgjqnirth5mgjy5rcpi";
+
 /// Sends a request on a new connection. Resolves to `None` if there was no
 /// connection.
 fn send(
@@ -76,7 +83,8 @@
     id: String,
 ) -> JoinHandle<Option<Sent>> {
     tokio::spawn(async move {
-        let headers = headers(&id, LONG_TIMEOUT.0);
+        let mut headers = headers(&id, LONG_TIMEOUT.0);
+        headers.push((header::KEY, KEY.into()));
         let path = format!("/{route}/x");
         let text = format_request(Method::POST, &path, &headers, "body");
         let mut connection = Connection::open(address).await?;
@@ -230,6 +238,62 @@
     Connection::from(socket.connect(address).await.unwrap())
 }
 
+#[test]
+fn a_request_that_waits_for_quota_is_answered_before_its_node_exits() {
+    run(async {
+        let mut world = start(&["front", "desk"]).await;
+        // A request waits for at most an eighth of its target latency.
+        let quota = Quota { rate: 0.15, burst: 1.0 };
+        let account = Account::new("acme".parse().unwrap()).quota(quota);
+        let accounts = [(account, vec![KEY.to_string()])];
+        let state = standin::with_accounts(&desired(3), &accounts);
+        world.store.write_desired(&state);
+        until("the accounts are in force", || async {
+            world.pairs[0].node.log().contains("\"version\":3")
+        })
+        .await;
+
+        let address = callers(&world);
+        world.pairs[0].node.signal("TERM");
+        let mut sent = Vec::new();
+        for n in 0..20 {
+            sent.push(send(address, "order", format!("quota-{n}")));
+            sleep(Duration::from_millis(20)).await;
+        }
+        wait_for_exit(&mut world).await;
+
+        assert_eq!(unanswered(&world), [""; 0]);
+        let mut statuses = Vec::new();
+        for request in sent {
+            let sent = request.await.unwrap().unwrap();
+            statuses.push(sent.response.expect("a response").status);
+            let ran = u32::from(statuses.last() == Some(&200));
+            assert_eq!(world.runs(&sent.id), ran, "{}", sent.id);
+        }
+        // The wait for the next token outlasts the node.
+        assert!(statuses.contains(&503), "{statuses:?}");
+    });
+}
+
+#[test]
+fn an_instance_is_told_when_a_terminating_node_ends_requests() {
+    run(async {
+        let mut world = start(&["front", "desk"]).await;
+
+        let (_, sent) = send_until_exit(&mut world).await;
+
+        let arrivals = world.pairs[1].instance.arrivals();
+        let arrived = arrivals
+            .iter()
+            .filter(|arrival| sent.iter().any(|sent| sent.id == arrival.id));
+        let left: Vec<u64> =
+            arrived.filter_map(|arrival| arrival.time_left).collect();
+        assert!(!left.is_empty());
+        let grace = 6_000;
+        assert!(left.iter().all(|left| *left < grace), "{left:?}");
+    });
+}
+
 #[test]
 fn a_slow_reader_gets_the_whole_response_of_a_terminating_node() {
     run(async {
