Answer requests even if the exit of a terminating node is overdue

Callers of a node that stood still in its shutdown got no answer, although it ran again for a moment before it was killed. Cause: requests were ended and the process exited in the same step if both were due. The exit now waits for one pause after requests were ended, in which they are answered.

The platform excuses a freeze; a host with little processor time may do the same on a smaller scale.

--- a/crates/walnutmoor/src/mesh/shutdown.rs
+++ b/crates/walnutmoor/src/mesh/shutdown.rs
@@ -20,7 +20,12 @@
 };
 
 /// The pause between checks whether all work has ended.
-const CHECK_PAUSE: Duration = Duration::from_millis(50);
+const CHECK_PAUSE: Millis = Millis(50);
+
+/// The shortest pause between checks. Requests that have just been ended are
+/// answered in it, even if the process was suspended until after its exit was
+/// due.
+const MIN_CHECK_PAUSE: Millis = Millis(20);
 
 /// The shutdown of a node, if it has begun.
 #[derive(Debug, Default)]
@@ -77,8 +82,10 @@
     }
     loop {
         let left = schedule.next_phase(state.now()).since(state.now());
-        sleep(CHECK_PAUSE.min(Duration::from_millis(left.0))).await;
+        let pause = left.clamp(MIN_CHECK_PAUSE, CHECK_PAUSE);
+        sleep(Duration::from_millis(pause.0)).await;
         let now = state.now();
+        let may_exit = state.has_expired();
         let leaving = state.phase.get() == Phase::Leaving;
         if leaving && !schedule.takes(now) {
             state.phase.set(Phase::Finishing);
@@ -89,7 +96,8 @@
             state.expire();
         }
         let finishing = state.phase.get() == Phase::Finishing;
-        if (finishing && is_idle(state)) || now >= schedule.exit_at() {
+        let is_over = may_exit && now >= schedule.exit_at();
+        if (finishing && is_idle(state)) || is_over {
             break;
         }
     }
--- a/crates/walnutmoor/tests/mesh/shutdown.rs
+++ b/crates/walnutmoor/tests/mesh/shutdown.rs
@@ -231,6 +231,35 @@
     });
 }
 
+#[test]
+fn a_node_that_was_frozen_in_its_shutdown_answers_before_it_exits() {
+    run(async {
+        let mut world = start(&["front", "desk"]).await;
+        let desk = world.pairs[1].instance.clone();
+        let ids = ["order", "browse"];
+        ids.iter().for_each(|id| desk.hold(id));
+        let address = callers(&world);
+        let sent = ids.map(|route| send(address, route, route.to_string()));
+        until("both run", || async { desk.total_runs() == 2 }).await;
+        world.pairs[0].node.signal("TERM");
+        until("the node has noticed the signal", || async {
+            world.pairs[0].node.log().contains("\"leaving\"")
+        })
+        .await;
+
+        world.pairs[0].node.signal("STOP");
+        sleep(Duration::from_secs(7)).await;
+        world.pairs[0].node.signal("CONT");
+        wait_for_exit(&mut world).await;
+
+        assert_eq!(unanswered(&world), [""; 0]);
+        for request in sent {
+            let sent = request.await.unwrap().unwrap();
+            assert_eq!(sent.response.unwrap().status, 504, "{}", sent.id);
+        }
+    });
+}
+
 /// Connects with a small receive buffer.
 async fn connect_slow_reader(address: SocketAddr) -> Connection {
     let socket = TcpSocket::new_v4().unwrap();
