--- a/crates/walnutmoor-core/src/admit.rs
+++ b/crates/walnutmoor-core/src/admit.rs
@@ -108,7 +108,8 @@
 pub const WINDOW: Millis = Millis(100);
 
 /// The standing queue that counts as overload, in seconds of the server's
-/// capacity. CoDel recommends 5% to 20% of the interval.
+/// capacity. CoDel recommends 5% to 20% of the interval. The upper end leaves
+/// room for a scheduler's noise on small VMs.
 const STANDING_QUEUE_SECS: f64 = 0.02;
 
 /// The weight of a window that shows more demand than estimated.
@@ -119,18 +120,25 @@
 const FALLING_DEMAND_WEIGHT: f64 = 0.15;
 
 /// The number of calls in a window at which the window gets half its weight.
-/// Windows with few calls are dominated by noise.
+/// Windows with few calls are dominated by noise. An urgent class may bring
+/// two or three calls a window; one that brings five by chance must not look
+/// like twice the demand. Mean goodput in the closed loop of `tests/policy.rs`
+/// over 30 seeds was 0.91 with 10, 0.94 with 25 and 0.96 with 60, and with all
+/// of the capacity given out under a standing queue 0.97 with 60 and 0.98 with
+/// 100.
 const HALF_WEIGHT_CALLS: f64 = 100.0;
 
 /// Deviations beyond this many standard deviations of a Poisson count are not
 /// noise and get full weight, so that a flood is recognized within one window.
+/// What is admitted before that is work begun for nothing.
 const NOISE_STD_DEVS: f64 = 4.0;
 
 /// The minimum share of open steps in a class for a window to get full weight.
 const FULL_WEIGHT_OPEN_SHARE: f64 = 0.25;
 
 /// The factor by which the demand estimate of a closed class decays each
-/// window, so that the class is eventually admitted again.
+/// window, so that the class is eventually admitted again. The estimate halves
+/// in 2.3 s.
 const CLOSED_DEMAND_DECAY: f64 = 0.97;
 
 /// The assumed demand of a class that was never open, as a multiple of the
@@ -139,6 +147,8 @@
 const UNSEEN_DEMAND_FACTOR: f64 = 4.0;
 
 /// The target share of slots in use. The rest absorbs fluctuation of arrivals.
+/// While there is a standing queue, all of the capacity is used instead:
+/// holding back 5%, 10% or 30% then cost as much goodput.
 const TARGET_UTILIZATION: f64 = 0.98;
 
 /// The time until a level change affects arrivals, in seconds: responses must
@@ -147,6 +157,7 @@
 const RESPONSE_DELAY_SECS: f64 = 0.3;
 
 /// The minimum window length. A window ends early when the queue overflows.
+/// Each call admitted meanwhile would be work begun for nothing.
 const MIN_WINDOW: Millis = Millis(20);
 
 /// The number of windows checked for a flood, and the excess over the expected
@@ -204,6 +215,10 @@
 ///   by itself.
 /// - otherwise the level rises to where the estimated demand fits, and further
 ///   in proportion to the free slots.
+///
+/// Setting the level anew in each window from capacity and demand alone does
+/// not work: at some four calls a window both are so noisy that the level cuts
+/// into classes that fit, and stays below what the server can do.
 #[derive(Debug)]
 pub struct Controller {
     arrivals: Vec<u32>,
@@ -311,7 +326,8 @@
             self.level_for_rate(sample.capacity * TARGET_UTILIZATION, unknown);
         if self.level < fitting_level {
             // The fit may be too low while demand is low, so the raises below
-            // apply as well.
+            // apply as well. Approaching only such a fit can keep a class
+            // closed for seconds.
             self.level += (fitting_level - self.level) * RAISE_GAIN;
         }
         let spare =
@@ -368,7 +384,8 @@
     /// service computes its own level and callers apply the median, so without
     /// this the level of a server that differs from the median would drift
     /// away. Shortly after a cut callers still apply an older level, so the
-    /// level then only moves down.
+    /// level then only moves down; moving up can undo a cut before callers
+    /// have received it.
     fn align_with_applied(&mut self, now: Millis) {
         let Some(applied) = self.applied else { return };
         let settled = now.since(self.last_cut) >= CUT_SETTLE_TIME;
--- a/crates/walnutmoor-core/src/admit/view.rs
+++ b/crates/walnutmoor-core/src/admit/view.rs
@@ -45,7 +45,8 @@
 /// The maximum number of services kept.
 const MAX_SERVICES: usize = 2_048;
 
-/// The maximum number of services kept on one path.
+/// The maximum number of services kept on one path. Call chains are up to 29
+/// deep.
 pub const MAX_PATH_SERVICES: usize = 32;
 
 /// The maximum number of paths kept.
--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -50,6 +50,8 @@
 
 /// One request in this many goes to the next instance in turn instead of the
 /// cheapest, so that an instance that was slow or failing is seen to recover.
+/// An instance is known only by its responses, so one without requests would
+/// never be seen to recover.
 const REQUESTS_PER_PROBE: usize = 32;
 
 /// The failure rate from which an instance is probed only with idempotent
@@ -65,7 +67,9 @@
 const REJECTED_FAILURE_RATE: f64 = 0.4;
 
 /// The cost of an instance where a long run would exceed the timeout, in
-/// multiples of the cost of leaving the zone.
+/// multiples of the cost of leaving the zone. With it a request leaves the
+/// zone of a slow instance: on a quiet day of 12 nodes 33 of 14,450 requests
+/// ended at their timeout without it, and 9 with it.
 const TIMEOUT_COST_FACTOR: f64 = 2.0;
 
 /// The properties of a request by which an instance is chosen.
--- a/crates/walnutmoor-core/src/balance/server.rs
+++ b/crates/walnutmoor-core/src/balance/server.rs
@@ -5,7 +5,8 @@
 
 use crate::{bulkhead::Load, id::Zone, time::Millis};
 
-/// The weight of one request in the moving average of failures.
+/// The weight of one request in the moving average of failures. Half of the
+/// former rate is forgotten after some 14 requests.
 const FAILURE_WEIGHT: f64 = 0.05;
 
 /// The highest failure rate, below 1 so that an instance still gets requests
@@ -13,14 +14,16 @@
 const MAX_FAILURE_RATE: f64 = 0.95;
 
 /// The evidence from which an instance is judged by its own failures. With
-/// less, one of many failing instances could look healthy by chance.
+/// less, one of many failing instances could look healthy by chance. It is
+/// that of some 10 requests.
 const MIN_EVIDENCE: f64 = 0.4;
 
 /// The weight of the prior that instances are healthy, in instances with full
 /// evidence, so that one failing instance does not discredit unused siblings.
 const HEALTHY_PRIOR_WEIGHT: f64 = 2.0;
 
-/// The 99th percentile of run times, in multiples of the mean.
+/// The 99th percentile of run times, in multiples of the mean. On a calm day
+/// half of the reservations took 212 ms and 99 in 100 less than 621 ms.
 const LONG_RUN_FACTOR: f64 = 3.0;
 
 /// All requests placed on an instance, in thousandths.
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -91,7 +91,8 @@
 pub(crate) const URGENT_RANKS: usize = 2;
 
 /// The fraction of an instance's slots that is used. Instances slow down
-/// considerably when their last slots fill.
+/// considerably when their last slots fill. They slow down by a third in their
+/// last twentieth, which costs more than those slots bring.
 const USABLE_SLOT_SHARE: f64 = 0.95;
 
 /// The fraction of the slots reserved for each less urgent rank that has work
@@ -107,6 +108,8 @@
 ///
 /// Less urgent requests are rejected early enough to be retried elsewhere. A
 /// request that makes many calls in a row has little time to wait for each.
+/// One that is rejected here goes on to an instance that is idle; urgent
+/// requests are worth a longer wait.
 const MAX_WAIT_SHARE: [f64; RANKS] = [0.5, 0.5, 0.15, 0.125];
 
 /// How long a rejection counts as recent.
@@ -116,7 +119,8 @@
 /// shedding. Single rejections also happen under low load.
 const MIN_SHEDDING_REJECTIONS: usize = 3;
 
-/// The weight of one run in the moving average of run times.
+/// The weight of one run in the moving average of run times. Half of the
+/// former mean is forgotten after some 14 runs.
 const RUN_TIME_WEIGHT: f64 = 0.05;
 
 /// A request for a slot.
--- a/crates/walnutmoor-core/src/class.rs
+++ b/crates/walnutmoor-core/src/class.rs
@@ -207,7 +207,9 @@
 pub const RANKS: usize = 32;
 
 /// The number of admission steps within one rank, which sets the finest share
-/// of a class that a level can refuse.
+/// of a class that a level can refuse. With 256 steps a level is as fine as
+/// 0.4% of one class. With 64, one step of a browse class in a tenfold storm
+/// was a fifth of a server's capacity.
 pub const STEPS_PER_RANK: usize = 256;
 
 /// The priority of a request: its rank and a step within the rank. A smaller
--- a/crates/walnutmoor-core/src/directory.rs
+++ b/crates/walnutmoor-core/src/directory.rs
@@ -107,7 +107,9 @@
 }
 
 /// The number of buckets of the directory. A bucket is the unit of repair;
-/// more of them make repair finer and the list of digests longer.
+/// more of them make repair finer and the list of digests longer. At 14,000
+/// nodes a bucket holds 55 records, some 3 KB, and the digests of all buckets
+/// fit in 2 KB.
 pub const BUCKETS: usize = 256;
 
 /// How long the record of a dead or departed node is kept. It must outlast
--- a/crates/walnutmoor-core/src/gate.rs
+++ b/crates/walnutmoor-core/src/gate.rs
@@ -123,7 +123,8 @@
 /// The window over which the minimum response time is taken.
 const RESPONSE_TIME_WINDOW: Millis = Millis(500);
 
-/// The minimum queue capacity.
+/// The minimum queue capacity. Without it a server with one slot would have no
+/// queue.
 const MIN_QUEUE_CAPACITY: usize = 4;
 
 /// Limits, queues and refuses calls to one backend server.
@@ -400,7 +401,8 @@
 ///
 /// It is measured from responses. A server that becomes slow sends none for a
 /// while: if a window brings less than half of the expected responses, the age
-/// of the running calls is used as a lower bound.
+/// of the running calls is used as a lower bound. Twice their mean age would
+/// be wrong by a factor of two when calls run in step, as after a burst.
 #[derive(Debug, Default)]
 struct HoldTime {
     mean: f64,
@@ -428,7 +430,8 @@
     }
 }
 
-/// The weight of one window in the mean hold time.
+/// The weight of one window in the mean hold time. A tenfold change is taken
+/// over in some three windows, and one odd response does not decide.
 const HOLD_TIME_WEIGHT: f64 = 0.5;
 
 /// The minimum response time over the current and the previous window.
--- a/crates/walnutmoor-core/src/gossip.rs
+++ b/crates/walnutmoor-core/src/gossip.rs
@@ -164,7 +164,8 @@
 const JOIN_REPAIR_INTERVAL: Millis = Millis(500);
 
 /// The maximum number of records in one answer; bounds the bandwidth of a
-/// joining node.
+/// joining node. These are some 12 KB; a joining node that asks twice a second
+/// gets 24 KB/s of the 29 KB/s that it may use.
 const MAX_RECORDS: usize = 240;
 
 /// The maximum number of records in the answer to a look-up.
--- a/crates/walnutmoor-core/src/limit.rs
+++ b/crates/walnutmoor-core/src/limit.rs
@@ -31,7 +31,9 @@
 
 use crate::time::Millis;
 
-/// The minimum length of a measurement window.
+/// The minimum length of a measurement window. At the lowest expected rates
+/// (40 slots, 150 ms a call, about 270 calls a second) a window holds more
+/// than 100 responses, so a change of a tenth stands out of the noise.
 const MIN_WINDOW: Millis = Millis(500);
 
 /// The minimum length of a window, as a multiple of the service time.
@@ -153,7 +155,8 @@
     }
 
     /// Returns true if nearly all calls had to wait. Otherwise the throughput
-    /// is bounded by demand and a probe is meaningless.
+    /// is bounded by demand and a probe is meaningless. Half of the calls are
+    /// too few: a server that is merely slow and well filled reaches that.
     fn is_saturated(&self) -> bool {
         self.waited * 10 > self.completed * 9
     }
--- a/crates/walnutmoor-core/src/picker.rs
+++ b/crates/walnutmoor-core/src/picker.rs
@@ -46,7 +46,8 @@
 }
 
 /// The cost from which a server counts as full and servers of other zones are
-/// considered.
+/// considered. A zone away costs well under a millisecond, less than waiting
+/// for one call.
 const FULL_COST: f64 = 0.9;
 
 /// The age after which a load report is ignored.
--- a/crates/walnutmoor-core/src/poison/isolation.rs
+++ b/crates/walnutmoor-core/src/poison/isolation.rs
@@ -47,7 +47,12 @@
 impl Isolation {
     /// The default limit on concurrent suspects of one crash. A lower limit
     /// delays innocent suspects; without a limit, requests with commonly
-    /// shared content are refused more often.
+    /// shared content are refused more often. Replayed with three instances
+    /// and one request that crashes them, innocent suspects were served after
+    /// 182, 98 and 95 ms on average with 4, 16 and no limit, and all instances
+    /// were down at once for 203, 60 and 61 ms of 20 s. Without a limit 29 of
+    /// some 10,000 requests with shared content were refused where instances
+    /// also crash by themselves, and none with the others.
     pub const MAX_CONCURRENT: usize = 16;
 
     /// Creates the state of an instance without suspects, with the default
--- a/crates/walnutmoor-core/src/poison/register.rs
+++ b/crates/walnutmoor-core/src/poison/register.rs
@@ -11,13 +11,14 @@
 const MIN_CRASHES_TO_BAR: u32 = 3;
 
 /// The maximum number of extra crashes needed to bar a request, one for each
-/// refuted crash.
-/// A poison request never succeeds, whereas content shared by many clients
-/// does and is running whenever an instance crashes for another reason.
+/// refuted crash. A poison request never succeeds, whereas content shared by
+/// many clients does and is running whenever an instance crashes for another
+/// reason. Without extra crashes 22 of some 10,000 requests with such content
+/// were refused in a replay of 60 seeds, and none with them.
 const MAX_EXTRA_CRASHES: u32 = 2;
 
 /// How long a request is barred for at first. It is then tried again, as the
-/// fault may have been fixed by a release.
+/// fault may have been fixed by a release. A release takes some minutes.
 const BAR_DURATION: Millis = Millis(600_000);
 
 /// The maximum number of times that [`BAR_DURATION`] doubles, once for each
--- a/crates/walnutmoor-core/src/poison/success.rs
+++ b/crates/walnutmoor-core/src/poison/success.rs
@@ -17,7 +17,7 @@
 
 /// The maximum number of successes remembered, to bound memory. Rare content
 /// is evicted sooner, which is harmless: only frequent content needs the
-/// protection.
+/// protection. At some 60 bytes each this is 250 KB.
 const MAX_SUCCESSES: usize = 4_096;
 
 /// The latest success of each content.
--- a/crates/walnutmoor-core/src/retry_budget.rs
+++ b/crates/walnutmoor-core/src/retry_budget.rs
@@ -91,7 +91,9 @@
 /// retries at all.
 const MIN_BURST_RETRIES: f64 = 3.0;
 
-/// The weight of one request in the moving average of the rejection rate.
+/// The weight of one request in the moving average of the rejection rate. Half
+/// of the former rate is forgotten after some 34 requests, a fraction of a
+/// second under load.
 const REJECTION_RATE_WEIGHT: f64 = 0.02;
 
 /// The limits of a [`RetryBudget`].
--- a/crates/walnutmoor-core/src/retry_state.rs
+++ b/crates/walnutmoor-core/src/retry_state.rs
@@ -26,12 +26,13 @@
 
 use crate::{id::NodeId, time::Millis};
 
-/// The number of times that a request is sent at most.
+/// The number of times that a request is sent at most. With half of all
+/// requests rejected, one in 4,096 is rejected that often.
 const MAX_SENDS: u32 = 12;
 
 /// The number of nodes that may deny a retry for lack of budget before the
 /// request ends. All instances of a service exhaust their budgets at about the
-/// same time.
+/// same time. The second may have had fewer retries left than the first.
 const MAX_DENIALS: u32 = 2;
 
 /// The backoff per earlier rejection before an instance is tried again. It
--- a/crates/walnutmoor-core/src/table.rs
+++ b/crates/walnutmoor-core/src/table.rs
@@ -177,7 +177,9 @@
 ///
 /// The split is exact to one request on each node. Nodes start at different
 /// positions in the sequence; otherwise the heaviest target would get nearly
-/// all of the first requests after a change.
+/// all of the first requests after a change: of the first requests of 400
+/// nodes a part of 0.3 got none. Random draws would be off by a tenth after a
+/// few hundred requests.
 #[derive(Debug, Default)]
 pub struct Splitter {
     seed: Option<u64>,
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -63,14 +63,16 @@
 }
 
 /// Overload rate above which a route is assumed to lead to the service that
-/// sheds load. It lies above the usual rate of failures.
+/// sheds load. It lies above the usual rate of failures. Instances fail up to
+/// one request in a hundred when they are not overloaded.
 const OVERLOAD_RATE_THRESHOLD: f64 = 0.06;
 
-/// Demand above which urgent routes are cut.
+/// Demand above which urgent routes are cut. This value and the next four were
+/// found by replaying loads of two to four times the capacity.
 const URGENT_CUT_DEMAND: f64 = 1.02;
 
 /// Demand above which a service counts as full. Below it, failures have other
-/// causes.
+/// causes. Cutting for those costs urgent requests.
 const FULL_DEMAND: f64 = 0.85;
 
 /// Overload rate above which failures are assumed to hide demand.
@@ -88,7 +90,7 @@
 
 /// Growth of the admitted fraction in one step, relative to its value and to
 /// the remaining headroom. The effect of a step shows several steps later, so
-/// a larger growth overshoots.
+/// a larger growth overshoots. The delay is some five steps.
 const RAISE_FRACTION: f64 = 0.25;
 
 /// Minimum growth in one step, so that small fractions recover as well.
@@ -107,7 +109,7 @@
 const CUT_COOLDOWN_STEPS: u8 = 2;
 
 /// Steps without overload after which a fully admitted route is no longer
-/// assumed to lead to the overloaded service.
+/// assumed to lead to the overloaded service. This is 10 s.
 const SUSPECT_STEPS: u8 = 50;
 
 /// Returns the admitted fraction after one step with this headroom.
--- a/crates/walnutmoor-core/src/throttle/completion.rs
+++ b/crates/walnutmoor-core/src/throttle/completion.rs
@@ -20,18 +20,23 @@
 };
 
 /// Probability of completing without a retry from which a request is admitted
-/// regardless of its sample key.
+/// regardless of its sample key. Above it more of these requests complete than
+/// fail.
 const LIKELY_COMPLETION: f64 = 0.5;
 
 /// Fraction of the remaining retry budget that admission uses. It leaves a
 /// margin because the budget differs between the instances that a request
-/// reaches.
+/// reaches. In the replay `shedding` with 26 instances 3,015, 3,053 and 2,975
+/// of some 11,100 claims are served in time with 0.6, 0.8 and 1.0, and 218,
+/// 534 and 917 fail.
 const USABLE_BUDGET_FRACTION: f64 = 0.8;
 
 /// Minimum fraction of requests that is admitted, so that recovery is noticed.
 const MIN_ADMITTED: f64 = 0.05;
 
-/// Smoothing factor for what answers report about a service.
+/// Smoothing factor for what answers report about a service. Half of it is
+/// forgotten after three answers, which is less than a second for a route in
+/// use.
 const SMOOTHING: f64 = 0.2;
 
 /// Shedding and retry budgets of services, from all answers that passed
--- a/crates/walnutmoor-core/src/throttle/route.rs
+++ b/crates/walnutmoor-core/src/throttle/route.rs
@@ -16,13 +16,15 @@
 /// ingress that would have completed.
 pub(super) const TARGET_UTILIZATION: f64 = 1.0;
 
-/// Fraction of a service that is reserved for less urgent requests.
+/// Fraction of a service that is reserved for less urgent requests. It equals
+/// the reserve of a rank in the bulkhead.
 const LESS_URGENT_RESERVE: f64 = 0.15;
 
 /// Steps over which the admitted fraction is averaged before it is compared
 /// with the demand that it caused. Demand lags behind admission, and without
 /// the average cuts are repeated before they take effect, so the admitted
-/// fraction oscillates.
+/// fraction oscillates. A request makes its calls in the second after it was
+/// admitted, and demand is counted over half a second.
 const HISTORY_STEPS: usize = 5;
 
 /// Part of the distance to the target that an increase covers in one step.
@@ -35,7 +37,8 @@
 /// Lower bound of the less urgent demand; avoids a division by zero.
 const MIN_LESS_URGENT_DEMAND: f64 = 0.01;
 
-/// Smoothing factor for the slot time and runs of a route.
+/// Smoothing factor for the slot time and runs of a route. Half of the former
+/// mean is forgotten after some 14 answers.
 const SMOOTHING: f64 = 0.05;
 
 /// Admitted fraction above which a route counts as fully admitted.
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -224,7 +224,9 @@
 }
 
 /// The size of the read buffer. All links of a thread share it, so that idle
-/// links hold no buffers.
+/// links hold no buffers. Most responses fit; with smaller reads most frames
+/// took two. With a buffer of 8 KB for each link, a node that is linked both
+/// ways with 300 others would hold 5 MB.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
 thread_local! {
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -30,7 +30,8 @@
 
 /// The `Retry-After` of a refused request, as a fraction of the route's target
 /// latency. It is short enough that a second attempt may still be answered
-/// within the target.
+/// within the target. That holds if a request takes half of its target; the
+/// jitter keeps callers from coming back together.
 const RETRY_AFTER_FRACTION: f64 = 0.15;
 
 /// The time left of a request that does not state it.
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -32,7 +32,8 @@
 /// Lines that may wait for the writer thread.
 const QUEUE_CAPACITY: usize = 1_024;
 
-/// Maximum lines per second about single requests, except answered ones.
+/// Maximum lines per second about single requests, except answered ones. At
+/// some 300 bytes a line this keeps the log under 15 KB a second.
 const REQUEST_LINES_PER_SECOND: u32 = 40;
 
 /// Maximum lines per second about answered requests.
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -41,7 +41,8 @@
 const PING_INTERVAL: Millis = Millis(250);
 
 /// The shortest ping interval of an idle link. It bounds the age of the load
-/// known of an unused instance and the time until a dead link is found.
+/// known of an unused instance and the time until a dead link is found. Pings
+/// of idle links are most of what a node at rest costs.
 const MIN_IDLE_PING_INTERVAL: Millis = Millis(1_000);
 
 /// The number of idle links that a node pings per second at most, so that the
@@ -57,7 +58,8 @@
 
 /// The time without an answer to a ping after which a link is suspect and gets
 /// no new calls. If the peer is dead, the results of calls sent to it are
-/// unknown; a short timeout keeps such calls few.
+/// unknown; a short timeout keeps such calls few. TCP sends lost packets again
+/// after 200 ms.
 const SUSPECT_TIMEOUT: Millis = Millis(200);
 
 /// The time without an answer to a ping after which a link is dead and is
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -41,7 +41,7 @@
 
 /// The time without received data after which a link is closed. Normally the
 /// other node pings more often; in a very large fleet it may not, and reopens
-/// the link.
+/// the link. Up to a thousand links it pings more often than this.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How long the first frame may take.
