Keep the status of requests that end without a reply outside a shutdown

The end of requests in flight had made the reason `leaving` a 504 wherever a request may have run, also where an instance elsewhere was leaving, which had been 502 before. Found by reading the diff; no caller saw it. Only the exit of this node gives 504 now.

--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -166,7 +166,7 @@
             return progress.give_up(Kind::Timeout);
         }
         if state.has_expired() {
-            return progress.give_up(Kind::Leaving);
+            return progress.give_up_at_exit();
         }
         let node = match choose(state, request, progress) {
             Next::Send(node) => node,
@@ -398,6 +398,14 @@
         self.give_up(Kind::Poisoned)
     }
 
+    /// Ends the request because the node exits.
+    fn give_up_at_exit(&mut self) -> End {
+        match self.retry_state.may_have_run() {
+            true => self.give_up(Kind::Timeout),
+            false => self.give_up(Kind::Leaving),
+        }
+    }
+
     /// Ends the request without a successful reply: with the last failed one,
     /// if any, and otherwise according to whether it may have run.
     fn give_up(&mut self, kind: Kind) -> End {
@@ -406,7 +414,7 @@
         }
         if self.retry_state.may_have_run() {
             let kind = match kind {
-                Kind::Timeout | Kind::Leaving => Kind::Timeout,
+                Kind::Timeout => Kind::Timeout,
                 _ => Kind::Broken,
             };
             return End::Failed(kind);
