--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -1,5 +1,5 @@
 /*!
-Starts the tasks of a node, and shuts it down gracefully.
+Starts the tasks of a node.
 */
 
 use std::{path::PathBuf, rc::Rc, time::Duration};
