--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -381,6 +381,18 @@
         true
     }
 
+    /// How long this work has run, and the mean run time of its rank, which is
+    /// zero if it is not known. `None` if the work is not running.
+    pub fn run_time(
+        &self,
+        now: Millis,
+        id: CallId,
+    ) -> Option<(Millis, Millis)> {
+        let run = self.running.get(&id)?;
+        let mean = Millis(self.run_times[run.rank] as u64);
+        Some((now.since(run.since), mean))
+    }
+
     /// The next action for queued work, or `None` if there is none for now.
     pub fn next(&mut self, now: Millis) -> Option<Next> {
         if !self.open {
--- /dev/null
+++ b/crates/walnutmoor-core/src/connection.rs
@@ -0,0 +1,267 @@
+/*!
+Connections to an instance: which idle one a request uses, why a new one is
+opened, and whether a canceled running call is left to finish.
+
+An instance serves one request at a time on a connection. It may send a second
+response late, so a connection is reused only after it was idle for a while. It
+may also drop idle connections silently, so a request that may run only once
+uses a connection only if its last exchange was recent. Canceling a running
+call closes its connection. If the run is about to end, the call is left to
+finish instead and its connection is reused.
+
+# Example
+
+```
+use walnutmoor_core::{connection::*, table::Effect, time::Millis};
+
+let policy = Policy::default();
+let idle = |ms| Idle { idle_time: Millis(ms), is_usable: true };
+let oldest_first = [idle(70), idle(10)];
+let choice = policy.choose(oldest_first, Effect::Idempotent);
+assert_eq!(choice, Choice::Reuse(0));
+let choice = policy.choose([idle(10)], Effect::Idempotent);
+assert_eq!(choice, Choice::Open(Reason::RecentlyUsed));
+
+let run = Run {
+    age: Millis(30),
+    mean: Millis(55),
+    waits_for_calls: false,
+    is_slot_wanted: false,
+};
+assert_eq!(run.on_cancel(), OnCancel::Finish(Millis(400)));
+```
+*/
+
+use crate::{table::Effect, time::Millis};
+
+/// How long a connection stays idle before it is reused, so that a late
+/// second response arrives first.
+const MIN_IDLE_TIME: Millis = Millis(40);
+
+/// The longest idle time of a connection that is reused for a request that
+/// may run only once. Some instances drop idle connections silently and reset
+/// the next request on them.
+const MAX_ONCE_IDLE_TIME: Millis = Millis(250);
+
+/// The longest expected remaining run time of a canceled call that is left to
+/// finish.
+const MAX_EXPECTED: Millis = Millis(250);
+
+/// The same while other calls wait for the slot. A new connection costs them
+/// less than a slot that stays busy for longer.
+const MAX_EXPECTED_IF_WANTED: Millis = Millis(10);
+
+/// How long a canceled call may run on at most. Work on an idempotent request
+/// has to stop within 500 ms after its caller has disconnected.
+const MAX_FINISH: Millis = Millis(400);
+
+/// An idle connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Idle {
+    /// How long it has been idle.
+    pub idle_time: Millis,
+    /// False if the instance has closed it or is about to.
+    pub is_usable: bool,
+}
+
+/// Why a new connection is opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// No usable connection is idle.
+    NoneIdle,
+    /// All idle connections were used too recently.
+    RecentlyUsed,
+    /// The request may run only once, and connections have been idle too
+    /// long for it.
+    IdleTooLong,
+    /// The instance had closed the idle connection that was chosen.
+    Closed,
+}
+
+impl Reason {
+    /// All reasons, in order of declaration.
+    pub const ALL: [Reason; 4] = [
+        Reason::NoneIdle,
+        Reason::RecentlyUsed,
+        Reason::IdleTooLong,
+        Reason::Closed,
+    ];
+
+    /// The name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::NoneIdle => "none_idle",
+            Reason::RecentlyUsed => "recently_used",
+            Reason::IdleTooLong => "idle_too_long",
+            Reason::Closed => "closed",
+        }
+    }
+}
+
+/// Why a connection was closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Closing {
+    /// The call that ran on it was canceled.
+    Canceled,
+    /// Its last response could not be trusted.
+    Untrusted,
+    /// It broke during an exchange.
+    Broken,
+    /// The instance has closed it, or announced that it will.
+    ByInstance,
+    /// It was idle for too long.
+    Expired,
+}
+
+impl Closing {
+    /// All causes, in order of declaration.
+    pub const ALL: [Closing; 5] = [
+        Closing::Canceled,
+        Closing::Untrusted,
+        Closing::Broken,
+        Closing::ByInstance,
+        Closing::Expired,
+    ];
+
+    /// The name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Closing::Canceled => "canceled",
+            Closing::Untrusted => "untrusted",
+            Closing::Broken => "broken",
+            Closing::ByInstance => "by_instance",
+            Closing::Expired => "expired",
+        }
+    }
+}
+
+/// The connection for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// The idle connection at this index.
+    Reuse(usize),
+    /// A new one.
+    Open(Reason),
+}
+
+/// Limits of the idle time of connections that are reused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Policy {
+    /// The shortest idle time.
+    pub min_idle: Millis,
+    /// The longest idle time for a request that may run only once.
+    pub max_once_idle: Millis,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy { min_idle: MIN_IDLE_TIME, max_once_idle: MAX_ONCE_IDLE_TIME }
+    }
+}
+
+impl Policy {
+    /// Chooses the connection for a request. The idle connections are given
+    /// in the order in which they became idle, the oldest first.
+    ///
+    /// An idempotent request uses the oldest usable connection. No other one
+    /// can suit it better, as all others have been idle for a shorter time. A
+    /// request that may run only once uses the newest that is past late
+    /// responses.
+    pub fn choose<I>(&self, idle: I, effect: Effect) -> Choice
+    where
+        I: IntoIterator<Item = Idle>,
+    {
+        let usable = idle.into_iter().enumerate().filter(|(_, idle)| {
+            // Unusable ones are never chosen, whatever their idle time.
+            idle.is_usable
+        });
+        match effect {
+            Effect::Once => self.choose_for_once(usable),
+            Effect::Idempotent => self.choose_oldest(usable),
+        }
+    }
+
+    fn choose_oldest(
+        &self,
+        mut usable: impl Iterator<Item = (usize, Idle)>,
+    ) -> Choice {
+        match usable.next() {
+            None => Choice::Open(Reason::NoneIdle),
+            Some((_, idle)) if idle.idle_time < self.min_idle => {
+                Choice::Open(Reason::RecentlyUsed)
+            }
+            Some((at, _)) => Choice::Reuse(at),
+        }
+    }
+
+    fn choose_for_once(
+        &self,
+        usable: impl Iterator<Item = (usize, Idle)>,
+    ) -> Choice {
+        let mut choice = Choice::Open(Reason::NoneIdle);
+        for (at, idle) in usable {
+            if idle.idle_time >= self.max_once_idle {
+                choice = Choice::Open(Reason::IdleTooLong);
+            } else if idle.idle_time >= self.min_idle {
+                choice = Choice::Reuse(at);
+            } else if choice == Choice::Open(Reason::NoneIdle) {
+                choice = Choice::Open(Reason::RecentlyUsed);
+            }
+        }
+        choice
+    }
+}
+
+/// A run of an idempotent call at the time at which the call is canceled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Run {
+    /// How long it has run.
+    pub age: Millis,
+    /// The mean run time of calls of its rank; zero if it is not known.
+    pub mean: Millis,
+    /// True if it waits for nested calls. These end with the cancellation.
+    pub waits_for_calls: bool,
+    /// True if other calls wait for its slot.
+    pub is_slot_wanted: bool,
+}
+
+/// What happens to a run whose call is canceled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OnCancel {
+    /// It is aborted, which closes its connection.
+    Abort,
+    /// It is left to finish, and is aborted after this time.
+    Finish(Millis),
+}
+
+impl Run {
+    /// Decides whether the run is left to finish.
+    pub fn on_cancel(&self) -> OnCancel {
+        let max_expected = match self.is_slot_wanted {
+            true => MAX_EXPECTED_IF_WANTED,
+            false => MAX_EXPECTED,
+        };
+        match self.expected_remaining() {
+            Some(expected) if expected <= max_expected => {
+                OnCancel::Finish(MAX_FINISH)
+            }
+            Some(_) | None => OnCancel::Abort,
+        }
+    }
+
+    /// The expected remaining run time, if it is known.
+    ///
+    /// A run that waits for nested calls ends once these do. One that takes
+    /// longer than the mean is expected to exceed it by as much again, so
+    /// that a run that hangs is not left to finish.
+    fn expected_remaining(&self) -> Option<Millis> {
+        if self.waits_for_calls {
+            return Some(Millis(0));
+        }
+        if self.mean == Millis(0) {
+            return None;
+        }
+        let (age, mean) = (self.age, self.mean);
+        Some(mean.since(age).max(age.since(mean)))
+    }
+}
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod chart;
 pub mod class;
 pub mod config;
+pub mod connection;
 pub mod demand;
 pub mod digest;
 pub mod directory;
