--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -83,6 +83,7 @@
     runs: Mutex<BTreeMap<String, u32>>,
     arrivals: Mutex<Vec<Arrival>>,
     aborted_runs: AtomicU64,
+    connections: AtomicU64,
     callers: Mutex<Vec<String>>,
     accounts: Mutex<Vec<Vec<String>>>,
     has_seen_key: AtomicBool,
@@ -166,6 +167,7 @@
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             aborted_runs: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
             callers: Mutex::default(),
             accounts: Mutex::default(),
             has_seen_key: AtomicBool::new(false),
@@ -355,6 +357,11 @@
         self.runs.lock().expect("no holder panics").values().sum()
     }
 
+    /// The number of connections that it has accepted.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// The number of runs whose connection was closed before they ended.
     pub fn aborted_runs(&self) -> u64 {
         self.aborted_runs.load(Ordering::Relaxed)
@@ -464,6 +471,7 @@
 
 async fn accept(instance: Arc<Instance>, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
+        instance.connections.fetch_add(1, Ordering::Relaxed);
         let task = tokio::spawn(serve(instance.clone(), stream));
         instance.track_tasks([task.abort_handle()]);
     }
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -636,6 +636,7 @@
         addresses,
         server: Some(server.address()),
         descriptors: 1_024,
+        overload: Vec::new(),
         bounds: bounds(),
     });
     Member {
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -20,6 +20,7 @@
 use walnutmoor_platform::header;
 
 use super::{
+    cancellation::{self, Signal},
     connection,
     dispatch::{self, End, Finished},
     journal::Event,
@@ -45,6 +46,10 @@
 /// for example before it has read the desired state.
 const UNAVAILABLE_RETRY_AFTER: Millis = Millis(300);
 
+/// The `Retry-After` of nested calls whose run was canceled. The run is aborted
+/// before a retry arrives.
+const CANCELED_RETRY_AFTER: Millis = Millis(1_000);
+
 /// The fraction of the file descriptors that callers' connections may take
 /// before responses ask callers to close them. Without descriptors the node
 /// could not accept connections.
@@ -308,6 +313,25 @@
         (answer, self.in_flight)
     }
 
+    /// The signal that ends a nested call with the run that makes it.
+    ///
+    /// # Errors
+    ///
+    /// If the run is already canceled.
+    fn cancellation(
+        &self,
+        state: &State,
+    ) -> Result<Option<Rc<Signal>>, Refusal> {
+        let Origin::Run(_) = self.origin else {
+            return Ok(None);
+        };
+        let attempt = &self.in_flight.attempt;
+        match state.serve.refuses_call(attempt) {
+            true => Err(not_run(Kind::Canceled)),
+            false => Ok(state.serve.cancellation(attempt)),
+        }
+    }
+
     /// Applies the account's quota, then admission, and dispatches the
     /// request. The quota comes first, so that requests above it do not count
     /// as demand.
@@ -323,6 +347,7 @@
             () = state.expired() => return Err(not_run(Kind::Leaving)),
         };
         self.in_flight.request.set_stage(Stage::Unsent);
+        let canceled = self.cancellation(state)?;
         let request = match admission::admit(state, self) {
             Ok(request) => request,
             Err(refusal) => {
@@ -330,7 +355,13 @@
                 return Err(refusal);
             }
         };
-        let finished = dispatch::run(state, &request).await;
+        let finished = tokio::select! {
+            biased;
+            finished = dispatch::run(state, &request) => finished,
+            () = cancellation::wait(canceled) => {
+                return Ok(end_with_run(state));
+            }
+        };
         permit.into_iter().for_each(|permit| permit.end(finished.runs));
         Ok(conclude(state, &self.in_flight, &request, finished))
     }
@@ -395,6 +426,9 @@
     let account = accounts.authenticate(key, sender)?.cloned();
     // With accounts configured, a request with a key is from a caller.
     let may_be_run = accounts.is_empty() || key == Key::Missing;
+    if account.is_none() && may_be_run && state.serve.refuses_call(id) {
+        return Err(Kind::Canceled);
+    }
     let parent = match account.is_none() && may_be_run {
         true => state.serve.parent(state.now(), id),
         false => None,
@@ -442,10 +476,18 @@
         | Kind::Full
         | Kind::Orphaned
         | Kind::UnknownService => refusal.retry_after(UNAVAILABLE_RETRY_AFTER),
+        Kind::Canceled => refusal.retry_after(CANCELED_RETRY_AFTER),
         _ => refusal,
     }
 }
 
+/// The response to a nested call in progress whose run was canceled. It may
+/// have run.
+fn end_with_run(state: &State) -> Answer {
+    cancellation::increment(&state.serve.cancellations.ended_calls);
+    wire::fail(Kind::Broken)
+}
+
 /// Logs and counts a refusal, and returns its response.
 fn refuse(
     state: &Rc<State>,
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -21,9 +21,15 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
-use walnutmoor_core::{table::Effect, time::Millis};
+use walnutmoor_core::{
+    connection::{Choice, Closing, Idle, Policy, Reason},
+    table::Effect,
+    time::Millis,
+};
 use walnutmoor_platform::header::{self, Verdict};
 
+use super::cancellation::increment;
+
 /// The timeout for connecting to the instance, which is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -39,15 +45,6 @@
 /// is reused, so that the instance does not close it during a request.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
-/// How long a connection stays idle before it is reused, so that a late
-/// second response arrives first.
-const MIN_IDLE_TIME: Millis = Millis(40);
-
-/// The longest idle time of a connection that is reused for a request that
-/// may run only once. Some instances drop idle connections silently and reset
-/// the next request on them.
-const MAX_ONCE_IDLE_TIME: Millis = Millis(250);
-
 /// The outcome of a request.
 #[derive(Debug)]
 pub enum Outcome {
@@ -78,20 +75,44 @@
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
+    policy: Policy,
     idle: RefCell<VecDeque<Connection>>,
-    opened: Cell<u64>,
+    opened: [Cell<u64>; Reason::ALL.len()],
+    closings: [Cell<u64>; Closing::ALL.len()],
 }
 
 impl Pool {
     /// Creates an empty pool for the instance at this address.
     pub fn new(address: SocketAddr) -> Pool {
-        let idle = RefCell::new(VecDeque::new());
-        Pool { address, idle, opened: Cell::new(0) }
+        Pool {
+            address,
+            policy: Policy::default(),
+            idle: RefCell::new(VecDeque::new()),
+            opened: Default::default(),
+            closings: Default::default(),
+        }
     }
 
     /// The number of connections opened since the start.
     pub fn opened(&self) -> u64 {
-        self.opened.get()
+        self.opened.iter().map(Cell::get).sum()
+    }
+
+    /// The numbers of connections opened, by reason.
+    pub fn opened_by_reason(&self) -> impl Iterator<Item = (Reason, u64)> {
+        let count = |reason| (reason, self.opened[reason as usize].get());
+        Reason::ALL.into_iter().map(count)
+    }
+
+    /// The numbers of connections closed, by cause.
+    pub fn closings(&self) -> impl Iterator<Item = (Closing, u64)> {
+        let count = |cause| (cause, self.closings[cause as usize].get());
+        Closing::ALL.into_iter().map(count)
+    }
+
+    /// Counts a connection that was closed.
+    pub(super) fn record_closing(&self, cause: Closing) {
+        increment(&self.closings[cause as usize]);
     }
 
     /// Sends a request and reads its complete response, which must carry the
@@ -104,35 +125,53 @@
         effect: Effect,
     ) -> Outcome {
         let mut request = request;
+        let mut was_closed = false;
         loop {
             let (mut connection, is_new) = match self.take_idle(now(), effect)
             {
-                Some(connection) => (connection, false),
-                None => match self.connect(now()).await {
-                    Some(connection) => (connection, true),
-                    None => return Outcome::Unreachable,
-                },
+                Ok(connection) => (connection, false),
+                Err(reason) => {
+                    let reason = match was_closed {
+                        true => Reason::Closed,
+                        false => reason,
+                    };
+                    match self.connect(now(), reason).await {
+                        Some(connection) => (connection, true),
+                        None => return Outcome::Unreachable,
+                    }
+                }
             };
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
                     let body = match body.collect().await {
                         Ok(body) => body.to_bytes(),
-                        Err(e) => return Outcome::Broken(e.to_string()),
+                        Err(e) => {
+                            self.record_closing(Closing::Broken);
+                            return Outcome::Broken(e.to_string());
+                        }
                     };
                     let (status, headers) = (head.status, head.headers);
                     let verdict =
                         header::classify(status.as_u16(), &headers, attempt);
-                    if verdict != Verdict::Untrusted {
-                        self.put_idle(now(), connection, &headers);
+                    match verdict {
+                        Verdict::Untrusted => {
+                            self.record_closing(Closing::Untrusted);
+                        }
+                        _ => self.put_idle(now(), connection, &headers),
                     }
                     return Outcome::Response(verdict, status, headers, body);
                 }
                 Err(mut error) => match error.take_message() {
                     // The connection was closed while it was idle.
-                    Some(message) if !is_new => request = message,
+                    Some(message) if !is_new => {
+                        self.record_closing(Closing::ByInstance);
+                        was_closed = true;
+                        request = message;
+                    }
                     Some(_) => return Outcome::Unreachable,
                     None => {
+                        self.record_closing(Closing::Broken);
                         let error = error.into_error().to_string();
                         return Outcome::Broken(error);
                     }
@@ -155,7 +194,13 @@
     /// Closes idle connections that the instance is about to close.
     pub fn close_expired(&self, now: Millis) {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|connection| connection.is_usable(now));
+        idle.retain(|connection| {
+            let is_usable = connection.is_usable(now);
+            if !is_usable {
+                self.record_closing(connection.closing());
+            }
+            is_usable
+        });
     }
 
     /// Closes all idle connections. Used when another instance has taken over
@@ -164,28 +209,25 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn take_idle(&self, now: Millis, effect: Effect) -> Option<Connection> {
+    /// Takes an idle connection, or returns why a new one is needed.
+    fn take_idle(
+        &self,
+        now: Millis,
+        effect: Effect,
+    ) -> Result<Connection, Reason> {
         let mut idle = self.idle.borrow_mut();
-        if effect == Effect::Once {
-            // The most recently used one that is past late responses.
-            let at = idle.iter().rposition(|connection| {
-                let idle_time = now.since(connection.idle_since);
-                let range = MIN_IDLE_TIME..MAX_ONCE_IDLE_TIME;
-                range.contains(&idle_time) && connection.is_usable(now)
-            })?;
-            return idle.remove(at);
-        }
         while let Some(first) = idle.front() {
-            if !first.is_usable(now) {
-                idle.pop_front();
-                continue;
+            if first.is_usable(now) {
+                break;
             }
-            if now.since(first.idle_since) < MIN_IDLE_TIME {
-                return None;
-            }
-            return idle.pop_front();
+            self.record_closing(first.closing());
+            idle.pop_front();
+        }
+        let connections = idle.iter().map(|connection| connection.idle(now));
+        match self.policy.choose(connections, effect) {
+            Choice::Reuse(at) => idle.remove(at).ok_or(Reason::NoneIdle),
+            Choice::Open(reason) => Err(reason),
         }
-        None
     }
 
     fn put_idle(
@@ -195,6 +237,7 @@
         headers: &HeaderMap,
     ) {
         if connection.sender.is_closed() || has_close(headers) {
+            self.record_closing(Closing::ByInstance);
             return;
         }
         if let Some(keep_alive) = header::keep_alive(headers) {
@@ -205,7 +248,11 @@
         self.idle.borrow_mut().push_back(connection);
     }
 
-    async fn connect(&self, now: Millis) -> Option<Connection> {
+    async fn connect(
+        &self,
+        now: Millis,
+        reason: Reason,
+    ) -> Option<Connection> {
         let stream = TcpStream::connect(self.address);
         let stream = timeout(CONNECT_TIMEOUT, stream).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -215,7 +262,7 @@
             // Errors are returned by the request on this connection.
             let _ = driver.await;
         });
-        self.opened.set(self.opened.get() + 1);
+        increment(&self.opened[reason as usize]);
         Some(Connection {
             sender,
             task: task.abort_handle(),
@@ -226,6 +273,19 @@
 }
 
 impl Connection {
+    fn idle(&self, now: Millis) -> Idle {
+        let idle_time = now.since(self.idle_since);
+        Idle { idle_time, is_usable: self.is_usable(now) }
+    }
+
+    /// Why a connection that is not usable is closed.
+    fn closing(&self) -> Closing {
+        match self.sender.is_closed() {
+            true => Closing::ByInstance,
+            false => Closing::Expired,
+        }
+    }
+
     fn is_usable(&self, now: Millis) -> bool {
         let idle_time = now.since(self.idle_since);
         !self.sender.is_closed() && idle_time < self.idle_timeout
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 | [`peer`] | serves incoming connections of other nodes |
 | [`frame`] | defines the frames exchanged between nodes |
 | [`serve`] | admits and runs calls on the local instance |
+| [`cancellation`] | lets canceled running calls finish |
 | [`run`](mod@run) | sends one call to the local instance |
 | [`notice`] | acts on what the local instance says in its responses |
 | [`lifetime`] | follows the lifetime of the local instance |
@@ -42,6 +43,7 @@
 ```
 */
 
+pub mod cancellation;
 pub mod connection;
 pub mod control;
 pub mod crash;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -6,6 +6,7 @@
 
 use http::Request;
 use http_body_util::Full;
+use serde_json::Value;
 use tokio::{
     net::{TcpListener, TcpSocket},
     signal::unix::{SignalKind, signal},
@@ -22,6 +23,7 @@
     journal::{Event, Journal},
     link::{self, CHECK_INTERVAL},
     peer,
+    serve::Serve,
     settings::Settings,
     shutdown,
     state::State,
@@ -215,11 +217,32 @@
             ("limited", serve.diverted().into()),
             ("callers", state.connections.get().into()),
             ("connections", serve.pool.opened().into()),
+            ("connections_opened", opened(serve)),
+            ("connections_closed", closed(serve)),
+            ("canceled_runs", canceled(serve)),
         ];
         state.journal.log_event(state.now(), Event::Counters, &fields);
     }
 }
 
+fn opened(serve: &Serve) -> Value {
+    let counts = serve.pool.opened_by_reason();
+    let counts = counts.map(|(reason, n)| (reason.as_str().into(), n.into()));
+    Value::Object(counts.collect())
+}
+
+fn closed(serve: &Serve) -> Value {
+    let counts = serve.pool.closings();
+    let counts = counts.map(|(cause, n)| (cause.as_str().into(), n.into()));
+    Value::Object(counts.collect())
+}
+
+fn canceled(serve: &Serve) -> Value {
+    let counts = serve.cancellations.list().into_iter();
+    let counts = counts.map(|(name, n)| (name.into(), n.into()));
+    Value::Object(counts.collect())
+}
+
 /// Removes expired suspicions periodically.
 async fn expire_suspicions(state: Rc<State>) {
     let mut timer = interval(Duration::from_millis(SWEEP_INTERVAL.0));
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -50,7 +50,11 @@
         priority: call.priority,
         is_retry: call.is_retry || call.parent_is_retry,
     };
-    let run = Run { parent, footprint: Footprint::default() };
+    let run = Run {
+        parent,
+        footprint: Footprint::default(),
+        cancellation: Rc::default(),
+    };
     serve.runs.borrow_mut().insert(call.attempt.clone(), run);
     serve.arrivals.set(serve.arrivals.get() + 1);
     let lifetime = serve.lifetime();
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -18,6 +18,7 @@
 };
 use walnutmoor_core::{
     bulkhead::{Bulkhead, Load, Next, Offer, Work},
+    connection::Closing,
     digest::Map,
     error::Kind,
     footprint::Footprint,
@@ -34,6 +35,7 @@
 use walnutmoor_platform::header;
 
 use super::{
+    cancellation::{Counters, Signal},
     crash::Detector,
     frame::{Call, Reply},
     instance::Pool,
@@ -119,6 +121,8 @@
     pub(super) parent: Parent,
     /// The merged footprint of its nested calls so far.
     pub(super) footprint: Footprint,
+    /// Set once the call is canceled and left to finish.
+    pub(super) cancellation: Rc<Signal>,
 }
 
 /// A call that is queued or running.
@@ -191,6 +195,11 @@
     queued: Notify,
     /// Connections to the instance.
     pub pool: Pool,
+    /// True if canceled running calls may be left to finish, so that their
+    /// connections are reused.
+    pub(super) keeps_connections: bool,
+    /// Counters of canceled calls.
+    pub cancellations: Counters,
     /// Requests that were sent to the instance.
     pub arrivals: Cell<u64>,
     /// Retries among them, with nested calls of retried requests.
@@ -234,6 +243,8 @@
             last_call: Cell::new(0),
             queued: Notify::new(),
             pool: Pool::new(settings.server),
+            keeps_connections: settings.overload.keep_connections,
+            cancellations: Counters::default(),
             arrivals: Cell::new(0),
             retries: Cell::new(0),
             over_budget: Cell::new(0),
@@ -443,7 +454,7 @@
 
     /// Cancels a call that nobody waits for any more, and replies that it has
     /// not run if it has not started. A call that may run only once is not
-    /// interrupted after it has started.
+    /// interrupted after it has started; another one may be left to finish.
     pub fn cancel(&self, state: &Rc<State>, id: CallId) {
         let was_queued = self.bulkhead.borrow_mut().cancel(id);
         let mut jobs = self.jobs.borrow_mut();
@@ -456,18 +467,33 @@
             return;
         }
         drop(jobs);
-        if let Some(job) = self.take_job(state, id)
-            && let Some(task) = job.task
-        {
-            task.abort();
-            self.detector.record_interrupted(state.now(), job.fingerprint);
-            self.finish(state, id, &job.attempt, false);
+        if started && self.leave_to_finish(state, id) {
+            return;
         }
+        self.abort(state, id);
         if let Some(sink) = sink.filter(|_| !started) {
             reject(state, sink, Kind::Canceled, Millis(0));
         }
     }
 
+    /// Removes a job, and aborts its task if it has started. Returns false if
+    /// there is no such job or it has not started.
+    pub(super) fn abort(&self, state: &Rc<State>, id: CallId) -> bool {
+        let Some(job) = self.take_job(state, id) else {
+            return false;
+        };
+        let Some(task) = job.task else {
+            return false;
+        };
+        task.abort();
+        if job.call.is_none() {
+            self.pool.record_closing(Closing::Canceled);
+        }
+        self.detector.record_interrupted(state.now(), job.fingerprint);
+        self.finish(state, id, &job.attempt, false);
+        true
+    }
+
     /// Starts or rejects queued work until the bulkhead has no more to decide.
     pub fn advance(&self, state: &Rc<State>) {
         loop {
@@ -536,8 +562,10 @@
         answered: bool,
     ) {
         let now = state.now();
-        self.runs.borrow_mut().remove(attempt);
-        self.bulkhead.borrow_mut().finish(now, id, answered);
+        let run = self.runs.borrow_mut().remove(attempt);
+        // A canceled run may end early, as its nested calls are refused.
+        let canceled = run.is_some_and(|run| run.cancellation.is_set());
+        self.bulkhead.borrow_mut().finish(now, id, answered && !canceled);
         self.advance(state);
     }
 }
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -49,6 +49,24 @@
     }
 }
 
+/// The parts of overload control that are enabled.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Overload {
+    /// Refused callers get a retry time at which they are admitted.
+    pub reservations: bool,
+    /// Requests may wait at the ingress for a bounded time.
+    pub ingress_wait: bool,
+    /// Requests that cannot complete are not started.
+    pub feasibility: bool,
+    /// Work moves to other zones when the local one is full.
+    pub zone_spill: bool,
+    /// Connections of canceled calls are kept.
+    pub keep_connections: bool,
+    /// Learned state is passed on to other nodes.
+    pub handover: bool,
+}
+
 /// The settings of a node.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,6 +103,9 @@
     /// Limits on reading ahead on a caller's connection.
     #[serde(default)]
     pub read_ahead: ReadAhead,
+    /// The parts of overload control that are enabled.
+    #[serde(default)]
+    pub overload: Overload,
     /// The platform's bounds, by name.
     #[serde(default)]
     pub bounds: BTreeMap<String, String>,
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -170,6 +170,24 @@
     counter!("walnutmoor_arrivals_total").absolute(arrivals);
     let diverted = state.serve.diverted();
     counter!("walnutmoor_limited_total").absolute(diverted);
-    let opened = state.serve.pool.opened();
-    counter!("walnutmoor_connections_opened_total").absolute(opened);
+    publish_connections(&state.serve);
+}
+
+/// Updates the metrics of connections to the instance.
+fn publish_connections(serve: &mesh::serve::Serve) {
+    let pool = &serve.pool;
+    for (reason, count) in pool.opened_by_reason() {
+        let reason = reason.as_str();
+        counter!("walnutmoor_connections_opened_total", "reason" => reason)
+            .absolute(count);
+    }
+    for (reason, count) in pool.closings() {
+        let reason = reason.as_str();
+        counter!("walnutmoor_connections_closed_total", "reason" => reason)
+            .absolute(count);
+    }
+    for (outcome, count) in serve.cancellations.list() {
+        counter!("walnutmoor_canceled_runs_total", "outcome" => outcome)
+            .absolute(count);
+    }
 }
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 //! instances. Tests wait for conditions and do not assert on elapsed time.
 
 mod accounts;
+mod connections;
 mod crash_log;
 mod desired;
 mod faults;
