--- a/crates/walnutmoor/tests/mesh/connections.rs
+++ b/crates/walnutmoor/tests/mesh/connections.rs
@@ -60,12 +60,19 @@
     open(world, route, attempt).await.read().await.unwrap()
 }
 
-/// Guards against a new connection for each canceled call.
+/// Guards against a new connection for each canceled call, of the local node
+/// or of another one.
 #[test]
 fn the_connection_of_a_canceled_call_is_reused() {
+    check_connection_is_reused(&["desk"]);
+    check_connection_is_reused(&["front", "desk"]);
+}
+
+/// Cancels a call at the last of these services, sent to the first node.
+fn check_connection_is_reused(services: &[&str]) {
     run(async {
-        let world = world().await;
-        let desk = &world.pairs[0].instance;
+        let world = World::start_with(services, &["keep_connections"]).await;
+        let desk = &world.pairs[services.len() - 1].instance;
         desk.set_run_time(Duration::from_millis(200));
         world.send_until_ok(0, "browse", "before").await;
         sleep(IDLE_TIME).await;
--- a/crates/walnutmoor/tests/settings.rs
+++ b/crates/walnutmoor/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::{fs, path::Path};
 
-use walnutmoor::{prelude::*, settings::Settings};
+use walnutmoor::{failure::Failure, prelude::*, settings::Settings};
 
 #[test]
 fn settings_files_give_the_expected_result() {
@@ -50,6 +50,32 @@
     assert_eq!(settings.descriptors, 4_100);
 }
 
+/// Guards against a part of overload control that is enabled without being
+/// named, and against a misspelled key that has no effect.
+#[test]
+fn parts_of_overload_control_are_off_unless_enabled() {
+    let text = std::fs::read_to_string("testdata/mesh/node.yaml").unwrap();
+    let parse = |overload: &str| {
+        walnutmoor::mesh::settings::Settings::parse(&format!(
+            "{text}{overload}"
+        ))
+    };
+
+    let default = parse("").unwrap().overload;
+    assert!(!default.keep_connections && !default.handover);
+    let some = parse("overload: { keep_connections: true }\n").unwrap();
+    assert!(some.overload.keep_connections && !some.overload.handover);
+    let unknown = parse("overload: { keep_connection: true }\n");
+    let error = unknown.unwrap_err().to_string();
+    assert!(error.contains("keep_connection"), "{error}");
+    let malformed = parse("overload: { keep_connections: often }\n");
+    let Err(Failure::Settings { span: Some(at), .. }) = malformed else {
+        panic!("the position of the value is not known: {malformed:?}");
+    };
+    let value = text.len() + "overload: { keep_connections: ".len();
+    assert_eq!(at.offset(), value);
+}
+
 #[test]
 fn an_unknown_key_in_mesh_settings_is_named_in_the_error() {
     let text = std::fs::read_to_string("testdata/mesh/node.yaml").unwrap();
