--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -15,9 +15,11 @@
   service sheds load.
 - How much load fits. Instances report the demand for their slots as a fraction
   of their capacity. For less urgent routes, the admitted fraction is computed
-  directly from that demand and from what was admitted while it arose.
+  directly from that demand and from what was admitted while it arose. So it
+  is for routes of priority 1 that reach the service through calls, which come
+  after priority 0 and before less urgent routes.
 
-Urgent routes are cut only if their own demand exceeds capacity and no less
+Other urgent routes are cut only if their own demand exceeds capacity and no less
 urgent route can be cut further. A minimum of the less urgent traffic is always
 admitted, and urgent routes are never cut on its account. Calls that instances
 make are never rejected here: rejecting one wastes the request that made it.
@@ -42,6 +44,7 @@
 
 mod completion;
 mod route;
+mod scaling;
 
 use completion::Services;
 use route::{MAX_URGENT_PRIORITY, MIN_ADMITTED, Route, TARGET_UTILIZATION};
@@ -140,6 +143,7 @@
         let Some(state) = self.routes.get(route) else {
             return true;
         };
+        state.offered.set(state.offered.get().saturating_add(1));
         let preference = if is_retry { RETRY_PREFERENCE } else { 1.0 };
         draw < state.admitted * preference
     }
@@ -247,6 +251,7 @@
             state.suspect_steps = state.suspect_steps.saturating_sub(1);
             state.completed *= COUNT_DECAY;
             state.overloaded *= COUNT_DECAY;
+            state.record_offered();
         }
         self.cut_cooldown = self.cut_cooldown.saturating_sub(1);
         let mut changed = self.update_routes(Route::is_scaled, |state| {
@@ -254,16 +259,43 @@
                 if state.suspect_steps > 0 { hidden_demand } else { 0.0 };
             state.scale(state.scale_factor(&pressures, hidden_demand));
         });
+        changed.extend(self.scale_urgent(&pressures));
         changed.extend(self.cut_urgent(pressure.urgent));
         changed.extend(self.raise_urgent(pressure.urgent));
         self.routes.values_mut().for_each(Route::record_admitted);
         changed
     }
 
+    /// Moves routes of priority 1 that reach services through calls to the
+    /// fractions that fit there.
+    fn scale_urgent(&mut self, pressures: &Pressures) -> Vec<(String, f64)> {
+        let targets = scaling::targets(&self.routes, pressures);
+        let mut changed = Vec::new();
+        for (name, target) in targets {
+            let state = &self.routes[&name];
+            let before = state.admitted;
+            let grows = target > before;
+            if grows && scaling::is_growth_blocked(&self.routes, state) {
+                continue;
+            }
+            let state = self.routes.get_mut(&name);
+            let state = state.expect("targets are computed from the routes");
+            state.approach(target);
+            if state.admitted != before {
+                changed.push((name, state.admitted));
+            }
+        }
+        changed
+    }
+
     /// Raises the admitted fraction of urgent routes that were cut.
     fn raise_urgent(&mut self, urgent_demand: f64) -> Vec<(String, f64)> {
         let headroom = URGENT_RAISE_DEMAND - urgent_demand;
-        let is_cut = |state: &Route| state.is_urgent() && state.admitted < 1.0;
+        let is_cut = |state: &Route| {
+            state.is_urgent()
+                && !state.is_scaled_urgent()
+                && state.admitted < 1.0
+        };
         match headroom > 0.0 {
             true => self.update_routes(is_cut, |state| {
                 state.admitted = raised(state.admitted, headroom)
@@ -305,7 +337,11 @@
         let fraction = (TARGET_UTILIZATION / urgent_demand)
             .clamp(CUT_FACTOR_RANGE.0, CUT_FACTOR_RANGE.1);
         self.update_routes(
-            |state| state.priority == priority && state.can_be_cut(),
+            |state| {
+                state.priority == priority
+                    && state.can_be_cut()
+                    && !state.is_scaled_urgent()
+            },
             |state| {
                 state.admitted = (state.admitted * fraction).max(MIN_ADMITTED)
             },
--- a/crates/walnutmoor-core/src/throttle/route.rs
+++ b/crates/walnutmoor-core/src/throttle/route.rs
@@ -2,7 +2,7 @@
 Admission state of one route.
 */
 
-use std::collections::VecDeque;
+use std::{cell::Cell, collections::VecDeque};
 
 use super::completion::CallProfile;
 use crate::{
@@ -27,6 +27,10 @@
 /// admitted, and demand is counted over half a second.
 const HISTORY_STEPS: usize = 5;
 
+/// Latest steps whose offered requests count as current. One step has too few
+/// requests at an ingress with little traffic.
+pub(super) const CURRENT_STEPS: usize = 2;
+
 /// Part of the distance to the target that an increase covers in one step.
 /// Decreases apply at once, because excess work harms the work that fits.
 const INCREASE_FRACTION: f64 = 0.3;
@@ -65,6 +69,10 @@
     pub(super) admitted: f64,
     /// Admitted fractions of the last steps, newest last.
     history: VecDeque<f64>,
+    /// Requests offered since the last step.
+    pub(super) offered: Cell<u32>,
+    /// Requests offered in the last steps, newest last.
+    offers: VecDeque<u32>,
     /// Steps for which the route is still assumed to lead to the overloaded
     /// service.
     pub(super) suspect_steps: u8,
@@ -86,6 +94,8 @@
             overloaded: 0.0,
             admitted: 1.0,
             history: VecDeque::new(),
+            offered: Cell::new(0),
+            offers: VecDeque::new(),
             suspect_steps: 0,
             slot_ms: Map::default(),
             own_slot_ms: Map::default(),
@@ -122,10 +132,38 @@
         self.history.push_back(self.admitted);
     }
 
+    /// Ends the step in which offered requests are counted.
+    pub(super) fn record_offered(&mut self) {
+        if self.offers.len() == HISTORY_STEPS + CURRENT_STEPS {
+            self.offers.pop_front();
+        }
+        self.offers.push_back(self.offered.take());
+    }
+
+    /// Returns the mean number of requests offered per step: in the latest
+    /// steps, and in the steps that led to the current demand. Both are 0 until
+    /// enough steps are known.
+    pub(super) fn offered_per_step(&self) -> (f64, f64) {
+        if self.offers.len() < HISTORY_STEPS + CURRENT_STEPS {
+            return (0.0, 0.0);
+        }
+        let mean = |offers: f64, steps: usize| offers / steps as f64;
+        let offers = self.offers.iter().map(|count| f64::from(*count));
+        let before: f64 = offers.clone().take(HISTORY_STEPS).sum();
+        let current: f64 = offers.skip(HISTORY_STEPS).sum();
+        (mean(current, CURRENT_STEPS), mean(before, HISTORY_STEPS))
+    }
+
     /// Moves the admitted fraction towards `factor` times the one that led to
     /// the current demand.
     pub(super) fn scale(&mut self, factor: f64) {
-        let target = (self.mean_admitted() * factor).clamp(MIN_ADMITTED, 1.0);
+        self.approach(self.mean_admitted() * factor);
+    }
+
+    /// Moves the admitted fraction towards a target: down at once, up in
+    /// steps.
+    pub(super) fn approach(&mut self, target: f64) {
+        let target = target.clamp(MIN_ADMITTED, 1.0);
         match target < self.admitted {
             true => self.admitted = target,
             false => {
@@ -175,6 +213,18 @@
         !self.is_urgent() && (is_known || self.suspect_steps > 0)
     }
 
+    /// Returns true if the route is urgent but not of the highest priority and
+    /// reaches services through calls, so that its admitted fraction follows
+    /// their demand.
+    pub(super) fn is_scaled_urgent(&self) -> bool {
+        self.priority == MAX_URGENT_PRIORITY && !self.slot_ms.is_empty()
+    }
+
+    /// The same for one service.
+    pub(super) fn is_scaled_urgent_at(&self, key: Key) -> bool {
+        self.is_scaled_urgent() && self.slot_ms.contains_key(&key)
+    }
+
     pub(super) fn can_be_cut(&self) -> bool {
         self.suspect_steps > 0 && self.admitted > MIN_ADMITTED
     }
--- a/crates/walnutmoor-core/tests/throttle.rs
+++ b/crates/walnutmoor-core/tests/throttle.rs
@@ -338,3 +338,142 @@
     let completable = count_completable(&throttle);
     assert!((20..100).contains(&completable), "{completable}");
 }
+
+/// `parts` gets twice the urgent demand that fits, and nothing else.
+fn parts_demanded(demand: f64) -> Pressures {
+    let worst = Pressure {
+        demand: demand / 0.85,
+        urgent: demand / 0.7,
+        least_urgent: 0.0,
+        shedding: demand > 1.0,
+    };
+    Pressures { worst, by_service: [(parts(), worst)].into_iter().collect() }
+}
+
+/// Guards against repeated cuts of an urgent route by a factor, which leave
+/// most of its requests to fail half-way for seconds.
+#[test]
+fn called_route_of_priority_1_is_scaled_in_one_step() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), desk());
+
+    throttle.step(parts_demanded(2.0));
+
+    let fraction = admitted(&throttle, "checks");
+    assert!((0.4..0.55).contains(&fraction), "{fraction}");
+}
+
+/// Guards against growth of a scaled route that is not limited by demand.
+#[test]
+fn scaled_route_of_priority_1_settles_at_capacity() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), desk());
+
+    for _ in 0..60 {
+        let demand = 2.0 * admitted(&throttle, "checks");
+        throttle.step(parts_demanded(demand));
+    }
+
+    let fraction = admitted(&throttle, "checks");
+    assert!((0.44..0.53).contains(&fraction), "{fraction}");
+}
+
+/// Guards against direct scaling of routes that do not call the service, whose
+/// rule does not change.
+#[test]
+fn other_urgent_routes_are_not_scaled() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("claims", 0, &footprint(40, 540), desk());
+    throttle.observe_route("notes", 1, &footprint(40, 0), desk());
+    throttle.observe_route("permits", 1, &footprint(0, 540), parts());
+    record_outcomes(&mut throttle, "unknown", 1, 0);
+
+    for _ in 0..10 {
+        throttle.step(parts_demanded(2.0));
+    }
+
+    for route in ["claims", "notes", "permits", "unknown"] {
+        assert_eq!(admitted(&throttle, route), 1.0, "{route}");
+    }
+}
+
+/// Guards against cuts that hit the cheaper of two routes of equal priority:
+/// more whole requests complete if it is cut later.
+#[test]
+fn cheaper_route_of_priority_1_is_cut_later() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), desk());
+    throttle.observe_route("confirmations", 1, &footprint(40, 270), desk());
+    record_outcomes(&mut throttle, "checks", 1, 0);
+    record_outcomes(&mut throttle, "confirmations", 1, 0);
+
+    throttle.step(parts_demanded(1.4));
+
+    assert_eq!(admitted(&throttle, "confirmations"), 1.0);
+    let fraction = admitted(&throttle, "checks");
+    assert!((0.45..0.65).contains(&fraction), "{fraction}");
+}
+
+/// Guards against a route of priority 1 that takes the capacity which a cut
+/// route of priority 0 needs to recover.
+#[test]
+fn scaled_route_does_not_grow_while_priority_0_is_cut() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), desk());
+    throttle.observe_route("claims", 0, &footprint(40, 540), desk());
+    for _ in 0..60 {
+        record_outcomes(&mut throttle, "checks", 1, 60);
+        record_outcomes(&mut throttle, "claims", 0, 60);
+        throttle.step(parts_demanded(3.0));
+    }
+    let (checks, claims) =
+        (admitted(&throttle, "checks"), admitted(&throttle, "claims"));
+    assert!(checks < 0.1 && claims < 0.9, "{checks} {claims}");
+
+    throttle.step(parts_demanded(0.5));
+
+    assert!(admitted(&throttle, "claims") > claims);
+    assert_eq!(admitted(&throttle, "checks"), checks);
+}
+
+/// Offers a number of requests to a route in one step.
+fn offer(throttle: &mut Throttle, route: &str, count: u32, demand: f64) {
+    for _ in 0..count {
+        throttle.admits(route, false, 0.5);
+    }
+    throttle.step(parts_demanded(demand));
+}
+
+/// Guards against a wait for demand that appears late: calls that wait for a
+/// slot delay the next calls of their requests.
+#[test]
+fn scaled_route_is_cut_when_requests_double_before_demand_does() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), desk());
+    for _ in 0..8 {
+        offer(&mut throttle, "checks", 40, 0.9);
+    }
+    assert_eq!(admitted(&throttle, "checks"), 1.0);
+
+    offer(&mut throttle, "checks", 80, 0.9);
+    offer(&mut throttle, "checks", 80, 1.0);
+
+    let fraction = admitted(&throttle, "checks");
+    assert!(fraction < 0.65, "{fraction}");
+}
+
+/// Guards against cuts because of the few requests of an ingress that has
+/// little traffic.
+#[test]
+fn scaled_route_is_not_cut_for_a_random_fluctuation() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), desk());
+    for _ in 0..8 {
+        offer(&mut throttle, "checks", 3, 0.9);
+    }
+
+    offer(&mut throttle, "checks", 5, 0.9);
+    offer(&mut throttle, "checks", 5, 0.9);
+
+    assert_eq!(admitted(&throttle, "checks"), 1.0);
+}
