--- a/crates/walnutmoor-core/src/throttle/route.rs
+++ b/crates/walnutmoor-core/src/throttle/route.rs
@@ -217,12 +217,21 @@
     /// reaches services through calls, so that its admitted fraction follows
     /// their demand.
     pub(super) fn is_scaled_urgent(&self) -> bool {
-        self.priority == MAX_URGENT_PRIORITY && !self.slot_ms.is_empty()
+        self.priority == MAX_URGENT_PRIORITY
+            && self.slot_ms.values().any(|slot_ms| *slot_ms > 0.0)
     }
 
-    /// The same for one service.
+    /// The same for one service, which may also be the one that requests are
+    /// sent to: its slots stay busy while runs wait for calls elsewhere.
     pub(super) fn is_scaled_urgent_at(&self, key: Key) -> bool {
-        self.is_scaled_urgent() && self.slot_ms.contains_key(&key)
+        self.is_scaled_urgent() && self.slot_time_at(key) > 0.0
+    }
+
+    /// Returns the mean slot milliseconds that a request uses at a service,
+    /// directly or through calls.
+    pub(super) fn slot_time_at(&self, key: Key) -> f64 {
+        let own = self.own_slot_ms.get(&key);
+        self.slot_ms.get(&key).or(own).copied().unwrap_or_default()
     }
 
     pub(super) fn can_be_cut(&self) -> bool {
--- a/crates/walnutmoor-core/src/throttle/scaling.rs
+++ b/crates/walnutmoor-core/src/throttle/scaling.rs
@@ -1,6 +1,6 @@
 /*!
-Scales routes of priority 1 directly by the demand for the services that they
-reach through calls.
+Scales routes of priority 1 that make calls directly by the demand for the
+services that they use.
 
 Such a request makes several calls in sequence, and a call that is rejected
 fails the whole request. If more requests are admitted than fit, most of them
@@ -60,8 +60,7 @@
 /// have used if they had completed.
 fn usage(route: &Route, key: Key) -> f64 {
     let count = route.completed + route.overloaded;
-    let own = route.own_slot_ms.get(&key);
-    route.slot_ms.get(&key).or(own).map_or(0.0, |cost| cost * count)
+    route.slot_time_at(key) * count
 }
 
 /// The admitted fractions that fit one service.
@@ -88,7 +87,7 @@
         return each.map(|(name, route)| (name, fraction(route))).collect();
     }
     scaled.sort_by(|(a, x), (b, y)| {
-        let (x, y) = (x.slot_ms[&key], y.slot_ms[&key]);
+        let (x, y) = (x.slot_time_at(key), y.slot_time_at(key));
         x.total_cmp(&y).then(a.cmp(b))
     });
     fill(&scaled, key, own * factor)
@@ -104,8 +103,8 @@
     let (mut current, mut before, mut count) = (0.0, 0.0, 0.0);
     for (_, route) in routes {
         let (now, earlier) = route.offered_per_step();
-        current += now * route.slot_ms[&key];
-        before += earlier * route.slot_ms[&key];
+        current += now * route.slot_time_at(key);
+        before += earlier * route.slot_time_at(key);
         count += earlier * CURRENT_STEPS as f64;
     }
     if before == 0.0 {
--- a/crates/walnutmoor-core/tests/throttle.rs
+++ b/crates/walnutmoor-core/tests/throttle.rs
@@ -378,6 +378,22 @@
     assert!((0.44..0.53).contains(&fraction), "{fraction}");
 }
 
+/// Guards against a queue at the service that requests are sent to: its slots
+/// stay busy while runs wait for calls elsewhere.
+#[test]
+fn caller_of_priority_1_is_scaled_by_the_demand_of_its_own_service() {
+    let mut throttle = Throttle::new();
+    throttle.observe_route("checks", 1, &footprint(40, 540), parts());
+
+    for _ in 0..60 {
+        let demand = 2.0 * admitted(&throttle, "checks");
+        throttle.step(parts_demanded(demand));
+    }
+
+    let fraction = admitted(&throttle, "checks");
+    assert!((0.44..0.53).contains(&fraction), "{fraction}");
+}
+
 /// Guards against direct scaling of routes that do not call the service, whose
 /// rule does not change.
 #[test]
