--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod directory;
 pub mod edition;
 pub mod error;
+pub mod feasibility;
 pub mod footprint;
 pub mod gate;
 pub mod gossip;
--- a/crates/walnutmoor-core/src/retry_budget.rs
+++ b/crates/walnutmoor-core/src/retry_budget.rs
@@ -33,7 +33,10 @@
 
 use std::collections::VecDeque;
 
-use crate::{bulkhead::URGENT_RANKS, digest, footprint::State, time::Millis};
+use crate::{
+    bulkhead::URGENT_RANKS, digest, feasibility::Order, footprint::State,
+    time::Millis,
+};
 
 /// The position of a whole request in a uniform sample of requests: a hash of
 /// its id, the same at every node and for each call made for the request.
@@ -46,8 +49,13 @@
         SampleKey((digest::of(request) >> 48) as u16)
     }
 
+    /// True if it lies in the first `fraction` of the sample.
+    pub fn is_within(self, fraction: f64) -> bool {
+        self.fraction() < fraction
+    }
+
     /// The fraction of all requests with a lower key.
-    fn fraction(self) -> f64 {
+    pub(crate) fn fraction(self) -> f64 {
         f64::from(self.0) / f64::from(u16::MAX)
     }
 }
@@ -62,6 +70,11 @@
 }
 
 impl Priority {
+    /// True if the rank is urgent.
+    pub(crate) fn is_urgent(self) -> bool {
+        usize::from(self.rank) < URGENT_RANKS
+    }
+
     /// True if the request lies in the first `fraction` of the sample.
     pub(crate) fn is_within(self, fraction: f64) -> bool {
         self.sample_key.fraction() < fraction
@@ -70,7 +83,7 @@
     /// The fraction of the burst that must remain for this retry to be
     /// admitted.
     pub(crate) fn required_burst(self) -> f64 {
-        match usize::from(self.rank) < URGENT_RANKS {
+        match self.is_urgent() {
             true => self.sample_key.fraction() * (1.0 - URGENT_BURST_SHARE),
             false => {
                 (1.0 - URGENT_BURST_SHARE)
@@ -81,7 +94,7 @@
 }
 
 /// The fraction of the burst that is reserved for the urgent ranks.
-const URGENT_BURST_SHARE: f64 = 0.5;
+pub(crate) const URGENT_BURST_SHARE: f64 = 0.5;
 
 /// The fraction of a window's allowance that may be spent at once. The rest
 /// accrues over the window, so that it lasts through a long failure.
@@ -251,6 +264,12 @@
 
     /// Admits and counts a retry of this priority, if the budget allows it.
     pub fn try_retry_for(&mut self, now: Millis, priority: Priority) -> bool {
+        self.try_retry_in(now, Order::new(priority, None))
+    }
+
+    /// Admits and counts a retry at this place in the order, if the budget
+    /// allows it.
+    pub fn try_retry_in(&mut self, now: Millis, order: Order) -> bool {
         let allowance = self.allowance(now);
         let burst = (allowance.own * BURST_SHARE).max(MIN_BURST_RETRIES);
         let accrued = self.accrued(now, allowance.own);
@@ -259,7 +278,7 @@
         let left = 1.0 - self.spent / burst;
         if self.remaining(now) == 0
             || left <= 0.0
-            || left < priority.required_burst()
+            || left < order.required_burst()
         {
             return false;
         }
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -52,6 +52,7 @@
 use crate::{
     balance::{Pressure, Pressures},
     digest::Map,
+    feasibility::{Need, Order},
     footprint::{Footprint, Key},
     retry_budget::Priority,
 };
@@ -115,6 +116,10 @@
 /// assumed to lead to the overloaded service. This is 10 s.
 const SUSPECT_STEPS: u8 = 50;
 
+/// Expected retries below which requests are not told apart by their need. Few
+/// of them need any.
+const MIN_NEED: f64 = 0.5;
+
 /// Returns the admitted fraction after one step with this headroom.
 fn raised(admitted: f64, headroom: f64) -> f64 {
     (admitted + admitted * headroom * RAISE_FRACTION + MIN_RAISE).min(1.0)
@@ -158,6 +163,25 @@
         })
     }
 
+    /// Returns the retries that a request of this route is expected to need,
+    /// or `None` if it is unlikely to need one.
+    pub fn need(&self, route: &str) -> Option<Need> {
+        let state = self.routes.get(route)?;
+        let called = state.profile.need(&self.services);
+        let need = called.plus(state.own_profile.need(&self.services));
+        (need.retries() >= MIN_NEED).then_some(need)
+    }
+
+    /// The same as [`Throttle::can_complete`] for instances that admit retries
+    /// by need.
+    pub fn is_feasible(&self, route: &str, priority: Priority) -> bool {
+        let order = Order::new(priority, self.need(route));
+        let state = self.routes.get(route);
+        state.is_none_or(|state| {
+            state.profile.is_feasible(&self.services, priority, order)
+        })
+    }
+
     /// Returns the fraction of the retry budget that is spent at the services
     /// where a request of this route is likely to need a retry.
     pub fn retry_budget_spent(&self, route: &str) -> f64 {
--- a/crates/walnutmoor-core/src/throttle/completion.rs
+++ b/crates/walnutmoor-core/src/throttle/completion.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     digest::Map,
+    feasibility::{Need, Order},
     footprint::{Footprint, Key},
     retry_budget::Priority,
 };
@@ -79,11 +80,31 @@
         &self,
         services: &Services,
         priority: Priority,
+    ) -> bool {
+        self.is_feasible(services, priority, Order::new(priority, None))
+    }
+
+    /// Returns the retries that a request is expected to need.
+    pub(super) fn need(&self, services: &Services) -> Need {
+        let needs = self.0.iter().filter_map(|(key, runs)| {
+            let known = services.0.get(key)?;
+            Some(Need::of_runs(*runs, known.shed))
+        });
+        needs.fold(Need::default(), Need::plus)
+    }
+
+    /// Returns true if this request is likely to complete at this place in the
+    /// order of retries.
+    pub(super) fn is_feasible(
+        &self,
+        services: &Services,
+        priority: Priority,
+        order: Order,
     ) -> bool {
         let spent = self.budget_spent(services);
         let left = (1.0 - spent) * USABLE_BUDGET_FRACTION;
         spent == 0.0
-            || priority.required_burst() <= left
+            || order.required_at_ingress() <= left
             || priority.is_within(MIN_ADMITTED)
     }
 
--- a/crates/walnutmoor-core/src/throttle/route.rs
+++ b/crates/walnutmoor-core/src/throttle/route.rs
@@ -84,6 +84,8 @@
     pub(super) own_slot_ms: Map<Key, f64>,
     /// Calls per request, to predict whether retries let it complete.
     pub(super) profile: CallProfile,
+    /// Runs per request at the services that requests are sent to directly.
+    pub(super) own_profile: CallProfile,
 }
 
 impl Route {
@@ -100,6 +102,7 @@
             slot_ms: Map::default(),
             own_slot_ms: Map::default(),
             profile: CallProfile::default(),
+            own_profile: CallProfile::default(),
         }
     }
 
@@ -179,7 +182,11 @@
         for key in footprint.keys() {
             let span = footprint.slot_time(key).0 as f64;
             let means = match key == target {
-                true => &mut self.own_slot_ms,
+                true => {
+                    let runs = footprint.runs(key);
+                    self.own_profile.observe(key, runs, SMOOTHING);
+                    &mut self.own_slot_ms
+                }
                 false => {
                     self.profile.observe(key, footprint.runs(key), SMOOTHING);
                     &mut self.slot_ms
--- a/crates/walnutmoor-core/tests/direct_scaling.rs
+++ b/crates/walnutmoor-core/tests/direct_scaling.rs
@@ -3,7 +3,7 @@
 
 mod shortage;
 
-use shortage::{Report, Scenario, Tally, deployment::second, run};
+use shortage::{Policy, Report, Scenario, Tally, deployment::second, run};
 use walnutmoor_core::time::Millis;
 
 const SEEDS: [u64; 2] = [3, 17];
@@ -23,6 +23,7 @@
         deployment: second(),
         demand: vec![(Millis(0), before), (Millis(5_000), after)],
         shedding: None,
+        policy: Policy::CURRENT,
         counted: (Millis(5_000), Millis(11_000)),
     };
     run(&scenario, &SEEDS)
@@ -35,6 +36,7 @@
         deployment: second(),
         demand: (0..8).map(|n| (Millis(n * 1_500), demand(n))).collect(),
         shedding: None,
+        policy: Policy::CURRENT,
         counted: (Millis(3_000), Millis(12_000)),
     };
     run(&scenario, &SEEDS)
--- a/crates/walnutmoor-core/tests/shortage/mod.rs
+++ b/crates/walnutmoor-core/tests/shortage/mod.rs
@@ -20,6 +20,7 @@
     balance::{Balancer, Choice, Pick},
     bulkhead::{Bulkhead, Next, Offer, Work, urgency},
     digest::Map,
+    feasibility::{Need, Order},
     footprint::{Footprint, Key},
     id::{CallId, NodeId, Service},
     retry_budget::{Config, Priority, RetryBudget, SampleKey},
@@ -38,6 +39,10 @@
 const RETRY_AFTER_FRACTION: f64 = 0.15;
 /// Maximum number of instances that one call may reach.
 const MAX_ATTEMPTS: u8 = 2;
+/// The window of the platform's rule on retries.
+const RETRY_WINDOW: Millis = Millis(10_000);
+/// The resolution at which windows are checked.
+const SLICE: Millis = Millis(250);
 /// Call ids per request; the chains of a request have consecutive ids.
 const IDS_PER_REQUEST: u64 = 4;
 
@@ -49,6 +54,35 @@
     pub fraction: f64,
 }
 
+/// Which requests get retries first, and which are refused because they are
+/// unlikely to complete.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Whether requests that need few retries get theirs first.
+    pub by_need: bool,
+    /// The fraction of the idempotent requests that run although they are
+    /// unlikely to complete.
+    pub run_idempotent: f64,
+    /// Whether all requests are refused that need more than one retry.
+    pub one_retry_only: bool,
+    /// The fraction of the previous window's requests on which the retry
+    /// budget is based at least.
+    pub carry_over: f64,
+}
+
+impl Policy {
+    /// Without the setting `overload.feasibility`.
+    pub const CURRENT: Policy = Policy {
+        by_need: false,
+        run_idempotent: 1.0,
+        one_retry_only: false,
+        carry_over: 0.9,
+    };
+
+    /// With the setting.
+    pub const BY_NEED: Policy = Policy { by_need: true, ..Policy::CURRENT };
+}
+
 /// Parameters of a simulation.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -56,6 +90,7 @@
     /// The demand relative to the capacity, from these times on.
     pub demand: Vec<(Millis, f64)>,
     pub shedding: Option<Shedding>,
+    pub policy: Policy,
     /// Arrival times of the requests that are counted.
     pub counted: (Millis, Millis),
 }
@@ -93,6 +128,9 @@
     pub routes: Map<&'static str, Tally>,
     pub firsts: u32,
     pub retries: u32,
+    /// The largest number of retries per first attempt in any window of the
+    /// platform's rule.
+    pub worst_ratio: f64,
 }
 
 impl Report {
@@ -112,6 +150,35 @@
         }
         self.firsts += other.firsts;
         self.retries += other.retries;
+        self.worst_ratio = self.worst_ratio.max(other.worst_ratio);
+    }
+}
+
+/// First attempts and retries in the slices of time.
+#[derive(Debug, Default)]
+struct Arrivals(Vec<(u32, u32)>);
+
+impl Arrivals {
+    fn record(&mut self, now: Millis, is_retry: bool) {
+        let slice = (now.0 / SLICE.0) as usize;
+        if self.0.len() <= slice {
+            self.0.resize(slice + 1, (0, 0));
+        }
+        match is_retry {
+            true => self.0[slice].1 += 1,
+            false => self.0[slice].0 += 1,
+        }
+    }
+
+    /// The largest ratio of retries to first attempts in any whole window.
+    fn worst_ratio(&self) -> f64 {
+        let slices = (RETRY_WINDOW.0 / SLICE.0) as usize;
+        let ratios = self.0.windows(slices).map(|window| {
+            let firsts: u32 = window.iter().map(|slice| slice.0).sum();
+            let retries: u32 = window.iter().map(|slice| slice.1).sum();
+            f64::from(retries) / f64::from(firsts.max(1))
+        });
+        ratios.fold(0.0, f64::max)
     }
 }
 
@@ -152,6 +219,7 @@
     caller: Caller,
     deadline: Millis,
     sample_key: SampleKey,
+    need: Option<Need>,
     chains: Vec<Chain>,
     has_run: bool,
 }
@@ -178,6 +246,7 @@
     ingresses: Vec<(Balancer, Throttle)>,
     instances: Vec<Bulkhead>,
     budgets: Vec<RetryBudget>,
+    arrivals: Arrivals,
     rng: ChaCha8Rng,
     report: Report,
 }
@@ -188,8 +257,9 @@
 
 /// The retry budget of one instance, a part of the platform's 0.2 retries per
 /// first attempt.
-fn budget() -> RetryBudget {
-    RetryBudget::new(Config::new().leaf(0.14, 0.17).slack(4.0).carry_over(0.9))
+fn budget(carry_over: f64) -> RetryBudget {
+    let config = Config::new().leaf(0.14, 0.17).slack(4.0);
+    RetryBudget::new(config.carry_over(carry_over))
 }
 
 fn bottleneck() -> Service {
@@ -203,6 +273,7 @@
 impl Simulation {
     pub fn new(scenario: Scenario, seed: u64) -> Simulation {
         let count = scenario.deployment.instances;
+        let carry_over = scenario.policy.carry_over;
         let zone = |n: usize| format!("z{}", n % 3).parse().unwrap();
         let ingresses = (0..INGRESSES).map(|ingress| {
             let mut balance = Balancer::new(zone(ingress));
@@ -227,7 +298,8 @@
             returning: Map::default(),
             ingresses,
             instances,
-            budgets: (0..count).map(|_| budget()).collect(),
+            budgets: (0..count).map(|_| budget(carry_over)).collect(),
+            arrivals: Arrivals::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             report: Report::default(),
         };
@@ -246,6 +318,7 @@
             self.now = time;
             self.handle(event);
         }
+        self.report.worst_ratio = self.arrivals.worst_ratio();
         self.report
     }
 
@@ -317,15 +390,35 @@
         let sample_key = SampleKey::of(&id.to_string());
         let priority = Priority { rank: spec.priority, sample_key };
         let throttle = &self.ingresses[caller.ingress].1;
-        let completes =
-            !spec.once_only || throttle.can_complete(spec.name, priority);
+        let need = throttle.need(spec.name);
+        let policy = self.scenario.policy;
+        let completes = match policy.by_need {
+            false => {
+                !spec.once_only || throttle.can_complete(spec.name, priority)
+            }
+            true => {
+                let runs_anyway = !spec.once_only
+                    && sample_key.is_within(policy.run_idempotent);
+                runs_anyway || throttle.is_feasible(spec.name, priority)
+            }
+        };
+        let completes = completes
+            && !(policy.one_retry_only
+                && need.is_some_and(|need| need.retries() > 1.5));
         if !throttle.admits(spec.name, is_retry, draw) || !completes {
             return self.refuse(caller, is_retry);
         }
         let chains = vec![Chain::new(spec.calls.max(1)); spec.chains];
         let deadline = self.now + spec.timeout;
-        let request =
-            Request { caller, deadline, sample_key, chains, has_run: false };
+        let need = need.filter(|_| policy.by_need);
+        let request = Request {
+            caller,
+            deadline,
+            sample_key,
+            need,
+            chains,
+            has_run: false,
+        };
         self.requests.insert(id, request);
         match spec.calls {
             0 => self.start(id),
@@ -420,7 +513,8 @@
         };
         let priority = Priority { rank, sample_key: request.sample_key };
         let budget = &mut self.budgets[instance];
-        if is_retry && !budget.try_retry_for(self.now, priority) {
+        let order = Order::new(priority, request.need);
+        if is_retry && !budget.try_retry_in(self.now, order) {
             return self.rejected(call, instance, Outcome::BudgetExhausted);
         }
         if !moved {
@@ -428,6 +522,9 @@
             self.report.firsts += 1;
         }
         self.report.retries += u32::from(is_retry);
+        if is_retry || !moved {
+            self.arrivals.record(self.now, is_retry);
+        }
         match self.instances[instance].offer(self.now, work) {
             Offer::Run => self.run_call(call, instance),
             Offer::Wait => {}
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -15,6 +15,7 @@
 use walnutmoor_core::{
     balance::{Choice, Pick},
     error::Kind,
+    feasibility::Need,
     footprint::Footprint,
     id::{Account, CallId, NodeId, Service},
     poison::{self, Fingerprint, Placement, Standing},
@@ -47,6 +48,9 @@
     pub is_nested: bool,
     /// True if the run that made it is a retry or descends from one.
     pub parent_is_retry: bool,
+    /// The retries that the root request is expected to need, if retries are
+    /// ordered by need.
+    pub need: Option<Need>,
     /// The service that is to run it.
     pub service: Service,
     /// The client account of the caller; `None` for nested calls and routes
@@ -494,6 +498,7 @@
         caller_time_left: request.caller_deadline.since(now),
         is_retry: progress.retry_state.arrivals() > 0,
         parent_is_retry: request.parent_is_retry,
+        need: request.need,
         moved: !progress.retry_state.tried().is_empty(),
         has_alternative,
         method: request.method.clone(),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -36,6 +36,7 @@
     bulkhead::Load,
     edition::{Edition, Stamp},
     error::Kind,
+    feasibility::Need,
     footprint::Footprint,
     id::{Account, CallId, Era, Incarnation, NodeId, Service, Zone},
     lifetime::Lifetime,
@@ -102,7 +103,7 @@
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -165,6 +166,9 @@
     /// True if the run that made it is a retry or descends from one.
     #[serde(rename = "echo")]
     pub parent_is_retry: bool,
+    /// The retries that the root request is expected to need, if retries are
+    /// ordered by need.
+    pub need: Option<Need>,
     /// True if it was sent to a node before.
     pub moved: bool,
     /// True if a sibling without a rate limit may take it.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -13,6 +13,7 @@
 use walnutmoor_core::{
     account::{Account, Directory, Key, Sender},
     error::{Kind, Ran, Refusal},
+    feasibility::Need,
     poison,
     table::{Effect, Route},
     time::Millis,
@@ -22,6 +23,7 @@
 use super::{
     connection,
     dispatch::{self, End, Finished},
+    feasibility,
     journal::Event,
     requests::{self, Stage},
     serve::Parent,
@@ -461,6 +463,10 @@
         let throttle = state.throttle.borrow();
         let admitted = throttle.admitted_fraction(&in_flight.route);
         let budget_spent = throttle.retry_budget_spent(&in_flight.route);
+        let overload = state.settings.overload;
+        let need =
+            feasibility::need(overload, &throttle, &in_flight.route, None);
+        let retries = need.map_or(0.0, Need::retries);
         let demand = state.balancer.borrow().pressures().worst.demand;
         let fields = [
             ("why", kind.as_str().into()),
@@ -471,9 +477,13 @@
             ("repeats_spent", budget_spent.into()),
             ("version", state.edition().version.0.into()),
             ("revision", state.edition().stamp.revision.0.into()),
+            ("need", retries.into()),
         ];
+        // The last field is left out while retries are not ordered by need.
+        let count = fields.len() - usize::from(need.is_none());
         let id = &in_flight.attempt;
-        state.journal.log_request(now, Event::Refused, id, &fields);
+        let fields = &fields[..count];
+        state.journal.log_request(now, Event::Refused, id, fields);
     }
     telemetry::count_account(in_flight.account(), kind.as_str());
     match refusal.retry_after {
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -22,6 +22,7 @@
     http1::Head,
     mesh::{
         dispatch::{self, End},
+        feasibility,
         serve::CallOutcome,
         state::State,
         wire,
@@ -83,6 +84,12 @@
         urgency,
         is_nested: parent.is_some(),
         parent_is_retry: parent.is_some_and(|parent| parent.is_retry),
+        need: feasibility::need(
+            state.settings.overload,
+            &state.throttle.borrow(),
+            &route.name,
+            parent,
+        ),
         service,
         account: account.map(|account| account.name.clone()),
         attempt: in_flight.attempt.clone(),
@@ -130,10 +137,9 @@
         return true;
     }
     let sample_key = SampleKey::of(header::root(attempt));
-    throttle.can_complete(
-        &route.name,
-        Priority { rank: route.priority, sample_key },
-    )
+    let priority = Priority { rank: route.priority, sample_key };
+    let overload = state.settings.overload;
+    feasibility::can_complete(overload, &throttle, &route.name, priority)
 }
 
 /// The path and query of a request.
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -27,6 +27,7 @@
 | [`crash`] | detects crashes of the local instance |
 | [`quotas`] | enforces the quotas of client accounts |
 | [`suspicion`] | tracks requests suspected of crashing instances |
+| `feasibility` | orders retries by need and refuses infeasible requests |
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
 | [`store`] | syncs desired state and directory with the platform's store |
@@ -48,6 +49,7 @@
 pub mod departure;
 pub mod desired;
 pub mod dispatch;
+mod feasibility;
 pub mod frame;
 pub mod ingress;
 pub mod instance;
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -20,6 +20,7 @@
     bulkhead::{Bulkhead, Load, Next, Offer, Work},
     digest::Map,
     error::Kind,
+    feasibility::{Need, Order},
     footprint::Footprint,
     id::CallId,
     lifetime::Tracker,
@@ -101,6 +102,9 @@
     pub priority: u8,
     /// True if the request is a retry or a nested call of one.
     pub is_retry: bool,
+    /// The retries that the root request is expected to need, if retries are
+    /// ordered by need.
+    pub need: Option<Need>,
 }
 
 /// The outcome of a nested call.
@@ -438,7 +442,8 @@
         }
         let sample_key = SampleKey::of(header::root(&call.attempt));
         let priority = Priority { rank: call.priority, sample_key };
-        self.retry_budget.borrow_mut().try_retry_for(now, priority)
+        let order = Order::new(priority, call.need);
+        self.retry_budget.borrow_mut().try_retry_in(now, order)
     }
 
     /// Cancels a call that nobody waits for any more, and replies that it has
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -49,6 +49,25 @@
     }
 }
 
+/// Switches of the overload control, each off by default.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Overload {
+    /// Gives refused callers a retry time for which capacity is reserved.
+    pub reservations: bool,
+    /// Lets requests wait at the ingress for a bounded time.
+    pub ingress_wait: bool,
+    /// Orders retries by the number that a request needs, and refuses requests
+    /// that are unlikely to complete.
+    pub feasibility: bool,
+    /// Lets the preference for the local zone fall when that zone is full.
+    pub zone_spill: bool,
+    /// Keeps connections to the instance open after a call was canceled.
+    pub keep_connections: bool,
+    /// Passes learned profiles to other nodes.
+    pub handover: bool,
+}
+
 /// The settings of a node.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,6 +104,9 @@
     /// Limits on reading ahead on a caller's connection.
     #[serde(default)]
     pub read_ahead: ReadAhead,
+    /// Switches of the overload control.
+    #[serde(default)]
+    pub overload: Overload,
     /// The platform's bounds, by name.
     #[serde(default)]
     pub bounds: BTreeMap<String, String>,
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -143,6 +143,7 @@
         caller_time_left: Millis(20_000),
         is_retry: false,
         parent_is_retry: false,
+        need: None,
         moved: false,
         has_alternative: false,
         method: "POST".into(),
