--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -49,21 +49,22 @@
     }
 }
 
-/// The parts of overload control that are enabled.
+/// Switches of the overload control, each off by default.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Overload {
-    /// Refused callers get a retry time at which they are admitted.
+    /// Gives refused callers a retry time for which capacity is reserved.
     pub reservations: bool,
-    /// Requests may wait at the ingress for a bounded time.
+    /// Lets requests wait at the ingress for a bounded time.
     pub ingress_wait: bool,
-    /// Requests that cannot complete are not started.
+    /// Orders retries by the number that a request needs, and refuses requests
+    /// that are unlikely to complete.
     pub feasibility: bool,
-    /// Work moves to other zones when the local one is full.
+    /// Lets the preference for the local zone fall when that zone is full.
     pub zone_spill: bool,
-    /// Connections of canceled calls are kept.
+    /// Keeps connections to the instance open after a call was canceled.
     pub keep_connections: bool,
-    /// Learned state is passed on to other nodes.
+    /// Passes learned profiles to other nodes.
     pub handover: bool,
 }
 
@@ -103,7 +104,7 @@
     /// Limits on reading ahead on a caller's connection.
     #[serde(default)]
     pub read_ahead: ReadAhead,
-    /// The parts of overload control that are enabled.
+    /// Switches of the overload control.
     #[serde(default)]
     pub overload: Overload,
     /// The platform's bounds, by name.
