--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod retry_state;
 pub mod server;
 pub mod shutdown;
+pub mod speed;
 pub mod table;
 pub mod throttle;
 pub mod ticket;
