--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -20,7 +20,8 @@
 let mut balance = Balancer::new("a".parse().unwrap());
 let (service, zone) = ("desk".parse().unwrap(), "b".parse().unwrap());
 balance.join(id(1), &service, &zone);
-balance.report(id(1), Load { accepting: true, limit: 4, ..Load::default() });
+let load = Load { accepting: true, limit: 4, ..Load::default() };
+balance.report(Millis(0), id(1), load);
 let target = Millis(100);
 let pick = Pick { service: &service, priority: 0, target, idempotent: true };
 assert_eq!(balance.choose(Millis(0), pick, &[]), Choice::Send(id(1)));
@@ -145,13 +146,13 @@
         }
     }
 
-    /// Records a load report. Returns true if it changes whether the
-    /// instance accepts work.
-    pub fn report(&mut self, id: NodeId, load: Load) -> bool {
+    /// Records a load report that arrives now. Returns true if it changes
+    /// whether the instance accepts work.
+    pub fn report(&mut self, now: Millis, id: NodeId, load: Load) -> bool {
         let Some((_, server)) = self.servers.get_mut(&id) else {
             return false;
         };
-        server.report(load)
+        server.report(now, load)
     }
 
     /// Excludes an unreachable node until the given time.
@@ -227,6 +228,7 @@
             let floor = if rejected { REJECTED_FAILURE_RATE } else { 0.0 };
             let failing = failing.max(floor);
             let run_time = server.run_time(rank).unwrap_or(typical_run_time);
+            let run_time = run_time * server.slowness(now);
             let mut cost = server.cost(rank, run_time);
             cost += failing * pick.target.0 as f64;
             if server.zone != self.zone {
@@ -234,7 +236,7 @@
             }
             if scope
                 .time_left
-                .is_some_and(|left| server.may_time_out(rank, left))
+                .is_some_and(|left| server.may_time_out(now, rank, left))
             {
                 cost += remote_cost * TIMEOUT_COST_FACTOR;
             }
@@ -312,10 +314,10 @@
     }
 
     /// The load pressure on each service.
-    pub fn pressures(&self) -> Pressures {
+    pub fn pressures(&self, now: Millis) -> Pressures {
         let mut pressures = Pressures::default();
         for (service, ids) in &self.services {
-            let pressure = self.pressure_of(ids);
+            let pressure = self.pressure_of(now, ids);
             let worst = &mut pressures.worst;
             worst.demand = worst.demand.max(pressure.demand);
             worst.urgent = worst.urgent.max(pressure.urgent);
@@ -326,18 +328,21 @@
         pressures
     }
 
-    /// The pressure on these instances, weighted by their limits.
-    fn pressure_of(&self, ids: &[NodeId]) -> Pressure {
+    /// The pressure on these instances, weighted by their capacities at the
+    /// current speed.
+    fn pressure_of(&self, now: Millis, ids: &[NodeId]) -> Pressure {
         let mut sum = Pressure::default();
         let mut capacity = 0.0;
-        let loads = ids.iter().filter_map(|id| self.load(*id));
-        for load in loads.filter(|load| load.accepting) {
-            let limit = f64::from(load.limit);
-            sum.demand += f64::from(load.demand) / 1_000.0 * limit;
-            sum.urgent += f64::from(load.urgent) / 1_000.0 * limit;
-            sum.least_urgent += f64::from(load.least_urgent) / 1_000.0 * limit;
+        let servers = ids.iter().filter_map(|id| self.servers.get(id));
+        for (_, server) in servers.filter(|(_, s)| s.load.accepting) {
+            let load = &server.load;
+            let (current, reported) = server.capacities(now);
+            sum.demand += f64::from(load.demand) / 1_000.0 * reported;
+            sum.urgent += f64::from(load.urgent) / 1_000.0 * reported;
+            sum.least_urgent +=
+                f64::from(load.least_urgent) / 1_000.0 * reported;
             sum.shedding |= load.shedding;
-            capacity += limit;
+            capacity += current;
         }
         if capacity > 0.0 {
             sum.demand /= capacity;
--- a/crates/walnutmoor-core/src/balance/server.rs
+++ b/crates/walnutmoor-core/src/balance/server.rs
@@ -85,6 +85,7 @@
     pub(super) zone: Zone,
     pub(super) load: Load,
     pub(super) reported: bool,
+    reported_at: Millis,
     /// Requests that this node has in flight to the instance.
     pub(super) in_flight: usize,
     /// The requests in flight when the last report arrived, at most those in
@@ -103,6 +104,7 @@
             zone,
             load: Load::default(),
             reported: false,
+            reported_at: Millis(0),
             in_flight: 0,
             in_flight_at_report: 0,
             failures: Failures::default(),
@@ -113,11 +115,12 @@
 
     /// Records a load report. Returns true if it changes whether the
     /// instance accepts work.
-    pub(super) fn report(&mut self, load: Load) -> bool {
+    pub(super) fn report(&mut self, now: Millis, load: Load) -> bool {
         let known = self.reported && self.load.accepting;
         let changed = known != load.accepting;
         self.load = load;
         self.reported = true;
+        self.reported_at = now;
         self.in_flight_at_report = self.in_flight;
         changed
     }
@@ -151,14 +154,34 @@
         self.reported && self.load.accepting && self.down_until <= now
     }
 
+    /// The factor by which runs now take longer than usual, from the last
+    /// report and its age.
+    pub(super) fn slowness(&self, now: Millis) -> f64 {
+        self.load.speed.factor(now.since(self.reported_at))
+    }
+
+    /// The capacity of the instance now and when it reported, in slots at
+    /// usual speed.
+    pub(super) fn capacities(&self, now: Millis) -> (f64, f64) {
+        let limit = f64::from(self.load.limit);
+        let then = self.load.speed.factor(Millis(0));
+        (limit / self.slowness(now), limit / then)
+    }
+
     /// True if a long run of this rank would take longer than `time_left`.
-    pub(super) fn may_time_out(&self, rank: usize, time_left: Millis) -> bool {
+    pub(super) fn may_time_out(
+        &self,
+        now: Millis,
+        rank: usize,
+        time_left: Millis,
+    ) -> bool {
         let wait = f64::from(self.load.waits[rank]);
         let run_time = f64::from(self.load.run_times[rank]);
+        let run_time = run_time * self.slowness(now);
         wait + run_time * LONG_RUN_FACTOR > time_left.0 as f64
     }
 
-    /// The mean run time of a rank in milliseconds, if known.
+    /// The mean run time of a rank at usual speed in milliseconds, if known.
     pub(super) fn run_time(&self, rank: usize) -> Option<f64> {
         let run_time = self.load.run_times[rank];
         (run_time > 0).then_some(f64::from(run_time))
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -34,16 +34,20 @@
 */
 
 mod load;
+mod run_times;
 
 use std::collections::{BTreeMap, VecDeque};
 
 pub use load::Load;
 
+use run_times::RunTimes;
+
 use crate::{
     demand::Demand,
     digest::Map,
     id::CallId,
     rate_limit::{Limiter, Rate},
+    speed::{Mark, Speed},
     time::Millis,
 };
 
@@ -56,6 +60,8 @@
     pub waiting: u32,
     /// Requests that the instance can run concurrently.
     pub slots: u32,
+    /// The current speed of the machine, if the instance states it.
+    pub speed: Option<Speed>,
 }
 
 /// The number of ranks that [`urgency`] assigns.
@@ -119,10 +125,6 @@
 /// shedding. Single rejections also happen under low load.
 const MIN_SHEDDING_REJECTIONS: usize = 3;
 
-/// The weight of one run in the moving average of run times. Half of the
-/// former mean is forgotten after some 14 runs.
-const RUN_TIME_WEIGHT: f64 = 0.05;
-
 /// A request for a slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Work {
@@ -178,7 +180,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     rank: usize,
-    since: Millis,
+    start: Mark,
 }
 
 /// The order of the queue: rank, deadline and order of arrival.
@@ -213,7 +215,7 @@
     queue: BTreeMap<QueueKey, Waiting>,
     keys: Map<CallId, QueueKey>,
     queued_by_rank: [usize; RANKS],
-    run_times: [f64; RANKS],
+    run_times: RunTimes,
     arrivals: u64,
     /// Times of the latest rejections of work above the least urgent rank.
     rejections: VecDeque<Millis>,
@@ -243,7 +245,7 @@
             queue: BTreeMap::new(),
             keys: Map::default(),
             queued_by_rank: [0; RANKS],
-            run_times: [0.0; RANKS],
+            run_times: RunTimes::default(),
             arrivals: 0,
             rejections: VecDeque::new(),
             demand: Arrivals::default(),
@@ -294,6 +296,17 @@
         Some(self.wait(now, rank))
     }
 
+    /// Records the speed that the instance states. Waits, deadlines and
+    /// capacity follow it.
+    pub fn observe_speed(&mut self, now: Millis, speed: Speed) {
+        self.run_times.observe_speed(now, speed);
+    }
+
+    /// The factor by which runs now take longer than usual.
+    pub fn slowness(&self, now: Millis) -> f64 {
+        self.run_times.factor(now)
+    }
+
     /// Accepts work for an instance with this many slots.
     pub fn open(&mut self, slots: u32) {
         self.open = true;
@@ -341,7 +354,7 @@
         let wait = self.wait_at(now, key);
         let max_wait = max_wait(rank, work.target);
         let left = work.deadline.since(now);
-        let run_time = Millis(self.run_times[rank] as u64);
+        let run_time = Millis(self.run_times.current(now, rank) as u64);
         if wait > max_wait || wait + run_time > left {
             self.record_rejection(now, work.priority);
             return Offer::Full { retry_after: wait };
@@ -363,12 +376,7 @@
         if !answered {
             return;
         }
-        let took = now.since(run.since).0 as f64;
-        let mean = &mut self.run_times[run.rank];
-        *mean = match *mean == 0.0 {
-            true => took,
-            false => *mean + (took - *mean) * RUN_TIME_WEIGHT,
-        };
+        self.run_times.record(now, run.rank, run.start);
     }
 
     /// Removes queued work. Returns false if it is not queued.
@@ -429,7 +437,8 @@
             return slots;
         }
         let count: f64 = arrivals.map(|a| a.per_second(now)).iter().sum();
-        slots.min(limiter.per_second() * work / count)
+        let busy = limiter.per_second() * work / count;
+        slots.min(busy * self.run_times.factor(now))
     }
 
     /// Records a rejection of work above the least urgent rank.
@@ -447,7 +456,7 @@
 
     /// Records the demand of work that is offered for the first time.
     fn record_demand(&mut self, now: Millis, rank: usize) {
-        let run_time = self.run_times[rank];
+        let run_time = self.run_times.usual(rank);
         match rank < RANKS - 1 {
             true => self.demand.add(now, run_time),
             false => self.least_urgent.add(now, run_time),
@@ -458,7 +467,8 @@
     }
 
     /// The demand relative to the capacity left after this many reserves: to
-    /// that of the slots or of the rate limit, whichever is scarcer.
+    /// that of the slots at the current speed or of the rate limit, whichever
+    /// is scarcer.
     fn demand_ratio(
         &self,
         now: Millis,
@@ -467,6 +477,7 @@
     ) -> f64 {
         let unreserved = unreserved_share(reserves);
         let slots = self.limit as f64 * unreserved;
+        let slots = slots / self.run_times.factor(now);
         let of_slots = demand.work.slots(now) / slots.max(1.0);
         let Some(limiter) = &self.limiter else {
             return of_slots;
@@ -492,6 +503,7 @@
             limited: self.limiter.as_ref().map(|l| l.report(now)),
             held: saturate((self.running.len() + self.queue.len()) as f64),
             shedding: self.is_shedding(now),
+            speed: self.run_times.reading(now),
             demand: saturate(
                 self.demand_ratio(now, &self.demand, 1) * 1_000.0,
             ),
@@ -505,7 +517,7 @@
         };
         for rank in 0..RANKS {
             load.waits[rank] = saturate(self.wait(now, rank).0 as f64);
-            load.run_times[rank] = saturate(self.run_times[rank]);
+            load.run_times[rank] = saturate(self.run_times.usual(rank));
         }
         load
     }
@@ -518,7 +530,8 @@
     }
 
     fn start(&mut self, now: Millis, id: CallId, rank: usize) {
-        self.running.insert(id, Running { rank, since: now });
+        let start = self.run_times.mark(now);
+        self.running.insert(id, Running { rank, start });
         self.running_by_rank[rank] += 1;
     }
 
@@ -538,7 +551,7 @@
             let over = waited > max_wait(rank, waiting.target);
             // Reject work that would miss its deadline now rather than let its
             // caller time out.
-            let run_time = Millis(self.run_times[rank] as u64);
+            let run_time = Millis(self.run_times.current(now, rank) as u64);
             if over || key.1 <= now + run_time {
                 let id = waiting.id;
                 self.cancel(id);
@@ -600,7 +613,7 @@
     /// How long work of a rank is queued behind `own` entries of its rank and
     /// all more urgent entries.
     fn wait_behind(&self, now: Millis, rank: usize, own: usize) -> Millis {
-        let for_slot = self.wait_for_slot(rank, own);
+        let for_slot = self.wait_for_slot(now, rank, own);
         let above: usize = self.queued_by_rank[..rank].iter().sum();
         let for_token = self
             .limiter
@@ -614,20 +627,20 @@
     ///
     /// Does not assume that the rank gets its reserve: work admitted on that
     /// assumption would take slots from calls of more urgent work.
-    fn wait_for_slot(&self, rank: usize, own: usize) -> Millis {
+    fn wait_for_slot(&self, now: Millis, rank: usize, own: usize) -> Millis {
         let free = self.limit.saturating_sub(self.running.len());
         let above = &self.queued_by_rank[..rank];
         if above.iter().sum::<usize>() + own < free {
             return Millis(0);
         }
-        let mut work = self.run_times[rank] * (own as f64 + 1.0);
-        for (count, run_time) in above.iter().zip(&self.run_times) {
-            work += *count as f64 * run_time;
+        let mut work = self.run_times.usual(rank) * (own as f64 + 1.0);
+        for (rank, count) in above.iter().enumerate() {
+            work += *count as f64 * self.run_times.usual(rank);
         }
         let taken: usize = self.running_by_rank[..rank].iter().sum();
         let left = self.limit.saturating_sub(taken);
         let slots = left.max(self.reserve()).max(1);
-        Millis((work / slots as f64) as u64)
+        Millis((work / slots as f64 * self.run_times.factor(now)) as u64)
     }
 
     /// The slots reserved for each less urgent rank.
--- a/crates/walnutmoor-core/src/bulkhead/load.rs
+++ b/crates/walnutmoor-core/src/bulkhead/load.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RANKS;
-use crate::rate_limit::Limited;
+use crate::{rate_limit::Limited, speed::Reading};
 
 /// The load of an instance, as its node reports it to other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
@@ -14,7 +14,8 @@
     pub accepting: bool,
     /// The estimated queueing time of new work by rank, in milliseconds.
     pub waits: [u16; RANKS],
-    /// The mean run time by rank, in milliseconds; 0 if none is known.
+    /// The mean run time by rank at usual speed, in milliseconds; 0 if none is
+    /// known.
     #[serde(rename = "takes")]
     pub run_times: [u16; RANKS],
     /// The number of slots in use at full load.
@@ -36,4 +37,6 @@
     /// The demand of the least urgent rank, in thousandths of the capacity.
     #[serde(rename = "direct")]
     pub least_urgent: u16,
+    /// The current speed of the machine.
+    pub speed: Reading,
 }
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -32,7 +32,7 @@
     let mut balance = Balancer::new("a".parse().unwrap());
     for (port, zone) in [(1, "a"), (2, "b"), (3, "b")] {
         balance.join(id(port), &desk(), &zone.parse().unwrap());
-        balance.report(id(port), load(20, 0));
+        balance.report(Millis(0), id(port), load(20, 0));
     }
     balance
 }
@@ -48,7 +48,7 @@
 #[test]
 fn the_local_zone_is_preferred_while_it_costs_little_more() {
     let mut balance = balance();
-    balance.report(id(1), load(100, 0));
+    balance.report(Millis(0), id(1), load(100, 0));
 
     assert_eq!(choose(&mut balance, &[]), Choice::Send(id(1)));
 }
@@ -56,7 +56,7 @@
 #[test]
 fn a_long_queue_sends_requests_to_another_zone() {
     let mut balance = balance();
-    balance.report(id(1), load(20, 300));
+    balance.report(Millis(0), id(1), load(20, 300));
 
     assert_ne!(choose(&mut balance, &[]), Choice::Send(id(1)));
 }
@@ -64,7 +64,7 @@
 #[test]
 fn requests_sent_since_the_last_report_count() {
     let mut balance = balance();
-    balance.report(id(1), Load { held: 10, ..load(200, 0) });
+    balance.report(Millis(0), id(1), Load { held: 10, ..load(200, 0) });
 
     for _ in 0..20 {
         balance.sent(id(1));
@@ -105,7 +105,7 @@
 fn unreachable_and_closed_instances_are_not_chosen() {
     let mut balance = balance();
     balance.down(id(1), Millis::NEVER);
-    balance.report(id(2), Load { accepting: false, ..load(20, 0) });
+    balance.report(Millis(0), id(2), Load { accepting: false, ..load(20, 0) });
     assert_eq!(choose(&mut balance, &[]), Choice::Send(id(3)));
 
     assert_eq!(choose(&mut balance, &[id(3)]), Choice::None);
@@ -135,7 +135,7 @@
 #[test]
 fn a_slow_instance_is_still_probed() {
     let mut balance = balance();
-    balance.report(id(1), load(3_000, 0));
+    balance.report(Millis(0), id(1), load(3_000, 0));
 
     let got = share(&mut balance, id(1), false);
 
@@ -166,7 +166,7 @@
 #[test]
 fn another_zone_is_chosen_if_long_runs_would_time_out_locally() {
     let mut balance = balance();
-    balance.report(id(1), load(300, 0));
+    balance.report(Millis(0), id(1), load(300, 0));
 
     let tight = choose_with_time_left(&mut balance, Millis(800));
     let ample = choose_with_time_left(&mut balance, Millis(5_000));
@@ -179,7 +179,7 @@
 fn the_local_zone_is_kept_if_long_runs_time_out_everywhere() {
     let mut balance = balance();
     for port in 1..=3 {
-        balance.report(id(port), load(300, 0));
+        balance.report(Millis(0), id(port), load(300, 0));
     }
 
     let choice = choose_with_time_left(&mut balance, Millis(800));
@@ -190,9 +190,9 @@
 #[test]
 fn an_instance_without_a_run_time_does_not_look_the_fastest() {
     let mut balance = balance();
-    balance.report(id(1), load(10, 0));
+    balance.report(Millis(0), id(1), load(10, 0));
     balance.join(id(4), &desk(), &"a".parse().unwrap());
-    balance.report(id(4), load(0, 0));
+    balance.report(Millis(0), id(4), load(0, 0));
 
     let got = share(&mut balance, id(4), true);
 
@@ -204,7 +204,7 @@
     let mut balance = Balancer::new("a".parse().unwrap());
     for port in 1..=34 {
         balance.join(id(port), &desk(), &"a".parse().unwrap());
-        balance.report(id(port), load(20, 0));
+        balance.report(Millis(0), id(port), load(20, 0));
     }
     for port in 1..=used {
         for _ in 0..20 {
@@ -246,7 +246,7 @@
 #[test]
 fn a_limited_instance_gets_the_share_that_fits() {
     let mut balance = balance();
-    balance.report(id(1), limited(250));
+    balance.report(Millis(0), id(1), limited(250));
 
     let choices = (0..100).map(|_| choose(&mut balance, &[]));
     let to_limited =
@@ -258,7 +258,7 @@
 #[test]
 fn a_request_beyond_the_share_goes_to_a_sibling() {
     let mut balance = balance();
-    balance.report(id(1), limited(0));
+    balance.report(Millis(0), id(1), limited(0));
 
     let choice = choose(&mut balance, &[id(3)]);
 
@@ -269,7 +269,7 @@
 fn a_limited_instance_is_used_if_all_siblings_are_limited() {
     let mut balance = balance();
     for port in 1..=3 {
-        balance.report(id(port), limited(0));
+        balance.report(Millis(0), id(port), limited(0));
     }
 
     assert_eq!(choose(&mut balance, &[]), Choice::Send(id(1)));
--- a/crates/walnutmoor-core/tests/limited/mod.rs
+++ b/crates/walnutmoor-core/tests/limited/mod.rs
@@ -336,13 +336,14 @@
     }
 
     fn retry(&mut self, number: u64, instance: usize) {
+        let now = self.now();
         self.tally.moves += 1;
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
         let balancer = &mut self.nodes[request.node];
         if let Some(load) = request.load.take() {
-            balancer.report(id(instance), load);
+            balancer.report(now, id(instance), load);
         }
         balancer.done(id(instance), None);
         request.state.record(id(instance), Outcome::NodeRejected);
@@ -354,12 +355,13 @@
     }
 
     fn answer(&mut self, number: u64, instance: usize) {
+        let now = self.now();
         let Some(mut request) = self.requests.remove(&number) else {
             return;
         };
         let balancer = &mut self.nodes[request.node];
         if let Some(load) = request.load.take() {
-            balancer.report(id(instance), load);
+            balancer.report(now, id(instance), load);
         }
         balancer.done(id(instance), Some(false));
         self.tally.served += 1;
@@ -395,10 +397,11 @@
     }
 
     fn report_all(&mut self) {
+        let now = self.now();
         for instance in 0..self.scenario.slots.len() {
             let load = self.report(instance);
             for balancer in &mut self.nodes {
-                balancer.report(id(instance), load);
+                balancer.report(now, id(instance), load);
             }
         }
     }
--- a/crates/walnutmoor-core/tests/retry_state.rs
+++ b/crates/walnutmoor-core/tests/retry_state.rs
@@ -22,7 +22,7 @@
     let load = Load { accepting: true, limit: 10, ..Load::default() };
     for (port, zone) in [(1, "a"), (2, "b"), (3, "b")] {
         balance.join(id(port), &desk(), &zone.parse().unwrap());
-        balance.report(id(port), load);
+        balance.report(Millis(0), id(port), load);
     }
     balance
 }
--- a/crates/walnutmoor-core/tests/simulation/mod.rs
+++ b/crates/walnutmoor-core/tests/simulation/mod.rs
@@ -517,7 +517,7 @@
         let load = self.parts[instance].load(self.now);
         if let Some(request) = self.requests.get(&id) {
             let balance = &mut self.ingresses[request.ingress].0;
-            balance.report(node(instance), load);
+            balance.report(self.now, node(instance), load);
             balance.done(node(instance), failed);
         }
     }
@@ -602,11 +602,11 @@
         for instance in 0..self.scenario.instance_count() {
             let load = self.parts[instance].load(self.now);
             for (balance, _) in &mut self.ingresses {
-                balance.report(node(instance), load);
+                balance.report(self.now, node(instance), load);
             }
         }
         for (balance, throttle) in &mut self.ingresses {
-            throttle.step(balance.pressures());
+            throttle.step(balance.pressures(self.now));
         }
     }
 }
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -90,6 +90,7 @@
             "desired" if self.is_rollback() => {
                 "an older desired state was not adopted"
             }
+            "speed" => "work takes another time on its machine, in percent",
             "canceled" => "its caller canceled it before an answer",
             "unanswered" => "its node exited before it was answered",
             "abandoned" => "it was not started, and its connection closed",
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -102,7 +102,7 @@
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -25,6 +25,7 @@
     journal::Event,
     requests::{self, Stage},
     serve::Parent,
+    speed,
     state::{Phase, State},
     wire::{self, Answer},
 };
@@ -461,7 +462,7 @@
         let throttle = state.throttle.borrow();
         let admitted = throttle.admitted_fraction(&in_flight.route);
         let budget_spent = throttle.retry_budget_spent(&in_flight.route);
-        let demand = state.balancer.borrow().pressures().worst.demand;
+        let demand = state.balancer.borrow().pressures(now).worst.demand;
         let fields = [
             ("why", kind.as_str().into()),
             ("route", in_flight.route.as_str().into()),
@@ -533,6 +534,9 @@
             ("after_ms", after.0.into()),
             ("left_ms", request.deadline.since(now).0.into()),
         ];
+        if let Some(speed) = load.and_then(speed::stated) {
+            fields.push(("speed", speed.into()));
+        }
         if let Some((node, limited)) = limited {
             fields.push(("limited_at", node.to_string().into()));
             fields.push(("limit", limited.rate.per_second().into()));
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -71,6 +71,8 @@
     /// The rate limit that the instance of this node names has begun, changed
     /// or ended.
     Limit,
+    /// The speed of the machine of this node's instance has changed.
+    Speed,
     /// The response of an instance broke off or could not be trusted.
     Broken,
     /// The instance of this node has crashed while it ran these requests.
@@ -113,6 +115,7 @@
         Event::Directory,
         Event::Instance,
         Event::Limit,
+        Event::Speed,
         Event::Broken,
         Event::Crash,
         Event::Suspicion,
@@ -143,6 +146,7 @@
             Event::Directory => "directory",
             Event::Instance => "instance",
             Event::Limit => "limit",
+            Event::Speed => "speed",
             Event::Broken => "broken",
             Event::Crash => "crash",
             Event::Suspicion => "suspicion",
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 | [`serve`] | admits and runs calls on the local instance |
 | [`run`](mod@run) | sends one call to the local instance |
 | [`notice`] | acts on what the local instance says in its responses |
+| [`speed`] | observes the speed of the machines of instances |
 | [`lifetime`] | follows the lifetime of the local instance |
 | [`departure`] | remembers departed instances for the nodes beside them |
 | [`crash`] | detects crashes of the local instance |
@@ -64,6 +65,7 @@
 pub mod serve;
 pub mod settings;
 mod shutdown;
+pub mod speed;
 pub mod state;
 pub mod store;
 pub mod suspicion;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -177,7 +177,7 @@
     let mut timer = interval(THROTTLE_INTERVAL);
     loop {
         timer.tick().await;
-        let pressures = state.balancer.borrow().pressures();
+        let pressures = state.balancer.borrow().pressures(state.now());
         let pressure = pressures.worst;
         let changed = state.throttle.borrow_mut().step(pressures);
         for (route, admitted) in changed {
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -1,6 +1,6 @@
 /*!
-Acts on what the local instance says about itself in its responses: the rate
-limit that it names, and that it is leaving.
+Acts on what the local instance says about itself in its responses: the speed
+of its machine, the rate limit that it names, and that it is leaving.
 
 Only responses of the current lifetime count, and only those that the instance
 wrote itself: an answer to the request, or its own rejection.
@@ -46,6 +46,7 @@
             Outcome::Response(Verdict::Misdirected, ..) => {}
             Outcome::Response(verdict, _, headers, _) => {
                 if self.is_current(lifetime) {
+                    self.observe_speed(state, headers);
                     self.observe_limit(state, sent_at, *verdict, headers);
                     self.observe_leaving(state, lifetime, headers);
                 }
@@ -54,6 +55,14 @@
         }
     }
 
+    /// Observes the speed that a response states.
+    fn observe_speed(&self, state: &State, headers: &HeaderMap) {
+        let (now, journal) = (state.now(), &state.journal);
+        if let Some(speed) = self.speeds.observe(journal, now, headers) {
+            self.bulkhead.borrow_mut().observe_speed(now, speed);
+        }
+    }
+
     fn observe_limit(
         &self,
         state: &Rc<State>,
@@ -118,6 +127,7 @@
             Ok(None) => {}
             Err(error) => self.log_malformed(state, &error),
         }
+        self.observe_speed(state, headers);
         header::is_leaving(headers).unwrap_or_else(|error| {
             self.log_malformed(state, &error);
             false
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -40,6 +40,7 @@
     peer::Session,
     run,
     settings::Settings,
+    speed::{Observed, Speeds},
     state::State,
 };
 
@@ -180,6 +181,8 @@
     pub(super) tracker: RefCell<Tracker>,
     /// The rate limit that the instance names.
     pub(super) named_limit: RefCell<NamedLimit>,
+    /// Observes the speed that the instance states.
+    pub(super) speeds: Speeds,
     /// True if the last response had a malformed header.
     pub(super) malformed_logged: Cell<bool>,
     /// True while the instance refuses connections.
@@ -228,6 +231,7 @@
             detector: Detector::default(),
             tracker: RefCell::new(Tracker::new()),
             named_limit: RefCell::default(),
+            speeds: Speeds::default(),
             malformed_logged: Cell::new(false),
             suspended: Cell::new(false),
             draining: Cell::new(false),
@@ -252,6 +256,12 @@
         self.bulkhead.borrow().load(now)
     }
 
+    /// The speed of the instance's machine, as seen by this node.
+    pub fn speed(&self, now: Millis) -> Observed {
+        let factor = self.bulkhead.borrow().slowness(now);
+        self.speeds.observed(factor)
+    }
+
     /// The numbers of running and of queued calls.
     pub fn job_counts(&self) -> (usize, usize) {
         let bulkhead = self.bulkhead.borrow();
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -183,7 +183,9 @@
 
     /// Records the load of a node's instance.
     pub fn record_load(&self, node: NodeId, load: Load) {
-        if !self.balancer.borrow_mut().report(node, load) {
+        let now = self.now();
+        self.serve.speeds.check_report(&self.journal, now, node, &load);
+        if !self.balancer.borrow_mut().report(now, node, load) {
             return;
         }
         let fields = [
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -166,6 +166,10 @@
     let limit = state.serve.named_limit();
     gauge!("walnutmoor_named_limit")
         .set(limit.map_or(f64::INFINITY, Rate::per_second));
+    let speed = state.serve.speed(state.now());
+    gauge!("walnutmoor_speed_percent").set(speed.percent);
+    counter!("walnutmoor_speed_readings_total").absolute(speed.readings);
+    counter!("walnutmoor_speed_malformed_total").absolute(speed.malformed);
     let arrivals = state.serve.arrivals.get();
     counter!("walnutmoor_arrivals_total").absolute(arrivals);
     let diverted = state.serve.diverted();
