--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -32,10 +32,11 @@
 };
 use walnutmoor_platform::{header, standin};
 
-use self::fault::Fault;
+use self::{fault::Fault, machine::Machine};
 use super::caller;
 
 mod fault;
+mod machine;
 
 /// How an instance handles requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,6 +89,7 @@
     has_seen_key: AtomicBool,
     tasks: Mutex<Vec<AbortHandle>>,
     fault: Fault,
+    machine: Machine,
 }
 
 /// A request that reached an instance.
@@ -171,6 +173,7 @@
             has_seen_key: AtomicBool::new(false),
             tasks: Mutex::default(),
             fault: Fault::default(),
+            machine: Machine::default(),
         });
         instance.clone().spawn_tasks(listener);
         instance
@@ -286,7 +289,7 @@
             true => long_tailed_run_ms(attempt),
             false => self.run_ms.load(Ordering::Relaxed),
         };
-        tokio::time::sleep(Duration::from_millis(run_ms)).await;
+        self.machine.work(Duration::from_millis(run_ms)).await;
         while self.is_held(attempt) {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
@@ -327,6 +330,9 @@
         if self.says_leaving.load(Ordering::Relaxed) {
             headers += &format!("{}: 1\r\n", header::LEAVING);
         }
+        if self.machine.figure().is_some() {
+            headers += &self.load_header();
+        }
         headers
     }
 
@@ -598,13 +604,8 @@
         true => "503 Service Unavailable",
         false => "200 OK",
     };
-    let headers = format!(
-        "{}: {}\r\n{}: 0,0,{}\r\n",
-        header::INSTANCE,
-        instance.id(),
-        header::LOAD,
-        instance.slots
-    );
+    let load = instance.load_header();
+    let headers = format!("{}: {}\r\n{load}", header::INSTANCE, instance.id());
     write_response(stream, status, &headers, "").await
 }
 
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -90,7 +90,9 @@
             "desired" if self.is_rollback() => {
                 "an older desired state was not adopted"
             }
-            "speed" => "work takes another time on its machine, in percent",
+            "speed" => {
+                "the run times on its machine changed, in percent of usual"
+            }
             "canceled" => "its caller canceled it before an answer",
             "unanswered" => "its node exited before it was answered",
             "abandoned" => "it was not started, and its connection closed",
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -87,6 +87,18 @@
     );
 }
 
+/// Guards against a slow machine that the timeline does not show.
+#[test]
+fn a_request_at_a_slow_machine_names_its_speed() {
+    check(
+        "5bd0",
+        expect![[r#"
+            context at 70100 ms on b: the run times on its machine changed, in percent of usual; from 100; readings 4012; to 310
+            at 70480 ms on b: an instance answered it; after_ms 410; rank 2; speed 295; tried ["10.0.0.2:7500"]; wait_ms 90; why ""
+        "#]],
+    );
+}
+
 #[test]
 fn a_request_that_its_node_left_unanswered_is_printed() {
     check(
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -15,4 +15,5 @@
 mod restore;
 mod resume;
 mod shutdown;
+mod speeds;
 mod watching;
