--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -132,7 +132,8 @@
     for seed in first..first + number("count", 1)? {
         let config = soak::Config::new(program.clone(), seed);
         let config = config.length(length);
-        let config = config.poison(true).restores(true).notices(true);
+        let config =
+            config.poison(true).restores(true).notices(true).speeds(true);
         let config = config.planned_only(matches.opt_present("planned"));
         let report = runtime()?.block_on(soak::run(&config));
         failed += u32::from(!report.violations.is_empty());
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -29,6 +29,7 @@
 pub mod proxy;
 pub mod restore;
 pub mod shutdown;
+pub mod speed;
 pub mod verdict;
 pub mod world;
 
@@ -69,6 +70,7 @@
     poison: bool,
     restores: bool,
     notices: bool,
+    speeds: bool,
     planned_only: bool,
 }
 
@@ -83,6 +85,7 @@
             poison: false,
             restores: false,
             notices: false,
+            speeds: false,
             planned_only: false,
         }
     }
@@ -106,6 +109,12 @@
         self
     }
 
+    /// Whether the speeds of machines change, and instances state them.
+    pub fn speeds(mut self, speeds: bool) -> Config {
+        self.speeds = speeds;
+        self
+    }
+
     /// Whether there is planned work only. All other faults are left out, and
     /// no request may be lost.
     pub fn planned_only(mut self, planned_only: bool) -> Config {
@@ -179,20 +188,29 @@
             faults.spawn(notice::give(world.clone(), notice));
         }
     }
+    if config.speeds {
+        let changes = speed::draw(config.seed, nodes, config.length);
+        faults.spawn(speed::run(world.clone(), changes));
+    }
     for event in &plan {
         faults.spawn(world.clone().inject(*event));
     }
     while faults.join_next().await.is_some() {}
     world.clear_faults();
     wait_recovered(&world).await;
+    let mut violations = Vec::new();
+    if config.speeds {
+        violations.extend(speed::check_placement(&world).await);
+    }
     stop.store(true, Ordering::Relaxed);
     while load.join_next().await.is_some() {}
     world.check_poison();
+    violations.extend(world.check());
     Report {
         seed: config.seed,
         faults: plan.len(),
         status_counts: world.record.status_counts(),
-        violations: world.check(),
+        violations,
         logs: world.members.iter().map(world::Member::log).collect(),
     }
 }
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -43,6 +43,12 @@
     run_seed(31, config(31, 12).notices(true));
 }
 
+/// Guards against nodes that do not follow the speed that instances state.
+#[test]
+fn nodes_avoid_machines_that_are_slow_now() {
+    run_seed(41, config(41, 8).speeds(true));
+}
+
 #[test]
 fn no_request_is_lost_by_planned_work() {
     run_seed(42001, config(42001, 8).planned_only(true));
@@ -69,6 +75,7 @@
             .poison(options.contains(&"poison"))
             .restores(options.contains(&"restores"))
             .notices(options.contains(&"notices"))
+            .speeds(options.contains(&"speeds"))
             .planned_only(options.contains(&"planned"));
         run_seed(seed, config);
     }
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -8,6 +8,7 @@
     mesh::instance::Arrival,
     soak::{
         shutdown::{Termination, check as check_lost},
+        speed::{self, Round},
         verdict::{Exchange, Record},
     },
 };
@@ -127,6 +128,39 @@
     assert_eq!(violated(&exchanges, &arrivals), ["few repeats"]);
 }
 
+/// How many requests reached a slow instance and another one while nodes knew
+/// it is slow; 100 more reached the slow one before.
+fn reached(slow: usize, other: usize) -> (Vec<Round>, Vec<Arrival>) {
+    let start = Instant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    let instances = vec!["i-1".to_string(), "i-2".to_string()];
+    let (from, to) = (after(400), after(800));
+    let round = Round { slow: "i-1".into(), instances, from, to };
+    let arrival = |instance: &str, ms| Arrival {
+        instance: instance.into(),
+        at: after(ms),
+        ..ran("a")
+    };
+    let mut arrivals = vec![arrival("i-1", 300); 100];
+    arrivals.extend(vec![arrival("i-1", 500); slow]);
+    arrivals.extend(vec![arrival("i-2", 500); other]);
+    arrivals.extend(vec![arrival("i-9", 500); 100]);
+    (vec![round], arrivals)
+}
+
+#[test]
+fn requests_at_a_machine_that_is_slow_now_are_detected() {
+    let is_violated = |slow, other| {
+        let (rounds, arrivals) = reached(slow, other);
+        speed::check(&rounds, &arrivals).is_some()
+    };
+
+    assert!(is_violated(30, 70));
+    assert!(!is_violated(7, 93));
+    // Too few requests to judge.
+    assert!(!is_violated(10, 10));
+}
+
 /// A request without a response to a node that is terminated at `start`, sent
 /// and ended this many milliseconds after it.
 fn unanswered(start: Instant, sent: u64, ended: u64) -> Exchange {
