--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -28,6 +28,7 @@
     journal::Event,
     requests::{self, Stage},
     serve::Parent,
+    speed,
     state::{Phase, State},
     wire::{self, Answer},
 };
@@ -509,7 +510,7 @@
         let need =
             feasibility::need(overload, &throttle, &in_flight.route, None);
         let retries = need.map_or(0.0, Need::retries);
-        let demand = state.balancer.borrow().pressures().worst.demand;
+        let demand = state.balancer.borrow().pressures(now).worst.demand;
         let fields = [
             ("why", kind.as_str().into()),
             ("route", in_flight.route.as_str().into()),
@@ -585,6 +586,9 @@
             ("after_ms", after.0.into()),
             ("left_ms", request.deadline.since(now).0.into()),
         ];
+        if let Some(speed) = load.and_then(speed::stated) {
+            fields.push(("speed", speed.into()));
+        }
         if let Some((node, limited)) = limited {
             fields.push(("limited_at", node.to_string().into()));
             fields.push(("limit", limited.rate.per_second().into()));
