--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -49,6 +49,24 @@
     }
 }
 
+/// Which decisions under overload are enabled; all are off by default.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Overload {
+    /// Refused callers get a reservation and a retry time that is kept.
+    pub reservations: bool,
+    /// Callers' requests above the admissible rate wait for a bounded time.
+    pub ingress_wait: bool,
+    /// Requests that are unlikely to complete are not started.
+    pub feasibility: bool,
+    /// The preference for instances in the local zone falls with its load.
+    pub zone_spill: bool,
+    /// Connections to instances are kept when calls are canceled.
+    pub keep_connections: bool,
+    /// Learned profiles of routes are exchanged between nodes.
+    pub handover: bool,
+}
+
 /// The settings of a node.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,6 +103,9 @@
     /// Limits on reading ahead on a caller's connection.
     #[serde(default)]
     pub read_ahead: ReadAhead,
+    /// Decisions under overload.
+    #[serde(default)]
+    pub overload: Overload,
     /// The platform's bounds, by name.
     #[serde(default)]
     pub bounds: BTreeMap<String, String>,
--- a/crates/walnutmoor/tests/settings.rs
+++ b/crates/walnutmoor/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::{fs, path::Path};
 
-use walnutmoor::{prelude::*, settings::Settings};
+use walnutmoor::{mesh::settings::Overload, prelude::*, settings::Settings};
 
 #[test]
 fn settings_files_give_the_expected_result() {
@@ -60,3 +60,42 @@
     let error = error.unwrap_err().to_string();
     assert!(error.contains("frobnicate"), "{error}");
 }
+
+#[test]
+fn overload_decisions_are_off_unless_enabled() {
+    let text = std::fs::read_to_string("testdata/mesh/node.yaml").unwrap();
+    let enabled = format!("{text}overload:\n  reservations: true\n");
+    let parse = |text: &str| {
+        walnutmoor::mesh::settings::Settings::parse(text).unwrap().overload
+    };
+
+    let before = parse(&text);
+    let after = parse(&enabled);
+
+    assert_eq!(before, Overload::default());
+    assert_eq!(after, Overload { reservations: true, ..before });
+}
+
+/// Guards against a misspelled key that leaves a decision disabled without a
+/// message.
+#[test]
+fn an_unknown_or_malformed_overload_key_is_named_with_its_line() {
+    let text = std::fs::read_to_string("testdata/mesh/node.yaml").unwrap();
+    let line = text.lines().count() + 2;
+    for wrong in ["reservation: true", "ingress_wait: 7"] {
+        let path = std::env::temp_dir()
+            .join(format!("walnutmoor-{}.yaml", std::process::id()));
+        let text = format!("{text}overload:\n  {wrong}\n");
+        std::fs::write(&path, text).unwrap();
+
+        let error = walnutmoor::mesh::settings::Settings::read(&path);
+
+        std::fs::remove_file(&path).unwrap();
+        let report = miette::Report::new(error.unwrap_err());
+        let report = format!("{report:?}");
+        let key = wrong.split(':').next().unwrap();
+        let at = format!("{}:{line}:", path.display());
+        assert!(report.contains(key), "{report}");
+        assert!(report.contains(&at), "{report}");
+    }
+}
