--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -33,6 +33,7 @@
 */
 
 pub mod account;
+pub mod admission_queue;
 pub mod admit;
 pub mod balance;
 pub mod bulkhead;
@@ -50,6 +51,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod id;
+pub mod ingress;
 pub mod lifetime;
 pub mod limit;
 pub mod member;
@@ -62,6 +64,7 @@
 pub mod queue;
 pub mod quota;
 pub mod rate_limit;
+pub mod reservation;
 pub mod retry;
 pub mod retry_budget;
 pub mod retry_state;
