--- a/crates/walnutmoor-core/src/ingress.rs
+++ b/crates/walnutmoor-core/src/ingress.rs
@@ -219,7 +219,6 @@
         request: &Request,
         standing: &Standing,
     ) -> Option<Decision> {
-        self.book.record_unserved(standing);
         let number = match standing {
             Standing::Due(number) | Standing::Late(number) => *number,
             _ => return None,
@@ -252,12 +251,18 @@
     pub fn refuse_unreserved(
         &mut self,
         now: Millis,
-        flow: &Flow,
+        request: &Request,
     ) -> Option<Told> {
+        let flow = &request.flow;
         let is_short = self.book.rate(now, flow).is_some();
+        if !self.options.reservations || !is_short {
+            return None;
+        }
+        let standing = self.standing(now, request);
+        self.book.record_refused_again(&standing);
         let waiting = self.queue.count(flow);
-        (self.options.reservations && is_short)
-            .then(|| self.book.turn_away(now, flow, waiting))
+        let told = self.book.turn_away(now, flow, waiting);
+        Some(Told { standing, ..told })
     }
 
     /// Records how long an admitted request took to be answered.
@@ -443,16 +448,17 @@
         }
         let flow = &request.flow;
         let waiting = self.queue.count(flow);
-        let is_first =
-            matches!(standing, Standing::New | Standing::LikelyRetry);
-        if !is_first {
-            return Some(self.book.turn_away(now, flow, waiting));
-        }
-        let budget = request.budget(now);
-        let caller = &request.caller;
-        let told =
-            self.book.refuse_behind(now, flow, caller, budget, waiting, draw);
-        Some(told)
+        let standing = *standing;
+        let told = match standing {
+            Standing::New | Standing::LikelyRetry => {
+                let budget = request.budget(now);
+                let caller = &request.caller;
+                let book = &mut self.book;
+                book.refuse_behind(now, flow, caller, budget, waiting, draw)
+            }
+            _ => self.book.turn_away(now, flow, waiting),
+        };
+        Some(Told { standing, ..told })
     }
 
     /// Refuses a caller that returned before its reservation was due, and
@@ -464,8 +470,13 @@
         due: Millis,
     ) -> Decision {
         let told = self.book.turn_away(now, &request.flow, 0);
-        let is_reserved = true;
-        Decision::Refuse(Some(Told { retry_after: due, is_reserved, ..told }))
+        let standing = Standing::Early(due);
+        Decision::Refuse(Some(Told {
+            retry_after: due,
+            is_reserved: true,
+            standing,
+            ..told
+        }))
     }
 }
 
--- a/crates/walnutmoor-core/src/reservation.rs
+++ b/crates/walnutmoor-core/src/reservation.rs
@@ -167,6 +167,8 @@
     pub retry_after: Millis,
     /// True if it holds a reservation from then on.
     pub is_reserved: bool,
+    /// What was known of it.
+    pub standing: Standing,
     /// The number of callers before it.
     pub backlog: usize,
     /// The rate at which requests of the flow are admitted; `None` if all are.
@@ -178,9 +180,10 @@
 pub struct Stats {
     /// Reservations that were made.
     pub made: u64,
-    /// Reservations whose callers returned when due and were admitted.
+    /// Reservations whose callers returned and were admitted.
     pub kept: u64,
-    /// Reservations whose callers returned when due and were refused.
+    /// Reservations whose callers returned when due and were refused, also if
+    /// they had been admitted and ran nowhere.
     pub broken: u64,
     /// Callers without a reservation that were refused again.
     pub refused_again: u64,
@@ -296,7 +299,7 @@
             return true;
         };
         let is_admitted = capacity.take(now, standing);
-        if is_admitted && holds_due(standing) {
+        if is_admitted && matches!(standing, Standing::Due(_)) {
             self.stats.kept += 1;
         }
         is_admitted
@@ -365,14 +368,6 @@
         Told { retry_after: span.min(MAX_RETRY_AFTER), ..told }
     }
 
-    /// Counts an admitted request that ran nowhere: its reservation is not
-    /// kept yet.
-    pub fn record_unserved(&mut self, standing: &Standing) {
-        if holds_due(standing) {
-            self.stats.kept = self.stats.kept.saturating_sub(1);
-        }
-    }
-
     /// Counts a refusal of a caller that was refused before.
     pub fn record_refused_again(&mut self, standing: &Standing) {
         match standing {
@@ -480,16 +475,12 @@
     }
 }
 
-/// True if the caller has returned with a due reservation.
-fn holds_due(standing: &Standing) -> bool {
-    matches!(standing, Standing::Due(_) | Standing::Late(_))
-}
-
 impl Default for Told {
     fn default() -> Told {
         Told {
             retry_after: MIN_RETRY_AFTER,
             is_reserved: false,
+            standing: Standing::New,
             backlog: 0,
             rate: None,
         }
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -88,6 +88,19 @@
     has_seen_key: AtomicBool,
     tasks: Mutex<Vec<AbortHandle>>,
     fault: Fault,
+    /// The call that each run makes, if any.
+    call: Mutex<Option<NestedCall>>,
+}
+
+/// A call that an instance makes in each of its runs.
+#[derive(Clone, Debug)]
+pub struct NestedCall {
+    /// Where its node accepts calls.
+    pub node: SocketAddr,
+    /// The host of the route.
+    pub host: String,
+    /// The path.
+    pub path: String,
 }
 
 /// A request that reached an instance.
@@ -171,6 +184,7 @@
             has_seen_key: AtomicBool::new(false),
             tasks: Mutex::default(),
             fault: Fault::default(),
+            call: Mutex::default(),
         });
         instance.clone().spawn_tasks(listener);
         instance
@@ -292,6 +306,28 @@
         }
     }
 
+    /// Makes a call in each run from now on. The run fails if the call does.
+    pub fn call_in_runs(&self, call: NestedCall) {
+        *self.call.lock().expect("no holder panics") = Some(call);
+    }
+
+    /// Makes the call of a run. False if it fails.
+    async fn make_call(&self, attempt: &str, headers: &HeaderMap) -> bool {
+        let call = self.call.lock().expect("no holder panics").clone();
+        let Some(NestedCall { node, host, path }) = call else {
+            return true;
+        };
+        let left = header::time_left(headers).map_or(3_000, |left| left.0);
+        let headers = [
+            (http::header::HOST, host),
+            (header::ATTEMPT, format!("{attempt}.1")),
+            (header::TIME_LEFT, left.to_string()),
+        ];
+        let (method, body) = (http::Method::POST, String::new());
+        let answer = caller::send(node, method, &path, &headers, body).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
     /// Reports itself as not ready from now on, and finishes its runs. Returns
     /// the status of the first such report, or 0 if none came back.
     pub async fn drain(&self) -> u16 {
@@ -518,6 +554,7 @@
         return false;
     }
     let id = header::attempt(&request.headers).unwrap_or_default();
+    let called = instance.make_call(id, &request.headers).await;
     let body = format!("{} {id} {}", instance.id(), request.body);
     let notices = instance.notices();
     let headers = format!("{notices}{}: {id}\r\n", header::ATTEMPT);
@@ -525,6 +562,10 @@
     match behavior {
         Behavior::DropsResponses => false,
         Behavior::NeverResponds => std::future::pending().await,
+        _ if !called => {
+            write_response(stream, "500 Internal Server Error", &signed, "no")
+                .await
+        }
         Behavior::Fails => {
             write_response(stream, "500 Internal Server Error", &signed, "no")
                 .await
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -67,6 +67,8 @@
     pub server: Option<SocketAddr>,
     /// The limit of file descriptors in its settings.
     pub descriptors: usize,
+    /// The keys of the section `overload` that are enabled.
+    pub overload: Vec<String>,
     /// The platform's bounds, as names and values.
     pub bounds: Vec<(String, String)>,
 }
@@ -166,12 +168,14 @@
     let addresses = &setup.addresses;
     let pair = |(name, value): &(String, String)| format!("{name}: '{value}'");
     let bounds: Vec<String> = setup.bounds.iter().map(pair).collect();
+    let enable = |key: &String| format!("{key}: true");
+    let overload: Vec<String> = setup.overload.iter().map(enable).collect();
     format!(
         "name: '{}'\npeers: '{}'\nadvertise: '{}'\nzone: {}\n\
          service: {}\nserver: '{}'\n\
          callers: '{}'\nready: '{}'\ncontrol: '{}'\nmetrics: '{}'\n\
          store: '{}'\nbounds: {{ {} }}\n\
-         descriptors: {}\n",
+         overload: {{ {} }}\ndescriptors: {}\n",
         addresses.peers,
         addresses.peers,
         setup.advertise.unwrap_or(addresses.peers),
@@ -184,6 +188,7 @@
         addresses.metrics,
         setup.store,
         bounds.join(", "),
+        overload.join(", "),
         setup.descriptors,
     )
 }
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -25,6 +25,7 @@
 
 pub mod load;
 pub mod notice;
+pub mod overload;
 pub mod plan;
 pub mod proxy;
 pub mod restore;
@@ -53,6 +54,9 @@
 /// The timeout of all routes under faults.
 const ROUTE_TIMEOUT: Millis = Millis(3_000);
 
+/// The target of all routes, except under overload.
+const TARGET: Millis = Millis(500);
+
 /// The number of callers of each node.
 const CALLERS_PER_NODE: u64 = 2;
 
@@ -70,6 +74,7 @@
     restores: bool,
     notices: bool,
     planned_only: bool,
+    overload: bool,
 }
 
 impl Config {
@@ -84,6 +89,7 @@
             restores: false,
             notices: false,
             planned_only: false,
+            overload: false,
         }
     }
 
@@ -113,6 +119,13 @@
         self
     }
 
+    /// Whether there are bursts above the capacity of a called service, with
+    /// planned work only, and promises of return have to be kept.
+    pub fn overload(mut self, overload: bool) -> Config {
+        self.overload = overload;
+        self
+    }
+
     /// The time during which new faults begin.
     pub fn length(mut self, length: Duration) -> Config {
         self.length = length;
@@ -127,6 +140,8 @@
     pub seed: u64,
     /// The number of injected faults, without poison and restores.
     pub faults: usize,
+    /// The number of promises of return that were judged.
+    pub promises: usize,
     /// The number of requests by response status.
     pub status_counts: StatusCounts,
     /// The violated invariants.
@@ -137,9 +152,10 @@
 
 /// Executes a run.
 pub async fn run(config: &Config) -> Report {
-    match config.planned_only {
-        true => run_planned(config).await,
-        false => run_faults(config).await,
+    match (config.overload, config.planned_only) {
+        (true, _) => run_overload(config).await,
+        (false, true) => run_planned(config).await,
+        (false, false) => run_faults(config).await,
     }
 }
 
@@ -150,7 +166,9 @@
     let properties = world::Config {
         downtime: poison.downtime,
         route_timeout: ROUTE_TIMEOUT,
+        target: TARGET,
         has_long_tail: false,
+        overload: &[],
     };
     let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -191,6 +209,7 @@
     Report {
         seed: config.seed,
         faults: plan.len(),
+        promises: 0,
         status_counts: world.record.status_counts(),
         violations: world.check(),
         logs: world.members.iter().map(world::Member::log).collect(),
@@ -202,7 +221,9 @@
     let properties = world::Config {
         downtime: Duration::ZERO,
         route_timeout: shutdown::ROUTE_TIMEOUT,
+        target: TARGET,
         has_long_tail: true,
+        overload: &[],
     };
     let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -227,12 +248,63 @@
     Report {
         seed: config.seed,
         faults: plan.len(),
+        promises: 0,
         status_counts: world.record.status_counts(),
         violations,
         logs: world.members.iter().map(world::Member::log).collect(),
     }
 }
 
+/// Executes a run with bursts above the capacity, and planned work.
+async fn run_overload(config: &Config) -> Report {
+    let properties = world::Config {
+        downtime: Duration::ZERO,
+        route_timeout: overload::ROUTE_TIMEOUT,
+        target: overload::TARGET,
+        has_long_tail: false,
+        overload: &overload::SETTINGS,
+    };
+    let world = World::start(&config.program, properties).await;
+    world.call_in_runs("desk", "search");
+    world.set_run_time("parts", overload::RUN_TIME);
+    let stop = Arc::new(AtomicBool::new(false));
+    wait_recovered(&world).await;
+    let returns = Arc::new(overload::Returns::default());
+    let load = tokio::spawn(overload::run(
+        world.clone(),
+        config.seed,
+        returns.clone(),
+        stop.clone(),
+    ));
+    let plan = plan::draw_planned(config.seed, SERVICES.len(), config.length);
+    let mut work = JoinSet::new();
+    for event in &plan {
+        work.spawn(world.clone().inject(*event));
+    }
+    tokio::time::sleep(config.length).await;
+    while work.join_next().await.is_some() {}
+    stop.store(true, Ordering::Relaxed);
+    // A panic of the load shows as missing exchanges.
+    let _ = load.await;
+    wait_recovered(&world).await;
+    let logs: Vec<String> =
+        world.members.iter().map(world::Member::log).collect();
+    let reserved =
+        logs.iter().flat_map(|log| overload::reserved(log)).collect();
+    let mut violations = world.check();
+    let was_stopped = |node, from, to| world.was_stopped(node, from, to);
+    let held = overload::held(&returns.list(), &reserved, was_stopped);
+    violations.extend(overload::check(&held));
+    Report {
+        seed: config.seed,
+        faults: plan.len(),
+        promises: held.len(),
+        status_counts: world.record.status_counts(),
+        violations,
+        logs,
+    }
+}
+
 /// Waits until every node serves the newest desired state. Records a violation
 /// after [`RECOVERY_TIMEOUT`].
 async fn wait_recovered(world: &World) {
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -31,7 +31,7 @@
     verdict::{self, Record, Violation},
 };
 use crate::mesh::{
-    instance::{Arrival, Behavior, Instance},
+    instance::{Arrival, Behavior, Instance, NestedCall},
     node::{Addresses, Node, Setup},
     store::{PendingWatches, Snapshot, Store},
 };
@@ -74,8 +74,12 @@
     pub downtime: Duration,
     /// The timeout of all routes.
     pub route_timeout: Millis,
+    /// The target of all routes.
+    pub target: Millis,
     /// Whether instances have some runs longer than the grace period.
     pub has_long_tail: bool,
+    /// The keys of the section `overload` that are enabled.
+    pub overload: &'static [&'static str],
 }
 
 /// A node with its instance and proxies.
@@ -178,6 +182,8 @@
     terminations: Mutex<Vec<Termination>>,
     /// The timeout of all routes.
     route_timeout: Millis,
+    /// The target of all routes.
+    target: Millis,
     /// Whether instances have some long runs.
     has_long_tail: bool,
     /// The limits that instances have named.
@@ -208,10 +214,13 @@
     /// Starts all components.
     pub async fn start(program: &Path, config: Config) -> Arc<World> {
         let store = Store::start().await;
-        store.write_desired(&desired_state(1, config.route_timeout));
+        let state = desired_state(1, config.route_timeout, config.target);
+        store.write_desired(&state);
         let mut members = Vec::new();
         for (index, service) in SERVICES.iter().enumerate() {
-            let member = start_member(program, &store, index, service).await;
+            let overload = config.overload;
+            let member =
+                start_member(program, &store, index, service, overload).await;
             member.instance().crash_on(FATAL_BODY, config.downtime);
             if config.has_long_tail {
                 member.instance().set_long_tail();
@@ -232,6 +241,7 @@
             disruptions: Mutex::default(),
             terminations: Mutex::default(),
             route_timeout: config.route_timeout,
+            target: config.target,
             has_long_tail: config.has_long_tail,
             limits: notice::Limits::default(),
         })
@@ -247,6 +257,29 @@
         self.serial.fetch_add(1, Ordering::SeqCst)
     }
 
+    /// Makes the instances of a service call a route in each run.
+    pub fn call_in_runs(&self, service: &str, route: &str) {
+        for member in self.members_of(service) {
+            member.instance().call_in_runs(NestedCall {
+                node: caller_address(member),
+                host: HOST.into(),
+                path: format!("/{route}/thing"),
+            });
+        }
+    }
+
+    /// Sets how long the instances of a service take for a run.
+    pub fn set_run_time(&self, service: &str, time: Duration) {
+        for member in self.members_of(service) {
+            member.instance().set_run_time(time);
+        }
+    }
+
+    fn members_of(&self, service: &str) -> impl Iterator<Item = &Member> {
+        let members = self.members.iter();
+        members.filter(move |member| member.service.as_str() == service)
+    }
+
     /// All requests that reached an instance.
     pub fn arrivals(&self) -> Vec<Arrival> {
         let mut all =
@@ -449,7 +482,8 @@
     /// Writes the newest desired state again, after the store has lost it.
     pub fn rewrite_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
-        let state = desired_state(self.version(), self.route_timeout);
+        let (timeout, target) = (self.route_timeout, self.target);
+        let state = desired_state(self.version(), timeout, target);
         self.store.write_desired(&state);
     }
 
@@ -511,7 +545,7 @@
     fn write_next_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
         let version = self.version() + 1;
-        let state = desired_state(version, self.route_timeout);
+        let state = desired_state(version, self.route_timeout, self.target);
         self.store.write_desired(&state);
         self.version.store(version, Ordering::SeqCst);
     }
@@ -619,6 +653,7 @@
     store: &Arc<Store>,
     index: usize,
     service: &str,
+    overload: &[&str],
 ) -> Member {
     let addresses = Addresses::allocate();
     let peers = Proxy::start(addresses.peers).await;
@@ -636,6 +671,7 @@
         addresses,
         server: Some(server.address()),
         descriptors: 1_024,
+        overload: overload.iter().map(ToString::to_string).collect(),
         bounds: bounds(),
     });
     Member {
@@ -675,14 +711,18 @@
 
 /// The desired state of a version. Each version adds a route, so that a node's
 /// responses show which version it has applied.
-fn desired_state(version: u64, timeout: Millis) -> String {
+fn desired_state(version: u64, timeout: Millis, target: Millis) -> String {
+    let route = |name: &str, service: &str, effect| Route {
+        target_latency: target,
+        ..route(name, service, effect, timeout)
+    };
     let mut routes: Vec<Route> = ROUTES
         .iter()
-        .map(|(name, service, effect)| route(name, service, *effect, timeout))
+        .map(|(name, service, effect)| route(name, service, *effect))
         .collect();
     for number in 1..=version {
         let name = probe_route(number);
-        routes.push(route(&name, "desk", Effect::Idempotent, timeout));
+        routes.push(route(&name, "desk", Effect::Idempotent));
     }
     let spec = || Spec { health_path: "/health".into(), max_connections: 64 };
     let names = ["front", "desk", "parts"];
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -1,12 +1,13 @@
 //! Each check of the soak detects a violation of its invariant.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use tokio::time::Instant;
 use walnutmoor_core::table::Effect;
 use walnutmoor_standin::{
     mesh::instance::Arrival,
     soak::{
+        overload::{self, Attempt, Return},
         shutdown::{Termination, check as check_lost},
         verdict::{Exchange, Record},
     },
@@ -199,3 +200,61 @@
     let cut = unanswered(start, 2_900, 5_600);
     assert!(!is_lost(start, cut, &[run_between(start, 2_910, None)]));
 }
+
+#[test]
+fn a_nested_call_counts_as_asked_for_with_its_parent() {
+    let exchanges =
+        [exchange("a", Effect::Idempotent, Some((200, "i-1 a body")))];
+
+    assert!(violated(&exchanges, &[ran("a"), ran("a.1")]).is_empty());
+    assert_eq!(violated(&exchanges, &[ran("a"), ran("b.1")]), ["asked for"]);
+}
+
+/// A caller that was refused, told to return after 500 ms, and returned after
+/// this many.
+fn returned(start: Instant, id: &str, after: u64, status: u16) -> Return {
+    let attempt = |suffix: &str, at: u64, status| Attempt {
+        id: format!("{id}{suffix}"),
+        at: start + Duration::from_millis(at),
+        ended_at: start + Duration::from_millis(at),
+        status,
+        retry_after: (status == 503).then_some(Duration::from_millis(500)),
+    };
+    let first = attempt("a", 0, 503);
+    Return { node: 0, first, second: attempt("b", after, status) }
+}
+
+fn judge(returns: &[Return], stopped: bool) -> (usize, Vec<&'static str>) {
+    let line = |one: &Return| {
+        format!("{{\"request\":\"{}\",\"reserved\":true}}\n", one.first.id)
+    };
+    let log: String = returns.iter().map(line).collect();
+    let reserved: BTreeSet<String> = overload::reserved(&log);
+    let held = overload::held(returns, &reserved, |_, _, _| stopped);
+    let violations = overload::check(&held);
+    let names = violations.iter().map(|violation| violation.invariant);
+    (held.len(), names.collect())
+}
+
+#[test]
+fn broken_promises_are_detected() {
+    let start = Instant::now();
+    let kept = returned(start, "k", 500, 200);
+    let broken = returned(start, "b", 510, 503);
+
+    assert_eq!(judge(std::slice::from_ref(&kept), false), (1, vec![]));
+    assert_eq!(judge(&[kept, broken], false), (2, vec!["kept promises"]));
+}
+
+#[test]
+fn promises_that_do_not_count_are_left_out() {
+    let start = Instant::now();
+    // It returned early.
+    assert_eq!(judge(&[returned(start, "e", 400, 503)], false), (0, vec![]));
+    // Its node was stopped.
+    assert_eq!(judge(&[returned(start, "s", 500, 503)], true), (0, vec![]));
+    // It holds no reservation.
+    let without = [returned(start, "w", 500, 503)];
+    let none = BTreeSet::new();
+    assert!(overload::held(&without, &none, |_, _, _| false).is_empty());
+}
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -62,6 +62,13 @@
         self.value["event"] == "desired" && !self.value["source"].is_null()
     }
 
+    /// True if the line reports the refusal of a caller that had returned
+    /// with a due reservation.
+    fn is_broken_promise(&self) -> bool {
+        let returned = self.value["returned"].as_str();
+        matches!(returned, Some("due" | "late"))
+    }
+
     /// True if the line reports that an older desired state was not adopted
     /// or that the store was restored from an older copy.
     fn is_rollback(&self) -> bool {
@@ -81,6 +88,13 @@
         let event = self.value["event"].as_str().unwrap_or("?");
         let description = match event {
             "answered" => "an instance answered it",
+            "refused" if self.is_broken_promise() => {
+                "it was refused although its reservation was due, and has \
+                 not run"
+            }
+            "refused" if self.value["reserved"] == true => {
+                "it was refused with a reservation, and has not run"
+            }
             "refused" => "it was refused and has not run",
             "unknown" => "it failed, and may have run",
             "retry" => "it is retried on another instance",
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -4,6 +4,7 @@
 */
 
 mod admission;
+pub(super) mod turn;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -14,11 +15,14 @@
     account::{Account, Directory, Key, Sender},
     error::{Kind, Ran, Refusal},
     poison,
+    reservation::{Flow, Told},
     table::{Effect, Route},
     time::Millis,
 };
 use walnutmoor_platform::header;
 
+use turn::Turn;
+
 use super::{
     connection,
     dispatch::{self, End, Finished},
@@ -67,6 +71,13 @@
     }
 }
 
+/// Decides the requests that wait at this node until the process ends.
+pub(super) async fn decide_waiting(state: Rc<State>) {
+    let fraction = |flow: &Flow| admission::fraction(&state, flow);
+    let draw = || state.random_fraction();
+    state.turns.run(|| state.now(), fraction, draw).await;
+}
+
 /// True if responses are to ask callers to close their connections: there are
 /// too many, or the node is shutting down.
 pub(super) fn should_close_connections(state: &State) -> bool {
@@ -86,6 +97,10 @@
     received_at: Millis,
     held_bytes: usize,
     is_finished: bool,
+    /// What the caller is told, if its retry time comes from the backlog.
+    told: Option<Told>,
+    /// How long it waited until it was admitted first.
+    waited: Millis,
     request: Rc<requests::Request>,
 }
 
@@ -100,6 +115,8 @@
             received_at: now,
             held_bytes: 0,
             is_finished: false,
+            told: None,
+            waited: Millis(0),
             request: state.requests.add(attempt, now),
         }
     }
@@ -178,6 +195,8 @@
     content_hasher: poison::Hasher,
     body: BytesMut,
     max_body_bytes: usize,
+    /// How it was admitted, if this node decides by rate.
+    turn: Option<Turn>,
 }
 
 impl Arrival {
@@ -208,6 +227,7 @@
                     content_hasher,
                     body,
                     max_body_bytes,
+                    turn: None,
                 })
             }
             Err(kind) => {
@@ -322,15 +342,25 @@
             permit = state.acquire(account.as_deref(), target) => permit?,
             () = state.expired() => return Err(not_run(Kind::Leaving)),
         };
+        self.in_flight.request.set_stage(Stage::Admission);
+        let turn = tokio::select! {
+            turn = admission::take_turn(state, self) => turn,
+            () = state.expired() => Err(not_run(Kind::Leaving)),
+        };
         self.in_flight.request.set_stage(Stage::Unsent);
-        let request = match admission::admit(state, self) {
+        let admitted = turn.and_then(|()| admission::admit(state, self));
+        let request = match admitted {
             Ok(request) => request,
             Err(refusal) => {
                 permit.into_iter().for_each(|permit| permit.end(0));
                 return Err(refusal);
             }
         };
-        let finished = dispatch::run(state, &request).await;
+        let mut finished = dispatch::run(state, &request).await;
+        while admission::waits_again(state, self, &finished.end).await {
+            finished = dispatch::run(state, &request).await;
+        }
+        admission::tell(state, self, &finished.end);
         permit.into_iter().for_each(|permit| permit.end(finished.runs));
         Ok(conclude(state, &self.in_flight, &request, finished))
     }
@@ -472,10 +502,15 @@
             ("version", state.edition().version.0.into()),
             ("revision", state.edition().stamp.revision.0.into()),
         ];
+        let mut fields = fields.to_vec();
+        fields.extend(in_flight.told.iter().flat_map(turn::fields));
         let id = &in_flight.attempt;
         state.journal.log_request(now, Event::Refused, id, &fields);
     }
     telemetry::count_account(in_flight.account(), kind.as_str());
+    if let Some(told) = in_flight.told {
+        return wire::refuse(kind, told.retry_after);
+    }
     match refusal.retry_after {
         Some(span) => {
             let span = Millis(span.0.max(MIN_RETRY_AFTER.0));
@@ -499,6 +534,7 @@
     let Finished { end, tried, limited, .. } = finished;
     let now = state.now();
     let after = now.since(in_flight.received_at);
+    let waited = in_flight.waited;
     let route = &request.route;
     let id = &request.attempt;
     let (event, outcome, why) = match &end {
@@ -538,6 +574,10 @@
             fields.push(("limit", limited.rate.per_second().into()));
             fields.push(("limit_age_ms", limited.age.0.into()));
         }
+        fields.extend(in_flight.told.iter().flat_map(turn::fields));
+        if waited > Millis(0) {
+            fields.push(("waited_ms", waited.0.into()));
+        }
         if let Some(evidence) = state.evidence(request.fingerprint) {
             fields.push(("crashes", evidence.crashes.len().into()));
             fields.push(("refuted", evidence.refuted.len().into()));
@@ -550,6 +590,9 @@
             wire::answer(status, headers, body)
         }
         End::Refused(kind, retry_after) => {
+            if let Some(told) = in_flight.told {
+                return wire::refuse(kind, told.retry_after);
+            }
             let retry_after = Millis(retry_after.0.max(MIN_RETRY_AFTER.0));
             wire::refuse(kind, state.jitter(retry_after))
         }
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -9,10 +9,12 @@
     bulkhead,
     error::{Kind, Ran, Refusal},
     footprint::Key,
+    ingress,
     poison::MIN_CRASHES_TO_SHARE,
+    reservation::{Caller, Flow},
     retry_budget::{Priority, SampleKey},
     table::{Effect, Route},
-    throttle::Outcome,
+    throttle::{Outcome, Throttle},
     time::Millis,
 };
 use walnutmoor_platform::header;
@@ -22,6 +24,7 @@
     http1::Head,
     mesh::{
         dispatch::{self, End},
+        requests::Stage,
         serve::CallOutcome,
         state::State,
         wire,
@@ -56,11 +59,10 @@
         Origin::Caller(_) => None,
     };
     if parent.is_none()
+        && !state.turns.is_enabled()
         && !is_admitted(state, &in_flight.attempt, route, time_left)
     {
-        let span = route.target_latency.0 as f64 * RETRY_AFTER_FRACTION;
-        let refusal = Refusal::new(Kind::Overloaded, Ran::No);
-        return Err(refusal.retry_after(Millis(span as u64)));
+        return Err(overloaded(route));
     }
     let service = state.splitter.borrow_mut().pick(route);
     let service = service.ok_or_else(|| not_run(Kind::UnknownService))?;
@@ -124,8 +126,12 @@
     if !throttle.admits(&route.name, is_retry, state.random_fraction()) {
         return false;
     }
-    // Only requests that must not run twice have to be likely to complete.
-    // Callers may retry idempotent ones after any failure.
+    can_complete(&throttle, attempt, route)
+}
+
+/// True unless a request must not run twice and is unlikely to complete.
+/// Callers may retry idempotent ones after any failure.
+fn can_complete(throttle: &Throttle, attempt: &str, route: &Route) -> bool {
     if route.effect == Effect::Idempotent {
         return true;
     }
@@ -136,6 +142,130 @@
     )
 }
 
+/// The refusal of a request above what its route admits.
+fn overloaded(route: &Route) -> Refusal {
+    let span = route.target_latency.0 as f64 * RETRY_AFTER_FRACTION;
+    let refusal = Refusal::new(Kind::Overloaded, Ran::No);
+    refusal.retry_after(Millis(span as u64))
+}
+
+/// The fraction of a flow that is admitted.
+pub(super) fn fraction(state: &State, flow: &Flow) -> f64 {
+    state.throttle.borrow().admitted_fraction(&flow.route)
+}
+
+/// Waits until a caller's request may be admitted, if this node decides by
+/// rate.
+///
+/// # Errors
+///
+/// If it is refused.
+pub(super) async fn take_turn(
+    state: &Rc<State>,
+    arrival: &mut Arrival,
+) -> Result<(), Refusal> {
+    if !state.turns.is_enabled() || matches!(arrival.origin, Origin::Run(_)) {
+        return Ok(());
+    }
+    let route = arrival.route.clone();
+    let request = turn_request(state, arrival);
+    let attempt = &arrival.in_flight.attempt;
+    if !can_complete(&state.throttle.borrow(), attempt, &route) {
+        let told = state.turns.refuse_unreserved(state.now(), &request);
+        arrival.in_flight.told = told;
+        return Err(overloaded(&route));
+    }
+    let fraction = fraction(state, &request.flow);
+    let draw = state.random_fraction();
+    let clock = || state.now();
+    let since = state.now();
+    match state.turns.take(clock, request, fraction, draw).await {
+        Ok(turn) => {
+            arrival.in_flight.waited = turn.admitted_at.since(since);
+            arrival.turn = Some(turn);
+        }
+        Err(told) => {
+            arrival.in_flight.told = told;
+            return Err(overloaded(&route));
+        }
+    }
+    Ok(())
+}
+
+/// The request as the decision by rate needs it.
+fn turn_request(state: &State, arrival: &Arrival) -> ingress::Request {
+    let Arrival { in_flight, head, route, origin, .. } = arrival;
+    let time_left = time_left(head);
+    let account = origin.account();
+    let urgency = bulkhead::urgency(route.priority, false);
+    let fingerprint = arrival.content_hasher.finish();
+    ingress::Request {
+        id: state.turns.next_id(),
+        flow: Flow::of(&route.name),
+        caller: Caller {
+            fingerprint,
+            account: account.map(|account| account.name.clone()),
+        },
+        is_likely_retry: state.is_likely_retry(&route.name, time_left),
+        rank: account.map_or(urgency, |account| account.urgency(urgency)),
+        is_over_share: false,
+        received_at: in_flight.received_at,
+        deadline: in_flight.received_at + time_left,
+        response_deadline: deadline(in_flight.received_at, head, route),
+        target: route.target_latency,
+        bytes: arrival.body.len(),
+    }
+}
+
+/// True if instances had no room for a request, which therefore ran nowhere.
+fn found_no_room(end: &End) -> bool {
+    matches!(end, End::Refused(Kind::Queued | Kind::Full | Kind::Limited, _))
+}
+
+/// Waits until a request is admitted again that was admitted for a due
+/// reservation and ran nowhere. False if it is not.
+pub(super) async fn waits_again(
+    state: &Rc<State>,
+    arrival: &mut Arrival,
+    end: &End,
+) -> bool {
+    let Some(turn) = arrival.turn.as_mut().filter(|_| found_no_room(end))
+    else {
+        return false;
+    };
+    arrival.in_flight.request.set_stage(Stage::Admission);
+    let retaken = tokio::select! {
+        retaken = state.turns.retake(state.now(), turn) => retaken,
+        () = state.expired() => None,
+    };
+    arrival.in_flight.request.set_stage(Stage::Unsent);
+    match retaken {
+        Some(Ok(())) => true,
+        Some(Err(told)) => {
+            arrival.in_flight.told = told;
+            arrival.turn = None;
+            false
+        }
+        None => false,
+    }
+}
+
+/// Records the end of a request that was admitted by rate, and determines the
+/// retry time of one that ran nowhere.
+pub(super) fn tell(state: &State, arrival: &mut Arrival, end: &End) {
+    let Some(turn) = &arrival.turn else {
+        return;
+    };
+    let now = state.now();
+    if matches!(end, End::Answered { status, .. } if *status < 500) {
+        state.turns.record_answer(now, turn);
+    }
+    if found_no_room(end) {
+        let draw = state.random_fraction();
+        arrival.in_flight.told = state.turns.refuse_unserved(now, turn, draw);
+    }
+}
+
 /// The path and query of a request.
 pub(super) fn path(head: &Head) -> String {
     let path = head.uri.path_and_query();
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -95,6 +95,7 @@
     spawn_local(log_counters(state.clone()));
     spawn_local(adjust_throttle(state.clone()));
     spawn_local(expire_suspicions(state.clone()));
+    spawn_local(ingress::decide_waiting(state.clone()));
     let expiry = state.clone();
     spawn_local(async move { expiry.serve.expire_queued(&expiry).await });
     spawn_local(reload(state.clone(), path));
@@ -216,6 +217,10 @@
             ("callers", state.connections.get().into()),
             ("connections", serve.pool.opened().into()),
         ];
+        let mut fields = fields.to_vec();
+        if state.turns.is_enabled() {
+            fields.extend(state.turns.fields());
+        }
         state.journal.log_event(state.now(), Event::Counters, &fields);
     }
 }
--- a/crates/walnutmoor/src/mesh/requests.rs
+++ b/crates/walnutmoor/src/mesh/requests.rs
@@ -31,6 +31,8 @@
     Reading,
     /// It waits for quota of its account.
     Quota,
+    /// It waits until it is admitted.
+    Admission,
     /// It is at no instance: before its first attempt or between two.
     Unsent,
     /// It was sent to the instance beside this node.
@@ -41,14 +43,15 @@
 
 impl Stage {
     /// The names of all stages in the log, in order.
-    pub const NAMES: [&str; 5] =
-        ["reading", "quota", "unsent", "sent", "writing"];
+    pub const NAMES: [&str; 6] =
+        ["reading", "quota", "admission", "unsent", "sent", "writing"];
 
     /// The name in the log.
     pub fn as_str(self) -> &'static str {
         match self {
             Stage::Reading => "reading",
             Stage::Quota => "quota",
+            Stage::Admission => "admission",
             Stage::Unsent => "unsent",
             Stage::Sent(_) => "sent",
             Stage::Writing => "writing",
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -25,6 +25,7 @@
     departure::Departures,
     desired::Desired,
     frame::{Frame, Hello, PROTOCOL_VERSION},
+    ingress::turn::Turns,
     journal::{Event, Journal},
     link::Link,
     peer::Session,
@@ -93,6 +94,8 @@
     pub(super) eras: EraTracker,
     /// The quotas of client accounts.
     pub(crate) quotas: Quotas,
+    /// Reservations of callers, and the requests that wait at the ingress.
+    pub(crate) turns: Turns,
     /// Departed instances.
     pub(super) departures: Departures,
     /// The longest timeout that a caller of each route has sent.
@@ -118,6 +121,7 @@
         let me = NodeId(settings.address());
         let balancer = Balancer::new(settings.zone.clone());
         let serve = Serve::new(&settings);
+        let turns = Turns::new(settings.overload, settings.memory << 20);
         Rc::new(State {
             me,
             incarnation,
@@ -139,6 +143,7 @@
             desired: Desired::default(),
             eras: EraTracker::default(),
             quotas: Quotas::new(settings.bounds().quota()),
+            turns,
             departures: Departures::default(),
             longest_timeouts: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -163,6 +163,7 @@
         gauge!("walnutmoor_requests", "stage" => stage)
             .set(at_stage.count() as f64);
     }
+    state.turns.publish();
     let limit = state.serve.named_limit();
     gauge!("walnutmoor_named_limit")
         .set(limit.map_or(f64::INFINITY, Rate::per_second));
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -98,3 +98,23 @@
     "#]],
     );
 }
+
+/// Guards against a promise of return that cannot be told from other refusals
+/// when it was broken.
+#[test]
+fn promises_of_return_are_told_from_other_refusals() {
+    check(
+        "3c07",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        at 70000 ms on a: it was refused with a reservation, and has not run; backlog 31; demand 1.4; let_in 0.61; rate 22.5; reserved true; retry_ms 1777; returned "new"; revision 8; route "lookups"; why "overloaded"
+    "#]],
+    );
+    check(
+        "3c08",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        at 74800 ms on a: it was refused although its reservation was due, and has not run; backlog 4; demand 1.6; let_in 0.2; rate 6.5; reserved false; retry_ms 769; returned "due"; revision 8; route "lookups"; why "overloaded"
+    "#]],
+    );
+}
