--- a/crates/walnutmoor-core/tests/shortage/mod.rs
+++ b/crates/walnutmoor-core/tests/shortage/mod.rs
@@ -582,7 +582,7 @@
         let load = self.instances[instance].load(self.now);
         if let Some(request) = self.requests.get(&(call / IDS_PER_REQUEST)) {
             let balance = &mut self.ingresses[request.caller.ingress].0;
-            balance.report(node(instance), load);
+            balance.report(self.now, node(instance), load);
             balance.done(node(instance), failed);
         }
     }
@@ -686,11 +686,11 @@
         for instance in 0..self.instances.len() {
             let load = self.instances[instance].load(self.now);
             for (balance, _) in &mut self.ingresses {
-                balance.report(node(instance), load);
+                balance.report(self.now, node(instance), load);
             }
         }
         for (balance, throttle) in &mut self.ingresses {
-            throttle.step(balance.pressures());
+            throttle.step(balance.pressures(self.now));
         }
     }
 }
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -4,6 +4,7 @@
 */
 
 mod admission;
+pub(super) mod turn;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -15,11 +16,14 @@
     error::{Kind, Ran, Refusal},
     feasibility::Need,
     poison,
+    reservation::{Flow, Told},
     table::{Effect, Route},
     time::Millis,
 };
 use walnutmoor_platform::header;
 
+use turn::Turn;
+
 use super::{
     cancellation::{self, Signal},
     connection,
@@ -75,6 +79,13 @@
     }
 }
 
+/// Decides the requests that wait at this node until the process ends.
+pub(super) async fn decide_waiting(state: Rc<State>) {
+    let fraction = |flow: &Flow| admission::fraction(&state, flow);
+    let draw = || state.random_fraction();
+    state.turns.run(|| state.now(), fraction, draw).await;
+}
+
 /// True if responses are to ask callers to close their connections: there are
 /// too many, or the node is shutting down.
 pub(super) fn should_close_connections(state: &State) -> bool {
@@ -94,6 +105,10 @@
     received_at: Millis,
     held_bytes: usize,
     is_finished: bool,
+    /// What the caller is told, if its retry time comes from the backlog.
+    told: Option<Told>,
+    /// How long it waited until it was admitted first.
+    waited: Millis,
     request: Rc<requests::Request>,
 }
 
@@ -108,6 +123,8 @@
             received_at: now,
             held_bytes: 0,
             is_finished: false,
+            told: None,
+            waited: Millis(0),
             request: state.requests.add(attempt, now),
         }
     }
@@ -186,6 +203,8 @@
     content_hasher: poison::Hasher,
     body: BytesMut,
     max_body_bytes: usize,
+    /// How it was admitted, if this node decides by rate.
+    turn: Option<Turn>,
 }
 
 impl Arrival {
@@ -216,6 +235,7 @@
                     content_hasher,
                     body,
                     max_body_bytes,
+                    turn: None,
                 })
             }
             Err(kind) => {
@@ -335,6 +355,19 @@
         }
     }
 
+    /// Dispatches the request, again if it ran nowhere and may wait for it.
+    async fn dispatch(
+        &mut self,
+        state: &Rc<State>,
+        request: &dispatch::Request,
+    ) -> Finished {
+        let mut finished = dispatch::run(state, request).await;
+        while admission::waits_again(state, self, &finished.end).await {
+            finished = dispatch::run(state, request).await;
+        }
+        finished
+    }
+
     /// Applies the account's quota, then admission, and dispatches the
     /// request. The quota comes first, so that requests above it do not count
     /// as demand.
@@ -349,9 +382,15 @@
             permit = state.acquire(account.as_deref(), target) => permit?,
             () = state.expired() => return Err(not_run(Kind::Leaving)),
         };
+        self.in_flight.request.set_stage(Stage::Admission);
+        let turn = tokio::select! {
+            turn = admission::take_turn(state, self) => turn,
+            () = state.expired() => Err(not_run(Kind::Leaving)),
+        };
         self.in_flight.request.set_stage(Stage::Unsent);
         let canceled = self.cancellation(state)?;
-        let request = match admission::admit(state, self) {
+        let admitted = turn.and_then(|()| admission::admit(state, self));
+        let request = match admitted {
             Ok(request) => request,
             Err(refusal) => {
                 permit.into_iter().for_each(|permit| permit.end(0));
@@ -360,11 +399,12 @@
         };
         let finished = tokio::select! {
             biased;
-            finished = dispatch::run(state, &request) => finished,
+            finished = self.dispatch(state, &request) => finished,
             () = cancellation::wait(canceled) => {
                 return Ok(end_with_run(state));
             }
         };
+        admission::tell(state, self, &finished.end);
         permit.into_iter().for_each(|permit| permit.end(finished.runs));
         Ok(conclude(state, &self.in_flight, &request, finished))
     }
@@ -524,11 +564,15 @@
         ];
         // The last field is left out while retries are not ordered by need.
         let count = fields.len() - usize::from(need.is_none());
+        let mut fields = fields[..count].to_vec();
+        fields.extend(in_flight.told.iter().flat_map(turn::fields));
         let id = &in_flight.attempt;
-        let fields = &fields[..count];
-        state.journal.log_request(now, Event::Refused, id, fields);
+        state.journal.log_request(now, Event::Refused, id, &fields);
     }
     telemetry::count_account(in_flight.account(), kind.as_str());
+    if let Some(told) = in_flight.told {
+        return wire::refuse(kind, told.retry_after);
+    }
     match refusal.retry_after {
         Some(span) => {
             let span = Millis(span.0.max(MIN_RETRY_AFTER.0));
@@ -552,6 +596,7 @@
     let Finished { end, tried, limited, .. } = finished;
     let now = state.now();
     let after = now.since(in_flight.received_at);
+    let waited = in_flight.waited;
     let route = &request.route;
     let id = &request.attempt;
     let (event, outcome, why) = match &end {
@@ -594,6 +639,10 @@
             fields.push(("limit", limited.rate.per_second().into()));
             fields.push(("limit_age_ms", limited.age.0.into()));
         }
+        fields.extend(in_flight.told.iter().flat_map(turn::fields));
+        if waited > Millis(0) {
+            fields.push(("waited_ms", waited.0.into()));
+        }
         if let Some(evidence) = state.evidence(request.fingerprint) {
             fields.push(("crashes", evidence.crashes.len().into()));
             fields.push(("refuted", evidence.refuted.len().into()));
@@ -606,6 +655,9 @@
             wire::answer(status, headers, body)
         }
         End::Refused(kind, retry_after) => {
+            if let Some(told) = in_flight.told {
+                return wire::refuse(kind, told.retry_after);
+            }
             let retry_after = Millis(retry_after.0.max(MIN_RETRY_AFTER.0));
             wire::refuse(kind, state.jitter(retry_after))
         }
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -50,7 +50,7 @@
 }
 
 /// Switches of the overload control, each off by default.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Overload {
     /// Gives refused callers a retry time for which capacity is reserved.
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -34,7 +34,7 @@
     pub store: Arc<Store>,
     pub pairs: Vec<Pair>,
     /// The parts of overload control that are enabled on its nodes.
-    overload: Vec<String>,
+    pub overload: Vec<String>,
 }
 
 pub fn route(name: &str, effect: Effect, services: &[(&str, u32)]) -> Route {
@@ -79,8 +79,17 @@
 
     /// Like [`World::start`], with these parts of overload control enabled.
     pub async fn start_with(services: &[&str], overload: &[&str]) -> World {
+        World::start_desired(services, &desired(1, &routes()), overload).await
+    }
+
+    /// Like [`World::start_with`], with this desired state.
+    pub async fn start_desired(
+        services: &[&str],
+        desired: &str,
+        overload: &[&str],
+    ) -> World {
         let store = Store::start().await;
-        store.write_desired(&desired(1, &routes()));
+        store.write_desired(desired);
         let overload = overload.iter().map(ToString::to_string).collect();
         let mut world = World { store, pairs: Vec::new(), overload };
         for service in services {
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -15,6 +15,7 @@
 mod poison;
 mod restore;
 mod resume;
+mod returning;
 mod shutdown;
 mod speeds;
 mod watching;
