--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -145,14 +145,21 @@
     /// Requests that were rejected before are preferred, because a second
     /// rejection costs the caller more than the first.
     pub fn admits(&self, route: &str, is_retry: bool, draw: f64) -> bool {
+        self.record_offer(route);
         let Some(state) = self.routes.get(route) else {
             return true;
         };
-        state.offered.set(state.offered.get().saturating_add(1));
         let preference = if is_retry { RETRY_PREFERENCE } else { 1.0 };
         draw < state.admitted * preference
     }
 
+    /// Counts a request that is offered; [`Throttle::admits`] includes it.
+    pub fn record_offer(&self, route: &str) {
+        if let Some(state) = self.routes.get(route) {
+            state.offered.set(state.offered.get().saturating_add(1));
+        }
+    }
+
     /// Returns true if a request that must not run twice is likely to
     /// complete, either without retries or within the retry budget left for
     /// it.
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -27,6 +27,7 @@
         feasibility,
         requests::Stage,
         serve::CallOutcome,
+        settings::Overload,
         state::State,
         wire,
     },
@@ -133,19 +134,23 @@
     if !throttle.admits(&route.name, is_retry, state.random_fraction()) {
         return false;
     }
-    can_complete(&throttle, attempt, route)
+    can_complete(state.settings.overload, &throttle, attempt, route)
 }
 
 /// True unless a request must not run twice and is unlikely to complete.
 /// Callers may retry idempotent ones after any failure.
-fn can_complete(throttle: &Throttle, attempt: &str, route: &Route) -> bool {
+fn can_complete(
+    overload: Overload,
+    throttle: &Throttle,
+    attempt: &str,
+    route: &Route,
+) -> bool {
     if route.effect == Effect::Idempotent {
         return true;
     }
     let sample_key = SampleKey::of(header::root(attempt));
     let priority = Priority { rank: route.priority, sample_key };
-    let overload = state.settings.overload;
-    feasibility::can_complete(overload, &throttle, &route.name, priority)
+    feasibility::can_complete(overload, throttle, &route.name, priority)
 }
 
 /// The refusal of a request above what its route admits.
@@ -174,9 +179,11 @@
         return Ok(());
     }
     let route = arrival.route.clone();
+    state.throttle.borrow().record_offer(&route.name);
     let request = turn_request(state, arrival);
     let attempt = &arrival.in_flight.attempt;
-    if !can_complete(&state.throttle.borrow(), attempt, &route) {
+    let overload = state.settings.overload;
+    if !can_complete(overload, &state.throttle.borrow(), attempt, &route) {
         let told = state.turns.refuse_unreserved(state.now(), &request);
         arrival.in_flight.told = told;
         return Err(overloaded(&route));
