--- a/crates/walnutmoor-core/tests/speed.rs
+++ b/crates/walnutmoor-core/tests/speed.rs
@@ -6,6 +6,7 @@
     balance::{Balancer, Choice, Pick},
     bulkhead::{Bulkhead, Load, Next, Offer, Work},
     id::{CallId, NodeId, Service},
+    rate_limit::Rate,
     retry_state::Scope,
     speed::{Reading, Speed, Tracker},
     time::Millis,
@@ -306,6 +307,22 @@
     assert!((demand(50) - usual / 2.0).abs() < 1.0);
 }
 
+/// Guards against a rate limit whose capacity is reported at usual speed: a
+/// slow machine keeps more slots busy at the same rate.
+#[test]
+fn the_slots_that_a_rate_limit_keeps_busy_follow_the_speed() {
+    let limit = |percent| {
+        let mut bulkhead = full_bulkhead(percent);
+        bulkhead.limit_rate(Millis(2_000), Rate::new(50.0));
+        bulkhead.load(Millis(2_000)).limit
+    };
+
+    // 50 runs per second of 100 ms.
+    assert_eq!(limit(100), 5);
+    assert_eq!(limit(300), 15);
+    assert_eq!(limit(1_000), 19);
+}
+
 fn node(port: u16) -> NodeId {
     NodeId(([127, 0, 0, 1], port).into())
 }
--- a/crates/walnutmoor/tests/mesh/speeds.rs
+++ b/crates/walnutmoor/tests/mesh/speeds.rs
@@ -4,6 +4,8 @@
 
 use http::Method;
 use tokio::time::{Instant, interval, sleep};
+use walnutmoor::mesh::{journal::Journal, speed::Speeds};
+use walnutmoor_core::{bulkhead::Load, id::NodeId, time::Millis};
 use walnutmoor_standin::mesh::{caller, instance::Instance};
 
 use crate::fixture::{World, headers, run, until};
@@ -118,6 +120,31 @@
     });
 }
 
+/// Guards against an implausible report of another node that is not noticed,
+/// or fills the log.
+#[test]
+fn an_implausible_report_is_counted() {
+    let speeds = Speeds::default();
+    let journal = Journal::silent();
+    let node = NodeId(([127, 0, 0, 1], 1).into());
+    let report = |text: &str| Load {
+        speed: serde_json::from_str(text).unwrap(),
+        ..Load::default()
+    };
+
+    for (text, malformed) in [
+        ("{\"percent\":100,\"age_ms\":0}", 0),
+        ("{\"percent\":0,\"age_ms\":0}", 1),
+        ("{\"percent\":65535,\"age_ms\":65535}", 2),
+        ("{\"percent\":1000,\"age_ms\":65535}", 2),
+    ] {
+        let load = report(text);
+        speeds.check_report(&journal, Millis(0), node, &load);
+
+        assert_eq!(speeds.observed(1.0).malformed, malformed, "{text}");
+    }
+}
+
 /// Guards against a malformed figure that disturbs requests, the other three
 /// figures or the log.
 #[test]
