--- a/crates/walnutmoor-core/src/feasibility.rs
+++ b/crates/walnutmoor-core/src/feasibility.rs
@@ -48,6 +48,9 @@
 /// The number of classes.
 const CLASSES: usize = 3;
 
+/// The names of the classes.
+const CLASS_LABELS: [&str; CLASSES] = ["few", "several", "many"];
+
 /// The part of the urgent burst that only requests of rank 0 may spend. They
 /// are not told apart by need.
 const FIRST_RANK_SHARE: f64 = 0.25;
@@ -98,6 +101,11 @@
         Need(self.0.saturating_add(other.0))
     }
 
+    /// Returns the name of the class in the order of retries.
+    pub fn label(self) -> &'static str {
+        CLASS_LABELS[self.class()]
+    }
+
     /// Returns the class in the order of retries; 0 comes first.
     fn class(self) -> usize {
         let within = |bound: &f64| self.retries() <= *bound;
--- a/crates/walnutmoor-core/src/footprint.rs
+++ b/crates/walnutmoor-core/src/footprint.rs
@@ -83,14 +83,16 @@
         State { shed: hundredths(shed), spent: hundredths(spent) }
     }
 
-    /// Returns the fraction of requests that is shed.
+    /// Returns the fraction of requests that is shed, at most 1 whatever
+    /// another node has sent.
     pub fn shed(self) -> f64 {
-        f64::from(self.shed) / 100.0
+        (f64::from(self.shed) / 100.0).min(1.0)
     }
 
-    /// Returns the fraction of the retry budget that is spent.
+    /// Returns the fraction of the retry budget that is spent, at most 1
+    /// whatever another node has sent.
     pub fn spent(self) -> f64 {
-        f64::from(self.spent) / 100.0
+        (f64::from(self.spent) / 100.0).min(1.0)
     }
 
     /// Returns the mean of two states, weighted by their numbers of runs.
--- a/crates/walnutmoor-core/tests/direct_scaling.rs
+++ b/crates/walnutmoor-core/tests/direct_scaling.rs
@@ -24,6 +24,7 @@
         demand: vec![(Millis(0), before), (Millis(5_000), after)],
         shedding: None,
         policy: Policy::CURRENT,
+        restart: None,
         counted: (Millis(5_000), Millis(11_000)),
     };
     run(&scenario, &SEEDS)
@@ -37,6 +38,7 @@
         demand: (0..8).map(|n| (Millis(n * 1_500), demand(n))).collect(),
         shedding: None,
         policy: Policy::CURRENT,
+        restart: None,
         counted: (Millis(3_000), Millis(12_000)),
     };
     run(&scenario, &SEEDS)
--- a/crates/walnutmoor-core/tests/feasibility.rs
+++ b/crates/walnutmoor-core/tests/feasibility.rs
@@ -19,15 +19,28 @@
 /// Usual demand, relative to the capacity.
 const DEMAND: f64 = 0.9;
 
+/// The platform's limit of retries per first attempt, with its slack.
+const MAX_RATIO: f64 = 0.21;
+
 /// All instances reject 0.55 of what reaches them for 8.5 s. The requests that
 /// arrive then are counted.
 fn reject(deployment: Deployment, policy: Policy) -> Report {
+    reject_with(deployment, policy, None)
+}
+
+/// The same, with a restart of all nodes.
+fn reject_with(
+    deployment: Deployment,
+    policy: Policy,
+    restart: Option<Millis>,
+) -> Report {
     let (from, to) = (Millis(12_000), Millis(20_500));
     let scenario = Scenario {
         deployment,
         demand: vec![(Millis(0), DEMAND)],
         shedding: Some(Shedding { from, to, fraction: 0.55 }),
         policy,
+        restart,
         counted: (from, to),
     };
     let report = run(&scenario, &SEEDS);
@@ -72,6 +85,63 @@
     assert!(after.worst_ratio <= before.worst_ratio, "{after:?}");
 }
 
+/// Guards against refusals of idempotent requests that cannot complete: the
+/// retry budget is a fraction of the calls that reach the service, so each
+/// refused request takes retries from those that could complete. Budgets are
+/// based on the current window only, as with a longer failure.
+#[test]
+fn running_infeasible_requests_serves_more_than_refusing_them() {
+    let run = Policy { carry_over: 0.0, ..Policy::BY_NEED };
+    let refuse = Policy { run_idempotent: 0.05, ..run };
+    for (deployment, urgent) in [(first(), "plan"), (second(), "confirmation")]
+    {
+        let running = reject(deployment.clone(), run);
+        let refusing = reject(deployment, refuse);
+
+        let (ran, refused) = (
+            tally(&running, urgent).in_time,
+            tally(&refusing, urgent).in_time,
+        );
+        assert!(ran * 10 > refused * 11, "{ran} {refused}");
+        let (ran, refused) =
+            (running.total().in_time, refusing.total().in_time);
+        assert!(ran * 20 > refused * 21, "{ran} {refused}");
+        assert!(running.worst_ratio < MAX_RATIO, "{running:?}");
+        assert!(refusing.worst_ratio > MAX_RATIO, "{refusing:?}");
+    }
+}
+
+/// Guards against a refusal of everything that needs more than one retry,
+/// which serves almost no urgent request.
+#[test]
+fn requests_that_need_several_retries_are_not_all_refused() {
+    let refuse = Policy { one_retry_only: true, ..Policy::CURRENT };
+    for deployment in [first(), second()] {
+        let by_need = reject(deployment.clone(), Policy::BY_NEED);
+        let refusing = reject(deployment, refuse);
+
+        let (most, least) =
+            (by_need.total().in_time, refusing.total().in_time);
+        assert!(most * 10 > least * 11, "{most} {least}");
+    }
+}
+
+/// Guards against an order that depends on what nodes have learned: after a
+/// restart of all of them in the failure, no fewer requests are served than
+/// with the former order.
+#[test]
+fn a_restart_of_all_nodes_does_not_favor_the_former_order() {
+    let restart = Some(Millis(15_000));
+    for deployment in [first(), second()] {
+        let before = reject_with(deployment.clone(), Policy::CURRENT, restart);
+        let after = reject_with(deployment, Policy::BY_NEED, restart);
+
+        let (total, was) = (after.total().in_time, before.total().in_time);
+        assert!(total * 50 > was * 49, "{total} {was}");
+        assert!(after.worst_ratio < before.worst_ratio * 1.05, "{after:?}");
+    }
+}
+
 fn key(n: u32) -> SampleKey {
     SampleKey::of(&format!("request-{n}"))
 }
--- a/crates/walnutmoor-core/tests/shortage/mod.rs
+++ b/crates/walnutmoor-core/tests/shortage/mod.rs
@@ -91,6 +91,8 @@
     pub demand: Vec<(Millis, f64)>,
     pub shedding: Option<Shedding>,
     pub policy: Policy,
+    /// When all nodes restart and lose what they have learned.
+    pub restart: Option<Millis>,
     /// Arrival times of the requests that are counted.
     pub counted: (Millis, Millis),
 }
@@ -680,6 +682,9 @@
         for instance in 0..self.instances.len() {
             self.start_waiting(instance);
         }
+        if self.scenario.restart == Some(self.now) {
+            self.restart();
+        }
         if !self.now.0.is_multiple_of(200) {
             return;
         }
@@ -693,4 +698,15 @@
             throttle.step(balance.pressures());
         }
     }
+
+    /// Replaces the learned state of all nodes. Running requests go on.
+    fn restart(&mut self) {
+        let carry_over = self.scenario.policy.carry_over;
+        for (_, throttle) in &mut self.ingresses {
+            *throttle = Throttle::new();
+        }
+        for each in &mut self.budgets {
+            *each = budget(carry_over);
+        }
+    }
 }
--- a/crates/walnutmoor-core/tests/throttle.rs
+++ b/crates/walnutmoor-core/tests/throttle.rs
@@ -477,3 +477,33 @@
 
     assert_eq!(admitted(&throttle, "checks"), 1.0);
 }
+
+/// Guards against a state that another node reports wrongly: fractions above 1
+/// must not refuse the sample of requests that detects recovery, nor give an
+/// unbounded need.
+#[test]
+fn implausible_states_are_limited() {
+    let mut throttle = claims_throttle();
+
+    observe_answers(&mut throttle, 2.5, 2.5);
+
+    let completable = count_completable(&throttle);
+    assert!((20..100).contains(&completable), "{completable}");
+    let spent = throttle.retry_budget_spent("claims");
+    assert!(spent > 0.95 && spent <= 1.0, "{spent}");
+    let need = throttle.need("claims").unwrap();
+    assert!(need.retries() <= 25.5, "{need}");
+}
+
+/// Guards against a need that is learned from services which do not reject.
+#[test]
+fn routes_need_retries_only_while_a_service_rejects() {
+    let mut throttle = claims_throttle();
+    assert_eq!(throttle.need("claims"), None);
+    assert_eq!(throttle.need("unknown"), None);
+
+    observe_answers(&mut throttle, 0.55, 0.8);
+
+    let need = throttle.need("claims").unwrap();
+    assert!((9.0..10.0).contains(&need.retries()), "{need}");
+}
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -69,6 +69,11 @@
         is_skipped || self.value["event"] == "era"
     }
 
+    /// True if the line tells that requests of this route need retries.
+    fn needs_retries(&self) -> bool {
+        self.value["need"].as_f64().is_some_and(|need| need > 0.0)
+    }
+
     /// When the request started, in milliseconds. Without `after_ms` it is
     /// the time of the line.
     fn started_ms(&self) -> u64 {
@@ -81,6 +86,10 @@
         let event = self.value["event"].as_str().unwrap_or("?");
         let description = match event {
             "answered" => "an instance answered it",
+            "refused" if self.needs_retries() => {
+                "it was refused and has not run, while a service that its \
+                 route calls rejects"
+            }
             "refused" => "it was refused and has not run",
             "unknown" => "it failed, and may have run",
             "retry" => "it is retried on another instance",
--- a/crates/walnutmoor/src/mesh/feasibility.rs
+++ b/crates/walnutmoor/src/mesh/feasibility.rs
@@ -27,6 +27,13 @@
     }
 }
 
+/// Counts a retry that the budget of the local instance denied.
+pub(super) fn count_denied(need: Option<Need>) {
+    let need = need.map_or("unknown", Need::label);
+    metrics::counter!("walnutmoor_retries_denied_total", "need" => need)
+        .increment(1);
+}
+
 /// True if a request that must not run twice is likely to complete.
 pub(super) fn can_complete(
     overload: Overload,
@@ -34,8 +41,12 @@
     route: &str,
     priority: Priority,
 ) -> bool {
-    match overload.feasibility {
-        true => throttle.is_feasible(route, priority),
-        false => throttle.can_complete(route, priority),
+    if !overload.feasibility {
+        return throttle.can_complete(route, priority);
+    }
+    let is_feasible = throttle.is_feasible(route, priority);
+    if !is_feasible {
+        metrics::counter!("walnutmoor_infeasible_total").increment(1);
     }
+    is_feasible
 }
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -36,6 +36,7 @@
 
 use super::{
     crash::Detector,
+    feasibility,
     frame::{Call, Reply},
     instance::Pool,
     peer::Session,
@@ -355,6 +356,7 @@
         }
         if !self.try_retry(now, &call) {
             self.over_budget.set(self.over_budget.get() + 1);
+            feasibility::count_denied(call.need);
             return reject(state, sink, Kind::Budget, Millis(1_000));
         }
         let job = Job::new(now, call, sink);
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -26,6 +26,19 @@
     );
 }
 
+/// Guards against a refusal of a request that cannot complete that reads like
+/// one for demand.
+#[test]
+fn a_refusal_for_lack_of_retries_names_the_rejecting_service() {
+    check(
+        "7e57",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        at 70000 ms on a: it was refused and has not run, while a service that its route calls rejects; demand 0.91; let_in 1.0; need 4.9; repeats_spent 0.86; revision 8; route "claims"; why "overloaded"
+    "#]],
+    );
+}
+
 #[test]
 fn nested_calls_are_part_of_the_timeline() {
     check(
--- a/crates/walnutmoor/tests/settings.rs
+++ b/crates/walnutmoor/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Validation of settings. The first line of each file in `testdata/settings`
 //! is a comment: `good`, or a part of the expected error message.
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, process::Command};
 
 use walnutmoor::{prelude::*, settings::Settings};
 
@@ -60,3 +60,43 @@
     let error = error.unwrap_err().to_string();
     assert!(error.contains("frobnicate"), "{error}");
 }
+
+/// Guards against a switch that is on unless the settings say so, and against
+/// a misspelled one that is ignored.
+#[test]
+fn overload_switches_are_off_by_default_and_checked() {
+    let text = std::fs::read_to_string("testdata/mesh/node.yaml").unwrap();
+    let parse = |extra: &str| {
+        let text = format!("{text}{extra}\n");
+        walnutmoor::mesh::settings::Settings::parse(&text)
+    };
+
+    let absent = parse("").unwrap().overload;
+    let given = parse("overload: {feasibility: true}").unwrap().overload;
+    let unknown = parse("overload: {feasable: true}").unwrap_err();
+
+    assert!(!absent.feasibility && !absent.zone_spill);
+    assert!(given.feasibility && !given.zone_spill);
+    assert!(unknown.to_string().contains("feasable"), "{unknown}");
+}
+
+/// Guards against an error for a malformed switch that does not name file,
+/// line and key.
+#[test]
+fn a_malformed_overload_switch_is_named() {
+    let text = fs::read_to_string("testdata/mesh/node.yaml").unwrap();
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("malformed.yaml");
+    fs::write(&path, format!("{text}overload: {{feasibility: 3}}\n")).unwrap();
+
+    let output = Command::new(env!("CARGO_BIN_EXE_walnutmoor"))
+        .args(["check", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success(), "{error}");
+    for part in ["malformed.yaml:13", "feasibility"] {
+        assert!(error.contains(part), "{part}: {error}");
+    }
+}
