--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -42,12 +42,9 @@
     id::{NodeId, Service, Zone},
     retry_state::Scope,
     time::Millis,
+    zone::{MAX_REPORT_AGE, Preference, Preferences},
 };
 
-/// The cost of sending a request to another zone, as a fraction of its target
-/// latency.
-const REMOTE_ZONE_COST_SHARE: f64 = 0.25;
-
 /// One request in this many goes to the next instance in turn instead of the
 /// cheapest, so that an instance that was slow or failing is seen to recover.
 /// An instance is known only by its responses, so one without requests would
@@ -109,6 +106,9 @@
     services: Map<Service, Vec<NodeId>>,
     servers: Map<NodeId, (Service, Server)>,
     turn: usize,
+    /// Whether the preference for the local zone falls when that zone is full.
+    spills: bool,
+    spilled: u64,
 }
 
 impl Balancer {
@@ -119,6 +119,48 @@
             services: Map::default(),
             servers: Map::default(),
             turn: 0,
+            spills: false,
+            spilled: 0,
+        }
+    }
+
+    /// Lets the preference for the local zone fall while that zone is nearly
+    /// full and another one is less so.
+    pub fn enable_zone_spill(&mut self) {
+        self.spills = true;
+    }
+
+    /// The requests that were sent to another zone while the preference for
+    /// the local one was reduced.
+    pub fn spilled(&self) -> u64 {
+        self.spilled
+    }
+
+    /// The preferences for the local zone among the instances of a service.
+    pub fn preferences(
+        &self,
+        now: Millis,
+        service: &Service,
+    ) -> Preferences<'_> {
+        let mut preferences = Preferences::new(&self.zone);
+        if !self.spills {
+            return preferences;
+        }
+        let ids = self.services.get(service).into_iter().flatten();
+        for (_, server) in ids.filter_map(|id| self.servers.get(id)) {
+            let is_recent = now.since(server.reported_at) <= MAX_REPORT_AGE;
+            if server.is_usable(now) && is_recent {
+                let load = server.load;
+                preferences.add(&server.zone, load.held, load.limit);
+            }
+        }
+        preferences
+    }
+
+    /// Records when the last load report of a node arrived.
+    pub fn record_report_time(&mut self, now: Millis, id: NodeId) {
+        if let Some((_, server)) = self.servers.get_mut(&id) {
+            server.reported_at = now;
         }
     }
 
@@ -200,7 +242,8 @@
         };
         self.turn = self.turn.wrapping_add(1);
         let rank = usize::from(pick.priority).min(RANKS - 1);
-        let remote_cost = pick.target.0 as f64 * REMOTE_ZONE_COST_SHARE;
+        let remote_cost = Preference::FULL.cost(pick.target);
+        let preferences = self.preferences(now, pick.service);
         let probes = self.turn.is_multiple_of(REQUESTS_PER_PROBE);
         let first = self.turn / REQUESTS_PER_PROBE;
         let typical_run_time = self.typical_run_time(ids, rank);
@@ -230,7 +273,7 @@
             let mut cost = server.cost(rank, run_time);
             cost += failing * pick.target.0 as f64;
             if server.zone != self.zone {
-                cost += remote_cost;
+                cost += preferences.over(&server.zone).cost(pick.target);
             }
             if scope
                 .time_left
@@ -250,6 +293,10 @@
         let Some((_, best)) = best else {
             return Choice::None;
         };
+        let best_zone = &self.servers[&best].1.zone;
+        let is_spilled = *best_zone != self.zone
+            && preferences.over(best_zone) < Preference::FULL;
+        self.spilled += u64::from(is_spilled);
         let Some((_, unlimited)) = best_unlimited else {
             return Choice::Send(best);
         };
@@ -392,6 +439,11 @@
         self.services.get(service).map_or(0, Vec::len)
     }
 
+    /// All services, in arbitrary order.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.keys()
+    }
+
     /// All nodes with their services, in arbitrary order.
     pub fn servers(&self) -> impl Iterator<Item = (NodeId, &Service)> {
         self.servers.iter().map(|(id, (service, _))| (*id, service))
--- a/crates/walnutmoor-core/src/balance/server.rs
+++ b/crates/walnutmoor-core/src/balance/server.rs
@@ -85,6 +85,8 @@
     pub(super) zone: Zone,
     pub(super) load: Load,
     pub(super) reported: bool,
+    /// When the last report arrived.
+    pub(super) reported_at: Millis,
     /// Requests that this node has in flight to the instance.
     pub(super) in_flight: usize,
     /// The requests in flight when the last report arrived, at most those in
@@ -103,6 +105,7 @@
             zone,
             load: Load::default(),
             reported: false,
+            reported_at: Millis(0),
             in_flight: 0,
             in_flight_at_report: 0,
             failures: Failures::default(),
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod time;
 pub mod watcher;
 pub mod witness;
+pub mod zone;
 
 /// The types that most modules and most embedders need.
 pub mod prelude {
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -99,6 +99,10 @@
             "desired" if self.is_rollback() => {
                 "an older desired state was not adopted"
             }
+            "zone" if self.value["preference"] == "1.00" => {
+                "requests stay in the local zone again"
+            }
+            "zone" => "requests may leave the local zone, which is full",
             "canceled" => "its caller canceled it before an answer",
             "unanswered" => "its node exited before it was answered",
             "abandoned" => "it was not started, and its connection closed",
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -93,6 +93,8 @@
     Abandoned,
     /// The admission rate of a route has changed.
     Admission,
+    /// The preference for the local zone has begun to fall or is full again.
+    Zone,
     /// Counters since the start of the process.
     Counters,
     /// An internal error, or input that could not be used.
@@ -124,6 +126,7 @@
         Event::Unanswered,
         Event::Abandoned,
         Event::Admission,
+        Event::Zone,
         Event::Counters,
         Event::Fault,
     ];
@@ -154,6 +157,7 @@
             Event::Unanswered => "unanswered",
             Event::Abandoned => "abandoned",
             Event::Admission => "admission",
+            Event::Zone => "zone",
             Event::Counters => "counters",
             Event::Fault => "fault",
         }
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -28,6 +28,7 @@
 | [`quotas`] | enforces the quotas of client accounts |
 | [`suspicion`] | tracks requests suspected of crashing instances |
 | `feasibility` | orders retries by need and refuses infeasible requests |
+| [`zone`] | logs changes of the preference for the local zone |
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
 | [`store`] | syncs desired state and directory with the platform's store |
@@ -70,3 +71,4 @@
 pub mod store;
 pub mod suspicion;
 pub mod wire;
+pub mod zone;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -27,6 +27,7 @@
     state::State,
     store,
     suspicion::SWEEP_INTERVAL,
+    zone,
 };
 use crate::failure::Failure;
 
@@ -175,8 +176,14 @@
 /// Adjusts admission control at the entry node periodically.
 async fn adjust_throttle(state: Rc<State>) {
     let mut timer = interval(THROTTLE_INTERVAL);
+    let zones = zone::Watch::default();
     loop {
         timer.tick().await;
+        if state.settings.overload.zone_spill {
+            let balancer = state.balancer.borrow();
+            let zone = &state.settings.zone;
+            zones.log_changes(state.now(), &balancer, zone, &state.journal);
+        }
         let pressures = state.balancer.borrow().pressures();
         let pressure = pressures.worst;
         let changed = state.throttle.borrow_mut().step(pressures);
@@ -213,6 +220,7 @@
             ("repeats", serve.retries.get().into()),
             ("over_budget", serve.over_budget.get().into()),
             ("limited", serve.diverted().into()),
+            ("spilled", state.balancer.borrow().spilled().into()),
             ("callers", state.connections.get().into()),
             ("connections", serve.pool.opened().into()),
         ];
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -116,7 +116,10 @@
         let mut rng: SmallRng = rand::make_rng();
         let incarnation = Incarnation(rng.random());
         let me = NodeId(settings.address());
-        let balancer = Balancer::new(settings.zone.clone());
+        let mut balancer = Balancer::new(settings.zone.clone());
+        if settings.overload.zone_spill {
+            balancer.enable_zone_spill();
+        }
         let serve = Serve::new(&settings);
         Rc::new(State {
             me,
@@ -183,9 +186,12 @@
 
     /// Records the load of a node's instance.
     pub fn record_load(&self, node: NodeId, load: Load) {
-        if !self.balancer.borrow_mut().report(node, load) {
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.record_report_time(self.now(), node);
+        if !balancer.report(node, load) {
             return;
         }
+        drop(balancer);
         let fields = [
             ("peer", node.to_string().into()),
             ("accepting", load.accepting.into()),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -170,6 +170,8 @@
     counter!("walnutmoor_arrivals_total").absolute(arrivals);
     let diverted = state.serve.diverted();
     counter!("walnutmoor_limited_total").absolute(diverted);
+    let spilled = state.balancer.borrow().spilled();
+    counter!("walnutmoor_zone_spilled_total").absolute(spilled);
     let opened = state.serve.pool.opened();
     counter!("walnutmoor_connections_opened_total").absolute(opened);
 }
