--- a/crates/walnutmoor-core/src/balance/server.rs
+++ b/crates/walnutmoor-core/src/balance/server.rs
@@ -85,7 +85,8 @@
     pub(super) zone: Zone,
     pub(super) load: Load,
     pub(super) reported: bool,
-    reported_at: Millis,
+    /// When the last report arrived.
+    pub(super) reported_at: Millis,
     /// Requests that this node has in flight to the instance.
     pub(super) in_flight: usize,
     /// The requests in flight when the last report arrived, at most those in
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -76,6 +76,11 @@
         is_skipped || self.value["event"] == "era"
     }
 
+    /// True if the line tells that requests of this route need retries.
+    fn needs_retries(&self) -> bool {
+        self.value["need"].as_f64().is_some_and(|need| need > 0.0)
+    }
+
     /// When the request started, in milliseconds. Without `after_ms` it is
     /// the time of the line.
     fn started_ms(&self) -> u64 {
@@ -95,6 +100,10 @@
             "refused" if self.value["reserved"] == true => {
                 "it was refused with a reservation, and has not run"
             }
+            "refused" if self.needs_retries() => {
+                "it was refused and has not run, while a service that its \
+                 route calls rejects"
+            }
             "refused" => "it was refused and has not run",
             "unknown" => "it failed, and may have run",
             "retry" => "it is retried on another instance",
@@ -107,6 +116,10 @@
             "speed" => {
                 "the run times on its machine changed, in percent of usual"
             }
+            "zone" if self.value["preference"] == "1.00" => {
+                "requests stay in the local zone again"
+            }
+            "zone" => "requests may leave the local zone, which is full",
             "canceled" => "its caller canceled it before an answer",
             "unanswered" => "its node exited before it was answered",
             "abandoned" => "it was not started, and its connection closed",
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -119,7 +119,10 @@
         let mut rng: SmallRng = rand::make_rng();
         let incarnation = Incarnation(rng.random());
         let me = NodeId(settings.address());
-        let balancer = Balancer::new(settings.zone.clone());
+        let mut balancer = Balancer::new(settings.zone.clone());
+        if settings.overload.zone_spill {
+            balancer.enable_zone_spill();
+        }
         let serve = Serve::new(&settings);
         let turns = Turns::new(settings.overload, settings.memory << 20);
         Rc::new(State {
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -26,6 +26,19 @@
     );
 }
 
+/// Guards against a refusal of a request that cannot complete that reads like
+/// one for demand.
+#[test]
+fn a_refusal_for_lack_of_retries_names_the_rejecting_service() {
+    check(
+        "7e57",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        at 70000 ms on a: it was refused and has not run, while a service that its route calls rejects; demand 0.91; let_in 1.0; need 4.9; repeats_spent 0.86; revision 8; route "claims"; why "overloaded"
+    "#]],
+    );
+}
+
 #[test]
 fn nested_calls_are_part_of_the_timeline() {
     check(
@@ -130,3 +143,18 @@
     "#]],
     );
 }
+
+/// Guards against a request that is sent to another zone without a reason in
+/// the log.
+#[test]
+fn a_full_local_zone_is_printed() {
+    check(
+        "50ed",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        context at 79000 ms on a: requests may leave the local zone, which is full; preference "0.35"; service "parts"; used "0.93"; zone "east"
+        context at 79900 ms on a: requests stay in the local zone again; preference "1.00"; service "parts"; used "0.71"; zone "east"
+        at 80000 ms on a: an instance answered it; after_ms 90; tried ["10.0.0.3:7500"]; why ""
+    "#]],
+    );
+}
