--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod pipeline;
 pub mod platform;
 pub mod poison;
+pub mod profile;
 pub mod queue;
 pub mod quota;
 pub mod rate_limit;
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -41,6 +41,7 @@
 */
 
 mod completion;
+mod heard;
 mod route;
 
 use completion::Services;
@@ -123,6 +124,8 @@
     routes: Map<String, Route>,
     services: Services,
     cut_cooldown: u8,
+    /// Routes learned since the last [`Throttle::take_learned`].
+    learned: Vec<String>,
 }
 
 impl Throttle {
@@ -195,7 +198,12 @@
         footprint: &Footprint,
         target: Key,
     ) {
-        self.entry(route, priority).observe(footprint, target);
+        let state = self.entry(route, priority);
+        let is_learned = state.record.count();
+        state.observe(footprint, target);
+        if is_learned {
+            self.record_learned(route);
+        }
     }
 
     /// Returns true if a request sent directly to a service uses less of its
@@ -239,6 +247,7 @@
         let pressure = pressures.worst;
         let hidden_demand = self.hidden_demand(pressure);
         for state in self.routes.values_mut() {
+            state.advance();
             let is_overloaded =
                 state.overload_rate() > OVERLOAD_RATE_THRESHOLD;
             if (pressure.shedding && is_overloaded) || state.admitted < 1.0 {
--- a/crates/walnutmoor-core/src/throttle/completion.rs
+++ b/crates/walnutmoor-core/src/throttle/completion.rs
@@ -74,6 +74,17 @@
         *known += (runs - *known) * smoothing;
     }
 
+    /// Moves the mean at a service part of the way to this number of runs.
+    pub(super) fn average(&mut self, key: Key, runs: f64, part: f64) {
+        let known = self.0.entry(key).or_insert(runs);
+        *known += (runs - *known) * part;
+    }
+
+    /// Returns the mean number of runs at a service.
+    pub(super) fn runs(&self, key: Key) -> f64 {
+        self.0.get(&key).copied().unwrap_or_default()
+    }
+
     /// Returns true if this request is likely to complete.
     pub(super) fn can_complete(
         &self,
--- a/crates/walnutmoor-core/src/throttle/route.rs
+++ b/crates/walnutmoor-core/src/throttle/route.rs
@@ -4,7 +4,7 @@
 
 use std::collections::VecDeque;
 
-use super::completion::CallProfile;
+use super::{completion::CallProfile, heard::Record};
 use crate::{
     balance::{Pressure, Pressures},
     bulkhead,
@@ -76,6 +76,8 @@
     pub(super) own_slot_ms: Map<Key, f64>,
     /// Calls per request, to predict whether retries let it complete.
     pub(super) profile: CallProfile,
+    /// The answers, and what other nodes have told.
+    pub(super) record: Record,
 }
 
 impl Route {
@@ -90,6 +92,7 @@
             slot_ms: Map::default(),
             own_slot_ms: Map::default(),
             profile: CallProfile::default(),
+            record: Record::default(),
         }
     }
 
@@ -138,18 +141,16 @@
     }
 
     pub(super) fn observe(&mut self, footprint: &Footprint, target: Key) {
-        for key in footprint.keys() {
-            let span = footprint.slot_time(key).0 as f64;
-            let means = match key == target {
-                true => &mut self.own_slot_ms,
-                false => {
-                    self.profile.observe(key, footprint.runs(key), SMOOTHING);
-                    &mut self.slot_ms
-                }
-            };
-            let mean = means.entry(key).or_insert(span);
-            *mean += (span - *mean) * SMOOTHING;
+        if self.observe_apart(footprint, target) {
+            return;
         }
+        observe(
+            &mut self.slot_ms,
+            &mut self.own_slot_ms,
+            &mut self.profile,
+            footprint,
+            target,
+        );
     }
 
     /// Returns the factor by which the load that is admitted now would fit:
@@ -180,6 +181,28 @@
     }
 }
 
+/// Records an answer in the means of a route.
+pub(super) fn observe(
+    slot_ms: &mut Map<Key, f64>,
+    own_slot_ms: &mut Map<Key, f64>,
+    profile: &mut CallProfile,
+    footprint: &Footprint,
+    target: Key,
+) {
+    for key in footprint.keys() {
+        let span = footprint.slot_time(key).0 as f64;
+        let means = match key == target {
+            true => &mut *own_slot_ms,
+            false => {
+                profile.observe(key, footprint.runs(key), SMOOTHING);
+                &mut *slot_ms
+            }
+        };
+        let mean = means.entry(key).or_insert(span);
+        *mean += (span - *mean) * SMOOTHING;
+    }
+}
+
 /// Returns the factor by which the less urgent demand from calls would fit.
 ///
 /// Direct demand reduces the capacity only up to its reserve, so that a
