--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -40,6 +40,7 @@
     id::{Account, CallId, Era, Incarnation, NodeId, Service, Zone},
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
+    profile::Profile,
     quota::{self, Request},
     rate_limit::Rate,
     table::Effect,
@@ -98,11 +99,13 @@
     KnownLimit(Rate),
     /// The departure of the receiver's instance was recorded.
     DepartureRecorded,
+    /// Profiles of routes that the sender has just learned.
+    Profiles(Vec<Profile>),
 }
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -128,6 +131,9 @@
     pub known: Vec<NodeId>,
     /// The number of nodes in the fleet, as far as it knows.
     pub fleet: usize,
+    /// Profiles of routes that it has learned, if this answers the other
+    /// node's handshake.
+    pub profiles: Vec<Profile>,
 }
 
 /// A request sent to the node of an instance.
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -133,6 +133,7 @@
     }
     state.quotas.record_reported_size(hello.fleet);
     state.observe_peer_era(hello.era);
+    state.adopt_profiles(link.node, hello.profiles.clone());
 }
 
 /// Marks the peer as down and fails its idempotent calls unless the link
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -28,6 +28,7 @@
 | [`crash`] | detects crashes of the local instance |
 | [`quotas`] | enforces the quotas of client accounts |
 | [`suspicion`] | tracks requests suspected of crashing instances |
+| [`handover`] | passes learned profiles of routes on to other nodes |
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
 | [`store`] | syncs desired state and directory with the platform's store |
@@ -51,6 +52,7 @@
 pub mod desired;
 pub mod dispatch;
 pub mod frame;
+pub mod handover;
 pub mod ingress;
 pub mod instance;
 pub mod journal;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -179,6 +179,7 @@
     let mut timer = interval(THROTTLE_INTERVAL);
     loop {
         timer.tick().await;
+        state.advance_handover();
         let pressures = state.balancer.borrow().pressures();
         let pressure = pressures.worst;
         let changed = state.throttle.borrow_mut().step(pressures);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -185,7 +185,7 @@
     let (outgoing, frames) = unbounded_channel();
     *session.outgoing.borrow_mut() = Some(outgoing);
     session.unwritten.set(0);
-    session.send(Frame::Hello(state.hello()));
+    session.send(Frame::Hello(state.hello_reply()));
     if let Some(evidence) = state.evidence_frame() {
         session.send(evidence);
     }
@@ -325,6 +325,9 @@
             state.serve.adopt_limit(state, rate, source);
         }
         Frame::Era(era) => state.observe_peer_era(era),
+        Frame::Profiles(profiles) => {
+            state.adopt_profiles(hello.node, profiles)
+        }
         Frame::Fetch => {
             if let Some(desired) = state.desired_frame() {
                 session.send(desired);
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -15,6 +15,7 @@
     bulkhead::Load,
     digest::Map,
     id::{Incarnation, NodeId},
+    profile::Profile,
     rate_limit::Rate,
     table::Splitter,
     throttle::Throttle,
@@ -25,6 +26,7 @@
     departure::Departures,
     desired::Desired,
     frame::{Frame, Hello, PROTOCOL_VERSION},
+    handover::Handover,
     journal::{Event, Journal},
     link::Link,
     peer::Session,
@@ -95,6 +97,8 @@
     pub(crate) quotas: Quotas,
     /// Departed instances.
     pub(super) departures: Departures,
+    /// The exchange of learned profiles with other nodes.
+    pub handover: Handover,
     /// The longest timeout that a caller of each route has sent.
     longest_timeouts: RefCell<Map<String, Millis>>,
     rng: RefCell<SmallRng>,
@@ -140,6 +144,7 @@
             eras: EraTracker::default(),
             quotas: Quotas::new(settings.bounds().quota()),
             departures: Departures::default(),
+            handover: Handover::new(settings.overload.handover),
             longest_timeouts: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
             started_at: Instant::now(),
@@ -217,6 +222,43 @@
             load: self.serve.load(self.now()),
             known: self.sample_known(),
             fleet: self.quotas.fleet_size(),
+            profiles: Vec::new(),
+        }
+    }
+
+    /// The hello that answers another node's. Carries what was learned here,
+    /// as that node may have restarted.
+    pub fn hello_reply(&self) -> Hello {
+        let profiles = self
+            .handover
+            .export(&self.throttle.borrow(), self.table().as_deref());
+        Hello { profiles, ..self.hello() }
+    }
+
+    /// Adopts profiles that another node has sent.
+    pub fn adopt_profiles(&self, from: NodeId, profiles: Vec<Profile>) {
+        let now = self.now();
+        self.handover.receive(now, from, profiles);
+        self.advance_handover();
+    }
+
+    /// Adopts received profiles once the desired state is known, and tells
+    /// all linked nodes about routes that were learned here first.
+    pub fn advance_handover(&self) {
+        let now = self.now();
+        let mut throttle = self.throttle.borrow_mut();
+        let table = self.table();
+        let table = table.as_deref();
+        let learned = self.handover.take_learned(&mut throttle, table);
+        for report in self.handover.adopt(now, &mut throttle, table) {
+            self.journal.log_event(now, Event::Admission, &report.fields());
+        }
+        drop(throttle);
+        if learned.is_empty() {
+            return;
+        }
+        for link in self.links() {
+            link.send(Frame::Profiles(learned.clone()));
         }
     }
 
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -171,6 +171,10 @@
     let diverted = state.serve.diverted();
     counter!("walnutmoor_limited_total").absolute(diverted);
     publish_connections(&state.serve);
+    for (outcome, count) in state.handover.counters.list() {
+        counter!("walnutmoor_profiles_total", "outcome" => outcome)
+            .absolute(count);
+    }
 }
 
 /// Updates the metrics of connections to the instance.
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod desired;
 mod faults;
 mod fixture;
+mod handover;
 mod leaving;
 mod limits;
 mod path;
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -51,6 +51,7 @@
         load,
         known: Vec::new(),
         fleet: 0,
+        profiles: Vec::new(),
     })
 }
 
