--- a/crates/walnutmoor/src/mesh/cancellation.rs
+++ b/crates/walnutmoor/src/mesh/cancellation.rs
@@ -19,27 +19,15 @@
 ```
 */
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc};
 
 use tokio::sync::Notify;
 use walnutmoor_core::{
     connection::{self, OnCancel},
-    digest::Map,
-    id::CallId,
-    poison::Standing,
     time::Millis,
 };
-use walnutmoor_platform::header;
 
-use super::{
-    journal::Event,
-    serve::{Run, Serve},
-    state::State,
-};
+use super::serve::Run;
 
 /// The cancellation of a run.
 #[derive(Debug, Default)]
@@ -106,113 +94,58 @@
     counter.set(counter.get() + 1);
 }
 
-impl Serve {
-    /// The signal that cancels a nested call; `None` if it is not canceled
-    /// with the run that makes it.
-    pub(super) fn cancellation(&self, attempt: &str) -> Option<Rc<Signal>> {
-        if !self.keeps_connections {
-            return None;
-        }
-        find(&self.runs, header::parent(attempt)?)
-    }
+/// The cancellation of running calls at one instance.
+#[derive(Debug, Default)]
+pub struct Cancellations {
+    is_enabled: bool,
+    /// What became of canceled runs.
+    pub counters: Counters,
+}
 
-    /// True if nested calls of the run that makes this one are refused, since
-    /// it was canceled.
-    pub(super) fn refuses_call(&self, attempt: &str) -> bool {
-        let signal = self.cancellation(attempt);
-        let refuses = signal.is_some_and(|signal| signal.is_set());
-        if refuses {
-            increment(&self.cancellations.refused_calls);
-        }
-        refuses
+/// The state of a run whose call is canceled.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running<'a> {
+    /// The signal of the run.
+    pub(super) signal: &'a Rc<Signal>,
+    /// How long it has run.
+    pub(super) age: Millis,
+    /// The mean run time of its rank; zero if it is not known.
+    pub(super) mean: Millis,
+    /// True if other calls wait for a slot.
+    pub(super) is_slot_wanted: bool,
+}
+
+impl Cancellations {
+    /// Creates the state; without effect unless enabled.
+    pub fn new(is_enabled: bool) -> Cancellations {
+        Cancellations { is_enabled, ..Cancellations::default() }
     }
 
-    /// Decides whether a canceled running call is left to finish, and if so
-    /// limits its remaining time. Returns false if it is to be aborted.
-    pub(super) fn leave_to_finish(
-        &self,
-        state: &Rc<State>,
-        id: CallId,
-    ) -> bool {
-        if !self.keeps_connections {
-            return false;
-        }
-        let Some((attempt, signal)) = self.cancelable(state, id) else {
-            return false;
-        };
-        if signal.is_set() {
-            return true;
-        }
-        let now = state.now();
-        let bulkhead = self.bulkhead.borrow();
-        let Some((age, mean)) = bulkhead.run_time(now, id) else {
-            return false;
-        };
-        let is_slot_wanted = bulkhead.waiting() > 0;
-        drop(bulkhead);
-        // Each nested call in progress holds the signal, besides the run and
-        // this function.
-        let waits_for_calls = Rc::strong_count(&signal) > 2;
-        let run =
-            connection::Run { age, mean, waits_for_calls, is_slot_wanted };
-        let OnCancel::Finish(limit) = run.on_cancel() else {
-            return false;
-        };
-        signal.set();
-        increment(&self.cancellations.left_to_finish);
-        self.abort_after(state, id, limit);
-        log(state, &attempt, &run);
-        true
+    /// The signal of a run for a nested call; `None` if nested calls are not
+    /// canceled with their run.
+    pub(super) fn of_run(&self, run: Option<&Run>) -> Option<Rc<Signal>> {
+        let run = run.filter(|_| self.is_enabled)?;
+        Some(run.cancellation.clone())
     }
 
-    /// The attempt id and the signal of a running call. `None` if the call is
-    /// suspected of crashing instances and must not run on.
-    fn cancelable(
-        &self,
-        state: &State,
-        id: CallId,
-    ) -> Option<(String, Rc<Signal>)> {
-        let (attempt, fingerprint) = {
-            let jobs = self.jobs.borrow();
-            let job = jobs.get(&id)?;
-            (job.attempt.clone(), job.fingerprint)
-        };
-        if state.standing(fingerprint) != Standing::Clear {
+    /// Decides how long a canceled run is left to finish; `None` if it is to
+    /// be aborted. Ends its nested calls if it is left to finish.
+    pub(super) fn decide(&self, running: Running<'_>) -> Option<Millis> {
+        if !self.is_enabled {
             return None;
         }
-        let signal = find(&self.runs, &attempt)?;
-        Some((attempt, signal))
-    }
-
-    /// Aborts a call after this time if it has not finished.
-    fn abort_after(&self, state: &Rc<State>, id: CallId, limit: Millis) {
-        let state = state.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(Duration::from_millis(limit.0)).await;
-            if state.serve.abort(&state, id) {
-                increment(&state.serve.cancellations.aborted_late);
+        let Running { signal, age, mean, is_slot_wanted } = running;
+        // Each nested call in progress holds the signal, besides the run.
+        let waits_for_calls = Rc::strong_count(signal) > 1;
+        let run =
+            connection::Run { age, mean, waits_for_calls, is_slot_wanted };
+        match run.on_cancel() {
+            OnCancel::Abort => None,
+            OnCancel::Finish(limit) => {
+                signal.set();
+                increment(&self.counters.left_to_finish);
+                Some(limit)
             }
-        });
-    }
-}
-
-fn find(
-    runs: &RefCell<Map<String, Run>>,
-    attempt: &str,
-) -> Option<Rc<Signal>> {
-    runs.borrow().get(attempt).map(|run| run.cancellation.clone())
-}
-
-fn log(state: &State, attempt: &str, run: &connection::Run) {
-    let now = state.now();
-    if !state.journal.has_room(now, Event::Canceled) {
-        return;
+        }
     }
-    let fields = [
-        ("left_to_finish", true.into()),
-        ("run_ms", run.age.0.into()),
-        ("mean_run_ms", run.mean.0.into()),
-        ("waits_for_calls", run.waits_for_calls.into()),
-    ];
-    state.journal.log_request(now, Event::Canceled, attempt, &fields);
 }
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -484,7 +484,8 @@
 /// The response to a nested call in progress whose run was canceled. It may
 /// have run.
 fn end_with_run(state: &State) -> Answer {
-    cancellation::increment(&state.serve.cancellations.ended_calls);
+    let counters = &state.serve.cancellations.counters;
+    cancellation::increment(&counters.ended_calls);
     wire::fail(Kind::Broken)
 }
 
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -239,7 +239,7 @@
 }
 
 fn canceled(serve: &Serve) -> Value {
-    let counts = serve.cancellations.list().into_iter();
+    let counts = serve.cancellations.counters.list().into_iter();
     let counts = counts.map(|(name, n)| (name.into(), n.into()));
     Value::Object(counts.collect())
 }
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -10,6 +10,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    time::Duration,
 };
 
 use tokio::{
@@ -35,10 +36,11 @@
 use walnutmoor_platform::header;
 
 use super::{
-    cancellation::{Counters, Signal},
+    cancellation::{self, Cancellations, Running, Signal},
     crash::Detector,
     frame::{Call, Reply},
     instance::Pool,
+    journal::Event,
     peer::Session,
     run,
     settings::Settings,
@@ -195,11 +197,8 @@
     queued: Notify,
     /// Connections to the instance.
     pub pool: Pool,
-    /// True if canceled running calls may be left to finish, so that their
-    /// connections are reused.
-    pub(super) keeps_connections: bool,
-    /// Counters of canceled calls.
-    pub cancellations: Counters,
+    /// The cancellation of running calls.
+    pub cancellations: Cancellations,
     /// Requests that were sent to the instance.
     pub arrivals: Cell<u64>,
     /// Retries among them, with nested calls of retried requests.
@@ -243,8 +242,9 @@
             last_call: Cell::new(0),
             queued: Notify::new(),
             pool: Pool::new(settings.server),
-            keeps_connections: settings.overload.keep_connections,
-            cancellations: Counters::default(),
+            cancellations: Cancellations::new(
+                settings.overload.keep_connections,
+            ),
             arrivals: Cell::new(0),
             retries: Cell::new(0),
             over_budget: Cell::new(0),
@@ -299,6 +299,25 @@
         Some(parent)
     }
 
+    /// The signal that cancels a nested call; `None` if it is not canceled
+    /// with the run that makes it.
+    pub(super) fn cancellation(&self, attempt: &str) -> Option<Rc<Signal>> {
+        let runs = self.runs.borrow();
+        self.cancellations.of_run(runs.get(header::parent(attempt)?))
+    }
+
+    /// True if nested calls of the run that makes this one are refused, since
+    /// it was canceled.
+    pub(super) fn refuses_call(&self, attempt: &str) -> bool {
+        let signal = self.cancellation(attempt);
+        let refuses = signal.is_some_and(|signal| signal.is_set());
+        if refuses {
+            let counters = &self.cancellations.counters;
+            cancellation::increment(&counters.refused_calls);
+        }
+        refuses
+    }
+
     /// Records the outcome of a nested call, if its parent is still running.
     pub(super) fn record_call_outcome(
         &self,
@@ -476,9 +495,63 @@
         }
     }
 
+    /// Leaves a canceled running call to finish if it is expected to end soon.
+    /// Returns false if it is to be aborted, as one is that is suspected of
+    /// crashing instances.
+    fn leave_to_finish(&self, state: &Rc<State>, id: CallId) -> bool {
+        let jobs = self.jobs.borrow();
+        let Some(job) = jobs.get(&id) else {
+            return false;
+        };
+        let runs = self.runs.borrow();
+        let Some(run) = runs.get(&job.attempt) else {
+            return false;
+        };
+        let signal = &run.cancellation;
+        if signal.is_set() {
+            return true;
+        }
+        let now = state.now();
+        let bulkhead = self.bulkhead.borrow();
+        let Some((age, mean)) = bulkhead.run_time(now, id) else {
+            return false;
+        };
+        let is_slot_wanted = bulkhead.waiting() > 0;
+        if state.standing(job.fingerprint) != Standing::Clear {
+            return false;
+        }
+        let running = Running { signal, age, mean, is_slot_wanted };
+        let Some(limit) = self.cancellations.decide(running) else {
+            return false;
+        };
+        let fields = [
+            ("left_to_finish", true.into()),
+            ("run_ms", age.0.into()),
+            ("mean_run_ms", mean.0.into()),
+        ];
+        if state.journal.has_room(now, Event::Canceled) {
+            let id = &job.attempt;
+            state.journal.log_request(now, Event::Canceled, id, &fields);
+        }
+        self.abort_after(state, id, limit);
+        true
+    }
+
+    /// Aborts a call after this time if it has not finished.
+    fn abort_after(&self, state: &Rc<State>, id: CallId, limit: Millis) {
+        let state = state.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(limit.0)).await;
+            if state.serve.abort(&state, id) {
+                let counters = &state.serve.cancellations.counters;
+                cancellation::increment(&counters.aborted_late);
+            }
+        });
+    }
+
     /// Removes a job, and aborts its task if it has started. Returns false if
     /// there is no such job or it has not started.
-    pub(super) fn abort(&self, state: &Rc<State>, id: CallId) -> bool {
+    fn abort(&self, state: &Rc<State>, id: CallId) -> bool {
         let Some(job) = self.take_job(state, id) else {
             return false;
         };
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -190,7 +190,7 @@
         counter!("walnutmoor_connections_closed_total", "reason" => reason)
             .absolute(count);
     }
-    for (outcome, count) in serve.cancellations.list() {
+    for (outcome, count) in serve.cancellations.counters.list() {
         counter!("walnutmoor_canceled_runs_total", "outcome" => outcome)
             .absolute(count);
     }
