--- a/crates/walnutmoor-core/tests/profile_replay.rs
+++ b/crates/walnutmoor-core/tests/profile_replay.rs
@@ -12,6 +12,7 @@
     balance::{Pressure, Pressures},
     footprint::{Footprint, Key},
     id::Service,
+    profile::{Profile, Usage},
     throttle::{Outcome, Throttle},
     time::Millis,
 };
@@ -43,6 +44,8 @@
     Handover,
     /// Each asks one random node per second.
     Pull,
+    /// As [`Exchange::Handover`], and one node tells wrong profiles.
+    WithLiar,
 }
 
 /// The routes with their priority, their calls, and their part of the
@@ -109,6 +112,18 @@
     Key::of(&"desk".parse::<Service>().unwrap())
 }
 
+/// Profiles that name a service which does not exist.
+fn wrong_profiles() -> Vec<Profile> {
+    let key = Key::of(&"nothing".parse::<Service>().unwrap());
+    let usage = Usage { key, slot_ms: 1.0, runs: 1.0, is_direct: false };
+    let profile = |route: &Route| Profile {
+        route: route.name.into(),
+        age: Millis(0),
+        usages: vec![usage],
+    };
+    ROUTES.iter().map(profile).collect()
+}
+
 impl Replay {
     fn new(
         seed: u64,
@@ -272,18 +287,14 @@
     /// Tells all nodes what one has just learned.
     fn tell(&mut self, from: usize) {
         let learned = self.nodes[from].throttle.take_learned();
-        if self.exchange == Exchange::Handover {
+        if !matches!(self.exchange, Exchange::None | Exchange::Pull) {
             for to in 0..NODES {
                 self.adopt(to, &learned);
             }
         }
     }
 
-    fn adopt(
-        &mut self,
-        to: usize,
-        profiles: &[walnutmoor_core::profile::Profile],
-    ) {
+    fn adopt(&mut self, to: usize, profiles: &[Profile]) {
         for profile in profiles {
             let route = ROUTES.iter().find(|r| r.name == profile.route);
             let throttle = &mut self.nodes[to].throttle;
@@ -299,11 +310,14 @@
     }
 
     fn link_all(&mut self) {
-        if self.exchange != Exchange::Handover {
+        if matches!(self.exchange, Exchange::None | Exchange::Pull) {
             return;
         }
         for from in 0..NODES {
-            let profiles = self.nodes[from].throttle.export(|_| true);
+            let mut profiles = self.nodes[from].throttle.export(|_| true);
+            if self.exchange == Exchange::WithLiar && from == 1 {
+                profiles = wrong_profiles();
+            }
             for to in 0..NODES {
                 self.adopt(to, &profiles);
             }
@@ -382,6 +396,17 @@
     assert!(pull.failed > handover.failed, "{pull:?}");
 }
 
+/// Guards against one faulty node that undoes what the others tell.
+#[test]
+fn wrong_profiles_of_one_node_do_little_harm() {
+    let restart = |exchange| replay_all(exchange, 6_000..10_000, Some(6_000));
+
+    let alone = restart(Exchange::None);
+    let with_liar = restart(Exchange::WithLiar);
+
+    assert!(with_liar.failed * 10 < alone.failed * 7, "{with_liar:?}");
+}
+
 /// Guards against harm in a burst. Each node has its first answers of all
 /// routes within a second, so profiles of others hardly help there.
 #[test]
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -504,6 +504,7 @@
         let throttle = state.throttle.borrow();
         let admitted = throttle.admitted_fraction(&in_flight.route);
         let budget_spent = throttle.retry_budget_spent(&in_flight.route);
+        let is_heard = throttle.is_heard(&in_flight.route);
         let demand = state.balancer.borrow().pressures().worst.demand;
         let fields = [
             ("why", kind.as_str().into()),
@@ -512,6 +513,7 @@
             ("let_in", admitted.into()),
             ("demand", demand.into()),
             ("repeats_spent", budget_spent.into()),
+            ("profile_heard", is_heard.into()),
             ("version", state.edition().version.0.into()),
             ("revision", state.edition().stamp.revision.0.into()),
         ];
