--- a/crates/walnutmoor-core/src/throttle/route.rs
+++ b/crates/walnutmoor-core/src/throttle/route.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, collections::VecDeque};
 
-use super::completion::CallProfile;
+use super::{completion::CallProfile, heard::Record};
 use crate::{
     balance::{Pressure, Pressures},
     bulkhead,
@@ -86,6 +86,8 @@
     pub(super) profile: CallProfile,
     /// Runs per request at the services that requests are sent to directly.
     pub(super) own_profile: CallProfile,
+    /// The answers, and what other nodes have told.
+    pub(super) record: Record,
 }
 
 impl Route {
@@ -103,6 +105,7 @@
             own_slot_ms: Map::default(),
             profile: CallProfile::default(),
             own_profile: CallProfile::default(),
+            record: Record::default(),
         }
     }
 
@@ -179,22 +182,15 @@
     }
 
     pub(super) fn observe(&mut self, footprint: &Footprint, target: Key) {
-        for key in footprint.keys() {
-            let span = footprint.slot_time(key).0 as f64;
-            let means = match key == target {
-                true => {
-                    let runs = footprint.runs(key);
-                    self.own_profile.observe(key, runs, SMOOTHING);
-                    &mut self.own_slot_ms
-                }
-                false => {
-                    self.profile.observe(key, footprint.runs(key), SMOOTHING);
-                    &mut self.slot_ms
-                }
-            };
-            let mean = means.entry(key).or_insert(span);
-            *mean += (span - *mean) * SMOOTHING;
+        if self.observe_apart(footprint, target) {
+            return;
         }
+        observe(
+            (&mut self.slot_ms, &mut self.profile),
+            (&mut self.own_slot_ms, &mut self.own_profile),
+            footprint,
+            target,
+        );
     }
 
     /// Returns the factor by which the load that is admitted now would fit:
@@ -246,6 +242,29 @@
     }
 }
 
+/// Mean slot milliseconds and mean runs by service.
+pub(super) type Means<'a> = (&'a mut Map<Key, f64>, &'a mut CallProfile);
+
+/// Records an answer in the means of a route: those of the services that it
+/// reaches through calls, and those of the services that it is sent to.
+pub(super) fn observe(
+    called: Means<'_>,
+    own: Means<'_>,
+    footprint: &Footprint,
+    target: Key,
+) {
+    for key in footprint.keys() {
+        let span = footprint.slot_time(key).0 as f64;
+        let (slot_ms, profile) = match key == target {
+            true => (&mut *own.0, &mut *own.1),
+            false => (&mut *called.0, &mut *called.1),
+        };
+        profile.observe(key, footprint.runs(key), SMOOTHING);
+        let mean = slot_ms.entry(key).or_insert(span);
+        *mean += (span - *mean) * SMOOTHING;
+    }
+}
+
 /// Returns the factor by which the less urgent demand from calls would fit.
 ///
 /// Direct demand reduces the capacity only up to its reserve, so that a
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -41,6 +41,7 @@
     id::{Account, CallId, Era, Incarnation, NodeId, Service, Zone},
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
+    profile::Profile,
     quota::{self, Request},
     rate_limit::Rate,
     table::Effect,
@@ -99,6 +100,8 @@
     KnownLimit(Rate),
     /// The departure of the receiver's instance was recorded.
     DepartureRecorded,
+    /// Profiles of routes that the sender has just learned.
+    Profiles(Vec<Profile>),
 }
 
 /// The protocol version. Incremented with each incompatible change of the
@@ -129,6 +132,9 @@
     pub known: Vec<NodeId>,
     /// The number of nodes in the fleet, as far as it knows.
     pub fleet: usize,
+    /// Profiles of routes that it has learned, if this answers the other
+    /// node's handshake.
+    pub profiles: Vec<Profile>,
 }
 
 /// A request sent to the node of an instance.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -527,7 +527,8 @@
 /// The response to a nested call in progress whose run was canceled. It may
 /// have run.
 fn end_with_run(state: &State) -> Answer {
-    cancellation::increment(&state.serve.cancellations.ended_calls);
+    let counters = &state.serve.cancellations.counters;
+    cancellation::increment(&counters.ended_calls);
     wire::fail(Kind::Broken)
 }
 
@@ -550,6 +551,7 @@
         let need =
             feasibility::need(overload, &throttle, &in_flight.route, None);
         let retries = need.map_or(0.0, Need::retries);
+        let is_heard = throttle.is_heard(&in_flight.route);
         let demand = state.balancer.borrow().pressures(now).worst.demand;
         let fields = [
             ("why", kind.as_str().into()),
@@ -558,6 +560,7 @@
             ("let_in", admitted.into()),
             ("demand", demand.into()),
             ("repeats_spent", budget_spent.into()),
+            ("profile_heard", is_heard.into()),
             ("version", state.edition().version.0.into()),
             ("revision", state.edition().stamp.revision.0.into()),
             ("need", retries.into()),
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -31,6 +31,7 @@
 | [`suspicion`] | tracks requests suspected of crashing instances |
 | `feasibility` | orders retries by need and refuses infeasible requests |
 | [`zone`] | logs changes of the preference for the local zone |
+| [`handover`] | passes learned profiles of routes on to other nodes |
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
 | [`store`] | syncs desired state and directory with the platform's store |
@@ -55,6 +56,7 @@
 pub mod dispatch;
 mod feasibility;
 pub mod frame;
+pub mod handover;
 pub mod ingress;
 pub mod instance;
 pub mod journal;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -182,6 +182,7 @@
     let zones = zone::Watch::default();
     loop {
         timer.tick().await;
+        state.advance_handover();
         if state.settings.overload.zone_spill {
             let balancer = state.balancer.borrow();
             let zone = &state.settings.zone;
@@ -251,7 +252,7 @@
 }
 
 fn canceled(serve: &Serve) -> Value {
-    let counts = serve.cancellations.list().into_iter();
+    let counts = serve.cancellations.counters.list().into_iter();
     let counts = counts.map(|(name, n)| (name.into(), n.into()));
     Value::Object(counts.collect())
 }
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -178,6 +178,10 @@
     let spilled = state.balancer.borrow().spilled();
     counter!("walnutmoor_zone_spilled_total").absolute(spilled);
     publish_connections(&state.serve);
+    for (outcome, count) in state.handover.counters.list() {
+        counter!("walnutmoor_profiles_total", "outcome" => outcome)
+            .absolute(count);
+    }
 }
 
 /// Updates the metrics of connections to the instance.
@@ -193,7 +197,7 @@
         counter!("walnutmoor_connections_closed_total", "reason" => reason)
             .absolute(count);
     }
-    for (outcome, count) in serve.cancellations.list() {
+    for (outcome, count) in serve.cancellations.counters.list() {
         counter!("walnutmoor_canceled_runs_total", "outcome" => outcome)
             .absolute(count);
     }
