--- a/crates/walnutmoor/tests/mesh/returning.rs
+++ b/crates/walnutmoor/tests/mesh/returning.rs
@@ -160,6 +160,41 @@
     });
 }
 
+/// Guards against places of callers that have disconnected: they would delay
+/// those behind them, and the request would run for nobody.
+#[test]
+fn waiting_request_of_a_caller_that_disconnects_leaves_the_queue() {
+    run(async {
+        let world = start(&BOTH).await;
+        load(&world, "calm", 15, Duration::from_secs(2)).await;
+        let burst = tokio::spawn({
+            let world = world.clone();
+            async move { load(&world, "burst", 60, Duration::from_secs(3)).await }
+        });
+
+        let name = "walnutmoor_ingress_waits_total{outcome=\"canceled\"}";
+        let mut count = 0;
+        until("a waiting request is canceled", || {
+            count += 1;
+            let id = format!("impatient-{count}a");
+            let world = &world;
+            async move {
+                let sent = send(world, &id, BUDGET);
+                let patience = Duration::from_millis(20);
+                let _ = tokio::time::timeout(patience, sent).await;
+                metric(world, 0, name).await > 0.0
+            }
+        })
+        .await;
+
+        burst.await.unwrap();
+        until("the queue is empty", || async {
+            metric(&world, 0, "walnutmoor_ingress_waiting").await == 0.0
+        })
+        .await;
+    });
+}
+
 /// Guards against requests that wait in the queue of a node when it is
 /// terminated, and get no answer.
 #[test]
