--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -154,6 +154,11 @@
         server.report(load)
     }
 
+    /// The service of a node's instance.
+    pub fn service(&self, id: NodeId) -> Option<&Service> {
+        self.servers.get(&id).map(|(service, _)| service)
+    }
+
     /// Excludes an unreachable node until the given time.
     pub fn down(&mut self, id: NodeId, until: Millis) {
         if let Some((_, server)) = self.servers.get_mut(&id) {
--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -8,6 +8,10 @@
 which favors requests that were rejected before. Work that would wait too long
 is rejected on arrival, which leaves its caller time to retry elsewhere.
 
+Work of a client account that demands more than its share of a short instance
+is queued behind other work of its rank, is displaced first, and runs if a slot
+is free ([`crate::share`]).
+
 An instance may also limit the rate of requests. Work that exceeds it is
 diverted at once if a sibling may take it, and is queued otherwise.
 
@@ -25,6 +29,7 @@
     deadline: Millis(1_000),
     moved: false,
     has_alternative: false,
+    root: None,
 };
 assert_eq!(bulkhead.offer(Millis(0), work(1)), Offer::Run);
 assert_eq!(bulkhead.offer(Millis(0), work(2)), Offer::Wait);
@@ -34,16 +39,20 @@
 */
 
 mod load;
+mod shares;
 
 use std::collections::{BTreeMap, VecDeque};
 
 pub use load::Load;
 
+use shares::Shares;
+
 use crate::{
     demand::Demand,
     digest::Map,
     id::CallId,
     rate_limit::{Limiter, Rate},
+    share::{self, Report, Root},
     time::Millis,
 };
 
@@ -139,6 +148,8 @@
     pub moved: bool,
     /// True if a sibling without a rate limit may take it.
     pub has_alternative: bool,
+    /// The caller's request that it serves; `None` without client accounts.
+    pub root: Option<Root>,
 }
 
 /// The outcome of [`Bulkhead::offer`].
@@ -173,16 +184,24 @@
     id: CallId,
     since: Millis,
     target: Millis,
+    account: Option<share::Key>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Running {
     rank: usize,
     since: Millis,
+    account: Option<share::Key>,
 }
 
-/// The order of the queue: rank, deadline and order of arrival.
-type QueueKey = (usize, Millis, u64);
+/// The order of the queue: rank, whether it is above the share of its account,
+/// deadline and order of arrival.
+type QueueKey = (usize, bool, Millis, u64);
+
+/// The key before all entries of a rank that are above their share or not.
+fn first_key(rank: usize, is_above: bool) -> QueueKey {
+    (rank, is_above, Millis(0), 0)
+}
 
 /// Work that arrived recently: its run time and its number of requests.
 #[derive(Clone, Copy, Debug, Default)]
@@ -224,6 +243,7 @@
     offers: Arrivals,
     limiter: Option<Limiter>,
     diverted: u64,
+    shares: Shares,
 }
 
 impl Default for Bulkhead {
@@ -252,6 +272,7 @@
             offers: Arrivals::default(),
             limiter: None,
             diverted: 0,
+            shares: Shares::default(),
         }
     }
 
@@ -288,7 +309,7 @@
         }
         let rank = rank(work.priority);
         if !work.moved {
-            self.record_demand(now, rank);
+            self.record_demand(now, rank, work.root.as_ref());
         }
         self.diverted += 1;
         Some(self.wait(now, rank))
@@ -327,17 +348,19 @@
         }
         let rank = rank(work.priority);
         if !work.moved {
-            self.record_demand(now, rank);
+            self.record_demand(now, rank, work.root.as_ref());
         }
         if self.queue.is_empty()
             && self.running.len() < self.limit
             && self.take_token(now)
         {
-            self.start(now, work.id, rank);
+            let account = work.root.map(|root| root.account);
+            self.start(now, work.id, rank, account);
             return Offer::Run;
         }
         self.arrivals += 1;
-        let key = (rank, work.deadline, self.arrivals);
+        let is_above = self.is_above_share(now, work.root.as_ref());
+        let key = (rank, is_above, work.deadline, self.arrivals);
         let wait = self.wait_at(now, key);
         let max_wait = max_wait(rank, work.target);
         let left = work.deadline.since(now);
@@ -346,7 +369,12 @@
             self.record_rejection(now, work.priority);
             return Offer::Full { retry_after: wait };
         }
-        let waiting = Waiting { id: work.id, since: now, target: work.target };
+        let waiting = Waiting {
+            id: work.id,
+            since: now,
+            target: work.target,
+            account: work.root.map(|root| root.account),
+        };
         self.queue.insert(key, waiting);
         self.keys.insert(work.id, key);
         self.queued_by_rank[rank] += 1;
@@ -364,6 +392,7 @@
             return;
         }
         let took = now.since(run.since).0 as f64;
+        self.shares.finish(run.account, took, self.run_times[run.rank]);
         let mean = &mut self.run_times[run.rank];
         *mean = match *mean == 0.0 {
             true => took,
@@ -401,11 +430,11 @@
         if !self.take_token(now) {
             return None;
         }
-        let from = (rank, Millis(0), 0);
-        let (_, waiting) = self.queue.range(from..).next()?;
-        let id = waiting.id;
+        let (_, waiting) =
+            self.queue.range(first_key(rank, false)..).next()?;
+        let Waiting { id, account, .. } = *waiting;
         self.cancel(id);
-        self.start(now, id, rank);
+        self.start(now, id, rank, account);
         Some(Next::Run(id))
     }
 
@@ -446,8 +475,14 @@
     }
 
     /// Records the demand of work that is offered for the first time.
-    fn record_demand(&mut self, now: Millis, rank: usize) {
+    fn record_demand(
+        &mut self,
+        now: Millis,
+        rank: usize,
+        root: Option<&Root>,
+    ) {
         let run_time = self.run_times[rank];
+        self.shares.offer(now, root, run_time);
         match rank < RANKS - 1 {
             true => self.demand.add(now, run_time),
             false => self.least_urgent.add(now, run_time),
@@ -510,6 +545,23 @@
         load
     }
 
+    /// True if work is above the share of its account.
+    pub fn is_above_share(
+        &mut self,
+        now: Millis,
+        root: Option<&Root>,
+    ) -> bool {
+        let capacity = self.capacity(now);
+        self.shares.is_above(now, capacity, root)
+    }
+
+    /// The shares to report to other nodes; `None` unless the instance is
+    /// short of capacity.
+    pub fn share_report(&self, now: Millis) -> Option<Report> {
+        let capacity = self.capacity(now);
+        self.shares.report(now, capacity, self.is_shedding(now))
+    }
+
     /// Drops the bookkeeping of work taken from the queue.
     fn forget(&mut self, id: CallId) {
         if let Some(key) = self.keys.remove(&id) {
@@ -517,19 +569,29 @@
         }
     }
 
-    fn start(&mut self, now: Millis, id: CallId, rank: usize) {
-        self.running.insert(id, Running { rank, since: now });
+    fn start(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        rank: usize,
+        account: Option<share::Key>,
+    ) {
+        self.running.insert(id, Running { rank, since: now, account });
         self.running_by_rank[rank] += 1;
     }
 
     /// Rejects queued work that waited too long or cannot finish in time.
     ///
-    /// Looks only at the first entry of each rank, which has the earliest
-    /// deadline.
+    /// Looks only at the first entry of each rank within and above the shares,
+    /// which has the earliest deadline.
     fn overdue(&mut self, now: Millis) -> Option<Next> {
-        for rank in 0..RANKS {
-            let from = (rank, Millis(0), 0);
-            let to = (rank + 1, Millis(0), 0);
+        let ranks = (0..RANKS).flat_map(|rank| [(rank, false), (rank, true)]);
+        for (rank, is_above) in ranks {
+            let from = first_key(rank, is_above);
+            let to = match is_above {
+                false => first_key(rank, true),
+                true => first_key(rank + 1, false),
+            };
             let first = self.queue.range(from..to).next();
             let Some((key, waiting)) = first else {
                 continue;
@@ -539,7 +601,7 @@
             // Reject work that would miss its deadline now rather than let its
             // caller time out.
             let run_time = Millis(self.run_times[rank] as u64);
-            if over || key.1 <= now + run_time {
+            if over || key.2 <= now + run_time {
                 let id = waiting.id;
                 self.cancel(id);
                 self.record_rejection(now, rank as u8);
@@ -552,12 +614,13 @@
     /// Rejects the last entry of a rank if entries queued ahead of it since
     /// would make it wait too long.
     ///
-    /// The last entry has the latest deadline, so its request has usually
-    /// made the fewest calls and the least work is lost.
+    /// The last entry is above the share of its account if any entry is, and
+    /// has the latest deadline, so its request has usually made the fewest
+    /// calls and the least work is lost.
     fn displaced(&mut self, now: Millis) -> Option<Next> {
         for rank in 0..RANKS {
-            let from = (rank, Millis(0), 0);
-            let to = (rank + 1, Millis(0), 0);
+            let from = first_key(rank, false);
+            let to = first_key(rank + 1, false);
             let last = self.queue.range(from..to).next_back();
             let Some((&key, &waiting)) = last else {
                 continue;
@@ -592,7 +655,7 @@
 
     /// How long the work with this key is queued.
     fn wait_at(&self, now: Millis, key: QueueKey) -> Millis {
-        let from = (key.0, Millis(0), 0);
+        let from = first_key(key.0, false);
         let ahead = self.queue.range(from..key).count();
         self.wait_behind(now, key.0, ahead)
     }
--- a/crates/walnutmoor-core/src/error.rs
+++ b/crates/walnutmoor-core/src/error.rs
@@ -138,6 +138,8 @@
     PlatformDown = ("platform_down", 503),
     /// The instance has named a rate limit that leaves no room.
     Limited = ("limited", 503),
+    /// The account demands more than its fair share of a short service.
+    Share = ("share", 503),
 }
 
 impl fmt::Display for Kind {
--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod server;
+pub mod share;
 pub mod shutdown;
 pub mod table;
 pub mod throttle;
--- a/crates/walnutmoor-core/src/retry_budget.rs
+++ b/crates/walnutmoor-core/src/retry_budget.rs
@@ -33,11 +33,24 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{bulkhead::URGENT_RANKS, digest, footprint::State, time::Millis};
 
 /// The position of a whole request in a uniform sample of requests: a hash of
 /// its id, the same at every node and for each call made for the request.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize,
+)]
 pub struct SampleKey(u16);
 
 impl SampleKey {
@@ -50,6 +63,11 @@
     fn fraction(self) -> f64 {
         f64::from(self.0) / f64::from(u16::MAX)
     }
+
+    /// True if the request lies in the first `fraction` of the sample.
+    pub fn is_within(self, fraction: f64) -> bool {
+        self.fraction() < fraction
+    }
 }
 
 /// The priority of a retry.
@@ -64,7 +82,7 @@
 impl Priority {
     /// True if the request lies in the first `fraction` of the sample.
     pub(crate) fn is_within(self, fraction: f64) -> bool {
-        self.sample_key.fraction() < fraction
+        self.sample_key.is_within(fraction)
     }
 
     /// The fraction of the burst that must remain for this retry to be
--- a/crates/walnutmoor-core/src/throttle.rs
+++ b/crates/walnutmoor-core/src/throttle.rs
@@ -112,6 +112,12 @@
 /// assumed to lead to the overloaded service. This is 10 s.
 const SUSPECT_STEPS: u8 = 50;
 
+/// Returns the probability of admission of a request if this fraction of all
+/// requests is admitted.
+pub fn preferred(admitted: f64, is_retry: bool) -> f64 {
+    admitted * if is_retry { RETRY_PREFERENCE } else { 1.0 }
+}
+
 /// Returns the admitted fraction after one step with this headroom.
 fn raised(admitted: f64, headroom: f64) -> f64 {
     (admitted + admitted * headroom * RAISE_FRACTION + MIN_RAISE).min(1.0)
@@ -140,8 +146,17 @@
         let Some(state) = self.routes.get(route) else {
             return true;
         };
-        let preference = if is_retry { RETRY_PREFERENCE } else { 1.0 };
-        draw < state.admitted * preference
+        draw < preferred(state.admitted, is_retry)
+    }
+
+    /// Returns the keys of the services that requests of a route use, as far
+    /// as they are known.
+    pub fn services(&self, route: &str) -> Vec<Key> {
+        let state = self.routes.get(route);
+        let keys = state.into_iter().flat_map(|state| {
+            state.slot_ms.keys().chain(state.own_slot_ms.keys()).copied()
+        });
+        keys.collect()
     }
 
     /// Returns true if a request that must not run twice is likely to
--- a/crates/walnutmoor-core/tests/bulkhead.rs
+++ b/crates/walnutmoor-core/tests/bulkhead.rs
@@ -133,6 +133,7 @@
                     deadline,
                     moved,
                     has_alternative: false,
+                    root: None,
                 };
                 let open = this.bulkhead.is_open();
                 match this.bulkhead.offer(now, work) {
@@ -267,6 +268,7 @@
         deadline,
         moved: false,
         has_alternative: false,
+        root: None,
     }
 }
 
@@ -393,6 +395,7 @@
         deadline: Millis(deadline),
         moved: false,
         has_alternative: false,
+        root: None,
     };
     // Sets the run time to 400 ms.
     assert_eq!(bulkhead.offer(Millis(0), work(1, 9_000)), Offer::Run);
--- a/crates/walnutmoor-core/tests/limited/mod.rs
+++ b/crates/walnutmoor-core/tests/limited/mod.rs
@@ -303,6 +303,7 @@
             deadline: Millis(request.at + 5_000),
             moved: !request.state.tried().is_empty(),
             has_alternative: request.has_alternative,
+            root: None,
         };
         let bulkhead = &mut self.instances[instance];
         if bulkhead.divert(now, &work).is_some() {
--- a/crates/walnutmoor-core/tests/simulation/mod.rs
+++ b/crates/walnutmoor-core/tests/simulation/mod.rs
@@ -436,6 +436,7 @@
             deadline: self.now + Millis(700),
             moved,
             has_alternative: false,
+            root: None,
         };
         let priority = match self.scenario.retry_policy {
             RetryPolicy::FirstCome => Priority::default(),
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -551,6 +551,7 @@
         deadline,
         moved: call.moved,
         has_alternative: call.has_alternative,
+        root: None,
     }
 }
 
