--- a/crates/walnutmoor-core/src/share/publisher.rs
+++ b/crates/walnutmoor-core/src/share/publisher.rs
@@ -12,12 +12,9 @@
 /// expire at other nodes while it still holds.
 const REPEAT_INTERVAL: Millis = Millis(1_200);
 
-/// The longest time between two reports to a large number of nodes. It stays
-/// below the expiry of reports.
-const MAX_INTERVAL: Millis = Millis(1_800);
-
 /// The reports that a node sends per second at most, to all nodes together.
-/// At 75 bytes each this is 17 KB/s.
+/// At 75 bytes each this is 17 KB/s. With more than 460 nodes, reports expire
+/// before the next one; all accounts are cut alike meanwhile.
 const MAX_REPORTS_PER_SECOND: u64 = 230;
 
 /// Decides when a report is sent.
@@ -50,5 +47,5 @@
 
 fn min_interval(nodes: usize) -> Millis {
     let span = Millis(nodes as u64 * 1_000 / MAX_REPORTS_PER_SECOND);
-    span.max(MIN_INTERVAL).min(MAX_INTERVAL)
+    span.max(MIN_INTERVAL)
 }
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -81,9 +81,14 @@
         let event = self.value["event"].as_str().unwrap_or("?");
         let description = match event {
             "answered" => "an instance answered it",
+            "refused" if self.value["why"] == "share" => {
+                "it was refused, as its account demands more than its share \
+                 of a short service, and has not run"
+            }
             "refused" => "it was refused and has not run",
             "unknown" => "it failed, and may have run",
             "retry" => "it is retried on another instance",
+            "shares" => "the instance is short and its accounts have shares",
             "crash" => "its instance crashed",
             "suspicion" => "a request is suspected of crashing instances",
             "era" => "the store was restored from an older copy",
--- a/crates/walnutmoor/src/mesh/desired.rs
+++ b/crates/walnutmoor/src/mesh/desired.rs
@@ -146,6 +146,7 @@
     fn activate(&self, table: Table, raw: Bytes) {
         self.log_key_changes(&table.accounts);
         self.reconfigure_quotas(&table.accounts);
+        self.shares.set_accounts(&table.accounts);
         *self.desired.table.borrow_mut() = Some(Rc::new(table));
         *self.desired.raw.borrow_mut() = raw;
         self.splitter.borrow_mut().reset();
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -20,6 +20,7 @@
     poison::{self, Fingerprint, Placement, Standing},
     rate_limit::Limited,
     retry_state::{self, Decision, Outcome},
+    share::Root,
     table::{Effect, Route},
     time::Millis,
 };
@@ -52,6 +53,8 @@
     /// The client account of the caller; `None` for nested calls and routes
     /// without accounts.
     pub account: Option<Account>,
+    /// The caller's request that it serves, to account for shares.
+    pub root: Option<Root>,
     /// The attempt id, as set by the caller.
     pub attempt: String,
     /// The fingerprint of the content; the same for all attempts.
@@ -484,6 +487,7 @@
         service: request.service.clone(),
         caller: state.settings.service.clone(),
         account: request.account.clone(),
+        root: request.root,
         attempt: request.attempt.clone(),
         fingerprint: request.fingerprint,
         evidence: state.evidence(request.fingerprint),
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -42,6 +42,7 @@
     poison::{Crash, Evidence, Fingerprint},
     quota::{self, Request},
     rate_limit::Rate,
+    share::{Report, Root},
     table::Effect,
     time::Millis,
 };
@@ -98,11 +99,14 @@
     KnownLimit(Rate),
     /// The departure of the receiver's instance was recorded.
     DepartureRecorded,
+    /// The demand of client accounts for the sender's instance, which is short
+    /// of capacity.
+    Shares(Report),
 }
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -139,8 +143,12 @@
     pub service: Service,
     /// The service of the sending node's instance.
     pub caller: Service,
-    /// The client account of the caller, if known.
+    /// The client account of the caller, which is named to the instance;
+    /// `None` for nested calls.
     pub account: Option<Account>,
+    /// The caller's request that it serves, to account for shares; `None`
+    /// without client accounts.
+    pub root: Option<Root>,
     /// The attempt id, as set by the caller.
     pub attempt: String,
     /// The fingerprint of the content; the same for all attempts.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -462,7 +462,7 @@
         let admitted = throttle.admitted_fraction(&in_flight.route);
         let budget_spent = throttle.retry_budget_spent(&in_flight.route);
         let demand = state.balancer.borrow().pressures().worst.demand;
-        let fields = [
+        let mut fields = vec![
             ("why", kind.as_str().into()),
             ("route", in_flight.route.as_str().into()),
             ("account", in_flight.account().into()),
@@ -472,6 +472,10 @@
             ("version", state.edition().version.0.into()),
             ("revision", state.edition().stamp.revision.0.into()),
         ];
+        if kind == Kind::Share {
+            let share = admission::share_of(state, in_flight);
+            fields.push(("share", share.into()));
+        }
         let id = &in_flight.attempt;
         state.journal.log_request(now, Event::Refused, id, &fields);
     }
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -11,18 +11,20 @@
     footprint::Key,
     poison::MIN_CRASHES_TO_SHARE,
     retry_budget::{Priority, SampleKey},
+    share::Root,
     table::{Effect, Route},
     throttle::Outcome,
     time::Millis,
 };
 use walnutmoor_platform::header;
 
-use super::{Arrival, Origin, not_run};
+use super::{Arrival, InFlight, Origin, not_run};
 use crate::{
     http1::Head,
     mesh::{
         dispatch::{self, End},
         serve::CallOutcome,
+        shares::Applicant,
         state::State,
         wire,
     },
@@ -55,13 +57,17 @@
         Origin::Run(parent) => Some(*parent),
         Origin::Caller(_) => None,
     };
-    if parent.is_none()
-        && !is_admitted(state, &in_flight.attempt, route, time_left)
-    {
-        let span = route.target_latency.0 as f64 * RETRY_AFTER_FRACTION;
-        let refusal = Refusal::new(Kind::Overloaded, Ran::No);
-        return Err(refusal.retry_after(Millis(span as u64)));
-    }
+    let root = match &parent {
+        Some(parent) => parent.root,
+        None => admit_caller(state, in_flight, route, time_left).map_err(
+            |kind| {
+                let span =
+                    route.target_latency.0 as f64 * RETRY_AFTER_FRACTION;
+                let refusal = Refusal::new(kind, Ran::No);
+                refusal.retry_after(Millis(span as u64))
+            },
+        )?,
+    };
     let service = state.splitter.borrow_mut().pick(route);
     let service = service.ok_or_else(|| not_run(Kind::UnknownService))?;
     let urgency = match &parent {
@@ -85,6 +91,7 @@
         parent_is_retry: parent.is_some_and(|parent| parent.is_retry),
         service,
         account: account.map(|account| account.name.clone()),
+        root,
         attempt: in_flight.attempt.clone(),
         fingerprint: content_hasher.finish(),
         method: head.method.to_string(),
@@ -112,28 +119,64 @@
     received_at + time_left(head).min(route.timeout)
 }
 
-/// True if a caller's request with this time left is admitted.
-fn is_admitted(
+/// Admits a caller's request with this time left, and returns what its calls
+/// inherit. It is `None` without client accounts.
+///
+/// # Errors
+///
+/// The reason if it is refused.
+fn admit_caller(
     state: &State,
-    attempt: &str,
+    in_flight: &InFlight,
     route: &Route,
     time_left: Millis,
-) -> bool {
+) -> Result<Option<Root>, Kind> {
     let is_retry = state.is_likely_retry(&route.name, time_left);
     let throttle = state.throttle.borrow();
-    if !throttle.admits(&route.name, is_retry, state.random_fraction()) {
-        return false;
-    }
+    let sample_key = SampleKey::of(header::root(&in_flight.attempt));
+    let root = if state.shares.is_enabled() {
+        let fraction = throttle.admitted_fraction(&route.name);
+        let services = throttle.services(&route.name);
+        let account = in_flight.account.as_ref();
+        let applicant = Applicant {
+            account: account.map(|account| &account.name),
+            fraction,
+            is_retry,
+            services: &services,
+            sample_key,
+        };
+        Some(state.shares.admit(state.now(), &applicant)?)
+    } else {
+        let draw = state.random_fraction();
+        match throttle.admits(&route.name, is_retry, draw) {
+            true => None,
+            false => return Err(Kind::Overloaded),
+        }
+    };
     // Only requests that must not run twice have to be likely to complete.
     // Callers may retry idempotent ones after any failure.
-    if route.effect == Effect::Idempotent {
-        return true;
+    let priority = Priority { rank: route.priority, sample_key };
+    match route.effect == Effect::Idempotent
+        || throttle.can_complete(&route.name, priority)
+    {
+        true => Ok(root),
+        false => Err(Kind::Overloaded),
     }
-    let sample_key = SampleKey::of(header::root(attempt));
-    throttle.can_complete(
-        &route.name,
-        Priority { rank: route.priority, sample_key },
-    )
+}
+
+/// The admitted fraction of the account of a request that was refused by its
+/// share, for the log.
+pub(super) fn share_of(state: &State, in_flight: &InFlight) -> f64 {
+    let throttle = state.throttle.borrow();
+    let account = in_flight.account.as_ref();
+    let applicant = Applicant {
+        account: account.map(|account| &account.name),
+        fraction: throttle.admitted_fraction(&in_flight.route),
+        is_retry: false,
+        services: &throttle.services(&in_flight.route),
+        sample_key: SampleKey::default(),
+    };
+    state.shares.fraction(state.now(), &applicant)
 }
 
 /// The path and query of a request.
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -93,6 +93,9 @@
     Abandoned,
     /// The admission rate of a route has changed.
     Admission,
+    /// The demand of client accounts for the instance of this node, which is
+    /// short of capacity.
+    Shares,
     /// Counters since the start of the process.
     Counters,
     /// An internal error, or input that could not be used.
@@ -124,6 +127,7 @@
         Event::Unanswered,
         Event::Abandoned,
         Event::Admission,
+        Event::Shares,
         Event::Counters,
         Event::Fault,
     ];
@@ -154,6 +158,7 @@
             Event::Unanswered => "unanswered",
             Event::Abandoned => "abandoned",
             Event::Admission => "admission",
+            Event::Shares => "shares",
             Event::Counters => "counters",
             Event::Fault => "fault",
         }
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -118,6 +118,7 @@
     balance.down(link.node, Millis(0));
     drop(balance);
     state.record_load(link.node, hello.load);
+    state.shares.forget(link.node);
     link.last_received.set(now);
     link.unanswered_pings.set(None);
     link.is_suspect.set(false);
@@ -283,6 +284,7 @@
         Frame::QuotaResponse(account, response) => {
             state.handle_lease_response(&account, response)
         }
+        Frame::Shares(report) => state.receive_shares(link.node, report),
         // All other frames are sent only in the other direction.
         _ => {}
     }
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -26,6 +26,7 @@
 | [`departure`] | remembers departed instances for the nodes beside them |
 | [`crash`] | detects crashes of the local instance |
 | [`quotas`] | enforces the quotas of client accounts |
+| [`shares`] | divides a short service fairly between client accounts |
 | [`suspicion`] | tracks requests suspected of crashing instances |
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
@@ -63,6 +64,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod shares;
 mod shutdown;
 pub mod state;
 pub mod store;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -177,6 +177,7 @@
     let mut timer = interval(THROTTLE_INTERVAL);
     loop {
         timer.tick().await;
+        state.publish_shares();
         let pressures = state.balancer.borrow().pressures();
         let pressure = pressures.worst;
         let changed = state.throttle.borrow_mut().step(pressures);
@@ -212,6 +213,7 @@
             ("arrivals", serve.arrivals.get().into()),
             ("repeats", serve.retries.get().into()),
             ("over_budget", serve.over_budget.get().into()),
+            ("over_share", serve.over_share.get().into()),
             ("limited", serve.diverted().into()),
             ("callers", state.connections.get().into()),
             ("connections", serve.pool.opened().into()),
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -49,6 +49,7 @@
     let parent = Parent {
         priority: call.priority,
         is_retry: call.is_retry || call.parent_is_retry,
+        root: call.root,
     };
     let run = Run { parent, footprint: Footprint::default() };
     serve.runs.borrow_mut().insert(call.attempt.clone(), run);
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -28,6 +28,7 @@
     },
     rate_limit::NamedLimit,
     retry_budget::{self, Priority, RetryBudget, SampleKey},
+    share::{Report, Root},
     table::Effect,
     time::Millis,
 };
@@ -101,6 +102,8 @@
     pub priority: u8,
     /// True if the request is a retry or a nested call of one.
     pub is_retry: bool,
+    /// The caller's request that it serves, to account for shares.
+    pub root: Option<Root>,
 }
 
 /// The outcome of a nested call.
@@ -197,6 +200,8 @@
     pub retries: Cell<u64>,
     /// Retries that were rejected because the retry budget was exhausted.
     pub over_budget: Cell<u64>,
+    /// Calls that were rejected because their account was above its share.
+    pub over_share: Cell<u64>,
 }
 
 impl Serve {
@@ -237,6 +242,7 @@
             arrivals: Cell::new(0),
             retries: Cell::new(0),
             over_budget: Cell::new(0),
+            over_share: Cell::new(0),
         }
     }
 
@@ -252,6 +258,12 @@
         self.bulkhead.borrow().load(now)
     }
 
+    /// The shares of client accounts to report to other nodes; `None` unless
+    /// the instance is short.
+    pub fn share_report(&self, now: Millis) -> Option<Report> {
+        self.bulkhead.borrow().share_report(now)
+    }
+
     /// The numbers of running and of queued calls.
     pub fn job_counts(&self) -> (usize, usize) {
         let bulkhead = self.bulkhead.borrow();
@@ -387,7 +399,7 @@
             Offer::Run => self.start(state, id),
             Offer::Wait => self.queued.notify_one(),
             Offer::Full { retry_after } => {
-                self.reject_job(state, id, Kind::Queued, retry_after);
+                self.reject_full(state, id, retry_after);
             }
             Offer::Closed => {
                 self.reject_job(state, id, Kind::Leaving, Millis(0));
@@ -475,7 +487,7 @@
             match next {
                 Some(Next::Run(id)) => self.start(state, id),
                 Some(Next::Full(id, retry_after)) => {
-                    self.reject_job(state, id, Kind::Queued, retry_after);
+                    self.reject_full(state, id, retry_after);
                 }
                 Some(Next::Closed(id)) => {
                     self.reject_job(state, id, Kind::Leaving, Millis(0));
@@ -505,6 +517,22 @@
         }
     }
 
+    /// Rejects a call that would wait too long, or that was displaced.
+    fn reject_full(&self, state: &Rc<State>, id: CallId, retry_after: Millis) {
+        let call = |job: &Job| job.call.as_ref().and_then(|call| call.root);
+        let root = self.jobs.borrow().get(&id).and_then(call);
+        let mut bulkhead = self.bulkhead.borrow_mut();
+        let kind = match bulkhead.is_above_share(state.now(), root.as_ref()) {
+            true => {
+                self.over_share.set(self.over_share.get() + 1);
+                Kind::Share
+            }
+            false => Kind::Queued,
+        };
+        drop(bulkhead);
+        self.reject_job(state, id, kind, retry_after);
+    }
+
     /// Removes a job and rejects its call.
     fn reject_job(
         &self,
@@ -551,7 +579,7 @@
         deadline,
         moved: call.moved,
         has_alternative: call.has_alternative,
-        root: None,
+        root: call.root,
     }
 }
 
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -16,6 +16,7 @@
     digest::Map,
     id::{Incarnation, NodeId},
     rate_limit::Rate,
+    share::Report,
     table::Splitter,
     throttle::Throttle,
     time::Millis,
@@ -32,6 +33,7 @@
     requests::Requests,
     serve::Serve,
     settings::Settings,
+    shares::Shares,
     shutdown::Shutdown,
     store::EraTracker,
     suspicion::Suspicion,
@@ -93,6 +95,8 @@
     pub(super) eras: EraTracker,
     /// The quotas of client accounts.
     pub(crate) quotas: Quotas,
+    /// Fair shares between client accounts.
+    pub(crate) shares: Shares,
     /// Departed instances.
     pub(super) departures: Departures,
     /// The longest timeout that a caller of each route has sent.
@@ -139,6 +143,7 @@
             desired: Desired::default(),
             eras: EraTracker::default(),
             quotas: Quotas::new(settings.bounds().quota()),
+            shares: Shares::default(),
             departures: Departures::default(),
             longest_timeouts: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
@@ -204,6 +209,37 @@
         }
     }
 
+    /// Sends the shares of client accounts at the local instance to every
+    /// linked node, if it is short and a report is due.
+    pub(super) fn publish_shares(&self) {
+        let now = self.now();
+        self.shares.expire(now);
+        let Some(report) = self.serve.share_report(now) else {
+            return;
+        };
+        let instance = (self.me, &self.settings.service);
+        let sessions = self.sessions.borrow();
+        let nodes = sessions
+            .values()
+            .filter(|session| session.connected_node().is_some())
+            .count();
+        let (shares, journal) = (&self.shares, &self.journal);
+        if shares.publish(now, journal, instance, &report, nodes) {
+            for session in sessions.values() {
+                session.send(Frame::Shares(report.clone()));
+            }
+        }
+    }
+
+    /// Records the shares that a node reports of its instance.
+    pub(super) fn receive_shares(&self, node: NodeId, report: Report) {
+        let balancer = self.balancer.borrow();
+        if let Some(service) = balancer.service(node) {
+            let (now, journal) = (self.now(), &self.journal);
+            self.shares.receive(now, journal, (node, service), report);
+        }
+    }
+
     /// The hello that this node sends on a new link.
     pub fn hello(&self) -> Hello {
         Hello {
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -118,7 +118,17 @@
     let Some(account) = account else {
         return;
     };
-    let account = ACCOUNTS.with_borrow_mut(|known| {
+    counter!(
+        "walnutmoor_account_requests_total",
+        "account" => label(account),
+        "outcome" => outcome,
+    )
+    .increment(1);
+}
+
+/// The label of an account: its name, for a limited number of accounts.
+fn label(account: &str) -> String {
+    ACCOUNTS.with_borrow_mut(|known| {
         let is_known = known.contains(account);
         if !is_known && known.len() >= MAX_LABELED_ACCOUNTS {
             return OTHER_ACCOUNTS.to_string();
@@ -127,13 +137,29 @@
             known.insert(account.to_string());
         }
         account.to_string()
+    })
+}
+
+thread_local! {
+    /// The accounts whose share was not zero at the last scrape.
+    static SHARES: RefCell<BTreeSet<String>> = RefCell::default();
+}
+
+/// Updates the fractions of the demand for the local instance that accounts
+/// have while it is short.
+fn publish_shares(state: &mesh::state::State) {
+    let report = state.serve.share_report(state.now());
+    let fractions = report.map(|report| state.shares.fractions(&report));
+    let fractions = fractions.unwrap_or_default();
+    let set = |account: &str, fraction: f64| {
+        gauge!("walnutmoor_share_fraction", "account" => label(account))
+            .set(fraction);
+    };
+    SHARES.with_borrow_mut(|former| {
+        former.iter().for_each(|account| set(account, 0.0));
+        fractions.iter().for_each(|(account, f)| set(account, *f));
+        *former = fractions.into_iter().map(|(account, _)| account).collect();
     });
-    counter!(
-        "walnutmoor_account_requests_total",
-        "account" => account,
-        "outcome" => outcome,
-    )
-    .increment(1);
 }
 
 /// Updates the metrics from the state of a mesh node.
@@ -170,6 +196,13 @@
     counter!("walnutmoor_arrivals_total").absolute(arrivals);
     let diverted = state.serve.diverted();
     counter!("walnutmoor_limited_total").absolute(diverted);
+    let [sent, received, discarded] = state.shares.report_counts();
+    counter!("walnutmoor_share_reports_sent_total").absolute(sent);
+    counter!("walnutmoor_share_reports_received_total").absolute(received);
+    counter!("walnutmoor_share_reports_discarded_total").absolute(discarded);
+    let over_share = state.serve.over_share.get();
+    counter!("walnutmoor_share_rejected_total").absolute(over_share);
+    publish_shares(state);
     let opened = state.serve.pool.opened();
     counter!("walnutmoor_connections_opened_total").absolute(opened);
 }
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -26,6 +26,18 @@
     );
 }
 
+#[test]
+fn a_refusal_by_share_is_named_with_the_shares_before_it() {
+    check(
+        "9a31",
+        expect![[r#"
+        in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
+        context at 92204 ms on a: the instance is short and its accounts have shares; accounts 34; demand 88.2; nodes 75; service "stock"; shares {"acme":0.61,"bolt":0.07}
+        at 92310 ms on a: it was refused, as its account demands more than its share of a short service, and has not run; account "acme"; demand 1.31; let_in 0.62; revision 31; route "r-2"; share 0.31; why "share"
+    "#]],
+    );
+}
+
 #[test]
 fn nested_calls_are_part_of_the_timeline() {
     check(
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -14,5 +14,6 @@
 mod poison;
 mod restore;
 mod resume;
+mod shares;
 mod shutdown;
 mod watching;
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -133,6 +133,7 @@
         service: "desk".parse().unwrap(),
         caller: "front".parse().unwrap(),
         account: None,
+        root: None,
         attempt: attempt.into(),
         fingerprint: Fingerprint::default(),
         evidence: None,
