--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -21,7 +21,7 @@
   measure slopes     cost per fleet size of parts of the core, as JSON lines
   measure restore [--nodes N]
                      cost of a store restore for N nodes, as JSON
-  soak --seed N [--count N] [--seconds N] [--logs DIR] [--planned]
+  soak --seed N [--count N] [--seconds N] [--logs DIR] [--planned] [--hot]
                      node processes under fault injection, for N seeds
   drive              replay a session: JSON events in, JSON actions out
   node ... | mesh ...  run the daemon, for measuring and soak runs
@@ -115,6 +115,7 @@
     options.optopt("", "seconds", "duration of faults in each run", "N");
     options.optopt("", "logs", "directory for logs of failed runs", "DIR");
     options.optflag("", "planned", "planned work only; nothing may be lost");
+    options.optflag("", "hot", "client accounts, one of which is hot");
     let usage_error = |e: getopts::Fail| Failure::usage(e.to_string());
     let matches = options.parse(args).map_err(usage_error)?;
     let number = |name: &str, default: u64| {
@@ -133,6 +134,7 @@
         let config = soak::Config::new(program.clone(), seed);
         let config = config.length(length);
         let config = config.poison(true).restores(true).notices(true);
+        let config = config.hot_account(matches.opt_present("hot"));
         let config = config.planned_only(matches.opt_present("planned"));
         let report = runtime()?.block_on(soak::run(&config));
         failed += u32::from(!report.violations.is_empty());
--- a/crates/walnutmoor-standin/src/soak/load.rs
+++ b/crates/walnutmoor-standin/src/soak/load.rs
@@ -22,6 +22,7 @@
 use super::{
     notice::Said,
     plan::Poison,
+    shares,
     verdict::Exchange,
     world::{HOST, ROUTES, World, caller_address, probe_route},
 };
@@ -77,6 +78,26 @@
         }
     }
 
+    /// Sends one request by the index of its route and its id, on a kept
+    /// connection or a new one, and keeps it if it can be reused.
+    pub(super) async fn send_on(
+        &self,
+        world: &World,
+        kept: &mut Option<Connection>,
+        (route_index, id): (usize, String),
+    ) {
+        let connection = match kept.take() {
+            Some(connection) => Some(connection),
+            None => connect(caller_address(&world.members[self.node])).await,
+        };
+        let Some(mut connection) = connection else {
+            return sleep(RECONNECT_BACKOFF).await;
+        };
+        if self.send(world, &mut connection, route_index, id).await {
+            *kept = Some(connection);
+        }
+    }
+
     /// Sends one request and records the exchange. True if the connection can
     /// be reused.
     async fn send(
@@ -89,7 +110,7 @@
         let (route, service, effect) = ROUTES[route_index];
         let at = Instant::now();
         let path = format!("/{route}/thing");
-        let response = exchange(connection, &path, &id).await;
+        let response = exchange(world, connection, &path, &id).await;
         let reusable = response.is_some() && !connection.is_closing();
         world.record.record_exchange(Exchange {
             id,
@@ -115,21 +136,26 @@
 }
 
 async fn exchange(
+    world: &World,
     connection: &mut Connection,
     path: &str,
     id: &str,
 ) -> Option<Response> {
-    let headers = headers(id);
+    let headers = headers(world, id);
     let sent = connection.send(Method::POST, path, &headers, "body");
     timeout(REQUEST_TIMEOUT, sent).await.ok()?
 }
 
-fn headers(id: &str) -> Vec<(HeaderName, String)> {
-    vec![
+fn headers(world: &World, id: &str) -> Vec<(HeaderName, String)> {
+    let mut headers = vec![
         (http::header::HOST, HOST.into()),
         (header::ATTEMPT, id.into()),
         (header::TIME_LEFT, REQUEST_TIMEOUT.as_millis().to_string()),
-    ]
+    ];
+    if world.has_accounts {
+        headers.push((header::KEY, shares::key_of(id).into()));
+    }
+    headers
 }
 
 /// True if the response is signed by an instance.
@@ -162,7 +188,7 @@
         return;
     };
     let id = format!("probe-fatal-{}", world.next_serial());
-    let headers = headers(&id);
+    let headers = headers(&world, &id);
     let sent =
         connection.send(Method::POST, "/browse/x", &headers, FATAL_BODY);
     // The response is not checked; `World::check_poison` checks the runs.
@@ -181,7 +207,7 @@
     let route = probe_route(version);
     let id = format!("probe-{node}-{version}-{}", world.next_serial());
     let response =
-        exchange(&mut connection, &format!("/{route}/x"), &id).await;
+        exchange(world, &mut connection, &format!("/{route}/x"), &id).await;
     match response?.status {
         200 => Some(true),
         404 => Some(false),
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -28,6 +28,7 @@
 pub mod plan;
 pub mod proxy;
 pub mod restore;
+pub mod shares;
 pub mod shutdown;
 pub mod verdict;
 pub mod world;
@@ -69,6 +70,7 @@
     poison: bool,
     restores: bool,
     notices: bool,
+    hot_account: bool,
     planned_only: bool,
 }
 
@@ -83,6 +85,7 @@
             poison: false,
             restores: false,
             notices: false,
+            hot_account: false,
             planned_only: false,
         }
     }
@@ -106,6 +109,13 @@
         self
     }
 
+    /// Whether there are client accounts, one of which asks for more than an
+    /// instance can serve.
+    pub fn hot_account(mut self, hot_account: bool) -> Config {
+        self.hot_account = hot_account;
+        self
+    }
+
     /// Whether there is planned work only. All other faults are left out, and
     /// no request may be lost.
     pub fn planned_only(mut self, planned_only: bool) -> Config {
@@ -151,6 +161,7 @@
         downtime: poison.downtime,
         route_timeout: ROUTE_TIMEOUT,
         has_long_tail: false,
+        has_accounts: config.hot_account,
     };
     let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -165,6 +176,9 @@
             load.spawn(caller.run(world.clone(), stop.clone()));
         }
     }
+    if config.hot_account {
+        shares::spawn_hot(&mut load, &world, config.seed, &stop);
+    }
     let plan = plan::draw(config.seed, SERVICES.len(), config.length);
     let mut faults = JoinSet::new();
     if config.poison {
@@ -185,14 +199,22 @@
     while faults.join_next().await.is_some() {}
     world.clear_faults();
     wait_recovered(&world).await;
+    let observed = match config.hot_account {
+        true => Some(shares::observe().await),
+        false => None,
+    };
     stop.store(true, Ordering::Relaxed);
     while load.join_next().await.is_some() {}
     world.check_poison();
+    let mut violations = world.check();
+    if let Some(span) = observed {
+        violations.extend(shares::check(&world.record.exchanges(), span));
+    }
     Report {
         seed: config.seed,
         faults: plan.len(),
         status_counts: world.record.status_counts(),
-        violations: world.check(),
+        violations,
         logs: world.members.iter().map(world::Member::log).collect(),
     }
 }
@@ -203,6 +225,7 @@
         downtime: Duration::ZERO,
         route_timeout: shutdown::ROUTE_TIMEOUT,
         has_long_tail: true,
+        has_accounts: false,
     };
     let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -27,6 +27,7 @@
     notice,
     plan::{Departure, Event, Fault, Link},
     proxy::{Mode, Proxy},
+    shares,
     shutdown::{self, Termination},
     verdict::{self, Record, Violation},
 };
@@ -40,6 +41,9 @@
 pub const SERVICES: [&str; 7] =
     ["front", "desk", "desk", "desk", "parts", "parts", "parts"];
 
+/// The service whose instances are slow in runs with client accounts.
+const SLOW_SERVICE: &str = "parts";
+
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
 
@@ -76,6 +80,8 @@
     pub route_timeout: Millis,
     /// Whether instances have some runs longer than the grace period.
     pub has_long_tail: bool,
+    /// Whether there are client accounts, and instances of `parts` are slow.
+    pub has_accounts: bool,
 }
 
 /// A node with its instance and proxies.
@@ -180,6 +186,8 @@
     route_timeout: Millis,
     /// Whether instances have some long runs.
     has_long_tail: bool,
+    /// Whether there are client accounts.
+    pub(super) has_accounts: bool,
     /// The limits that instances have named.
     pub(super) limits: notice::Limits,
 }
@@ -208,7 +216,9 @@
     /// Starts all components.
     pub async fn start(program: &Path, config: Config) -> Arc<World> {
         let store = Store::start().await;
-        store.write_desired(&desired_state(1, config.route_timeout));
+        let Config { route_timeout, has_accounts, .. } = config;
+        let desired = desired_state(1, route_timeout, has_accounts);
+        store.write_desired(&desired);
         let mut members = Vec::new();
         for (index, service) in SERVICES.iter().enumerate() {
             let member = start_member(program, &store, index, service).await;
@@ -216,6 +226,9 @@
             if config.has_long_tail {
                 member.instance().set_long_tail();
             }
+            if has_accounts && *service == SLOW_SERVICE {
+                member.instance().set_run_time(shares::RUN_TIME);
+            }
             members.push(member);
         }
         Arc::new(World {
@@ -233,6 +246,7 @@
             terminations: Mutex::default(),
             route_timeout: config.route_timeout,
             has_long_tail: config.has_long_tail,
+            has_accounts,
             limits: notice::Limits::default(),
         })
     }
@@ -446,10 +460,14 @@
         self.apply_for("store down", span, set).await;
     }
 
+    fn desired_state(&self, version: u64) -> String {
+        desired_state(version, self.route_timeout, self.has_accounts)
+    }
+
     /// Writes the newest desired state again, after the store has lost it.
     pub fn rewrite_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
-        let state = desired_state(self.version(), self.route_timeout);
+        let state = self.desired_state(self.version());
         self.store.write_desired(&state);
     }
 
@@ -511,7 +529,7 @@
     fn write_next_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
         let version = self.version() + 1;
-        let state = desired_state(version, self.route_timeout);
+        let state = self.desired_state(version);
         self.store.write_desired(&state);
         self.version.store(version, Ordering::SeqCst);
     }
@@ -563,6 +581,9 @@
         if self.has_long_tail {
             replacement.set_long_tail();
         }
+        if self.has_accounts && name == SLOW_SERVICE {
+            replacement.set_run_time(shares::RUN_TIME);
+        }
         *member.instance.lock().expect("no holder panics") = replacement;
         member.leaving.store(false, Ordering::SeqCst);
     }
@@ -675,7 +696,7 @@
 
 /// The desired state of a version. Each version adds a route, so that a node's
 /// responses show which version it has applied.
-fn desired_state(version: u64, timeout: Millis) -> String {
+fn desired_state(version: u64, timeout: Millis, accounts: bool) -> String {
     let mut routes: Vec<Route> = ROUTES
         .iter()
         .map(|(name, service, effect)| route(name, service, *effect, timeout))
@@ -690,7 +711,12 @@
         .iter()
         .map(|name| (name.parse().expect("a service name"), spec()))
         .collect();
-    standin::desired(version, &routes, &services, &Limits::default())
+    let state =
+        standin::desired(version, &routes, &services, &Limits::default());
+    match accounts {
+        true => standin::with_accounts(&state, &shares::accounts()),
+        false => state,
+    }
 }
 
 fn route(name: &str, service: &str, effect: Effect, timeout: Millis) -> Route {
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -43,6 +43,11 @@
     run_seed(31, config(31, 12).notices(true));
 }
 
+#[test]
+fn a_hot_account_leaves_others_their_share_after_faults() {
+    run_seed(51, config(51, 8).hot_account(true));
+}
+
 #[test]
 fn no_request_is_lost_by_planned_work() {
     run_seed(42001, config(42001, 8).planned_only(true));
@@ -69,6 +74,7 @@
             .poison(options.contains(&"poison"))
             .restores(options.contains(&"restores"))
             .notices(options.contains(&"notices"))
+            .hot_account(options.contains(&"hot"))
             .planned_only(options.contains(&"planned"));
         run_seed(seed, config);
     }
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -7,6 +7,7 @@
 use walnutmoor_standin::{
     mesh::instance::Arrival,
     soak::{
+        shares,
         shutdown::{Termination, check as check_lost},
         verdict::{Exchange, Record},
     },
@@ -127,6 +128,50 @@
     assert_eq!(violated(&exchanges, &arrivals), ["few repeats"]);
 }
 
+/// Exchanges of `parts` with these numbers of served and of refused requests.
+fn shares(prefix: &str, served: usize, refused: usize) -> Vec<Exchange> {
+    let statuses = [(200, served), (503, refused)];
+    let statuses = statuses
+        .into_iter()
+        .flat_map(|(status, count)| std::iter::repeat_n(status, count));
+    let exchanges = statuses.enumerate().map(|(n, status)| {
+        let id = format!("{prefix}-{n}");
+        let response = Some((status, ""));
+        let service = "parts".parse().unwrap();
+        Exchange { service, ..exchange(&id, Effect::Idempotent, response) }
+    });
+    exchanges.collect()
+}
+
+fn unfair(exchanges: &[Exchange]) -> usize {
+    let second = Duration::from_secs(1);
+    let now = Instant::now();
+    let span = (now.checked_sub(second).unwrap(), now + second);
+    shares::check(exchanges, span).len()
+}
+
+#[test]
+fn fair_shares_are_accepted() {
+    let exchanges = [shares("calm", 95, 5), shares("hot", 50, 50)].concat();
+
+    assert_eq!(unfair(&exchanges), 0);
+}
+
+#[test]
+fn a_calm_account_that_is_refused_with_a_hot_one_is_detected() {
+    let exchanges = [shares("calm", 60, 40), shares("hot", 60, 40)].concat();
+
+    assert_eq!(unfair(&exchanges), 1);
+}
+
+// A check of a load that fits proves nothing.
+#[test]
+fn a_hot_account_that_is_not_hot_is_detected() {
+    let exchanges = [shares("calm", 99, 1), shares("hot", 99, 1)].concat();
+
+    assert_eq!(unfair(&exchanges), 1);
+}
+
 /// A request without a response to a node that is terminated at `start`, sent
 /// and ended this many milliseconds after it.
 fn unanswered(start: Instant, sent: u64, ended: u64) -> Exchange {
