--- a/crates/walnutmoor-core/src/bulkhead/run_times.rs
+++ b/crates/walnutmoor-core/src/bulkhead/run_times.rs
@@ -51,13 +51,20 @@
         self.speed.mark(now)
     }
 
-    /// Adds a run that has ended.
-    pub(super) fn record(&mut self, now: Millis, rank: usize, start: Mark) {
+    /// Adds a run that has ended. Returns its time at usual speed and the mean
+    /// of its rank before it.
+    pub(super) fn record(
+        &mut self,
+        now: Millis,
+        rank: usize,
+        start: Mark,
+    ) -> (f64, f64) {
         let took = self.speed.usual_time(now, start);
-        let mean = &mut self.usual[rank];
-        *mean = match *mean == 0.0 {
+        let before = self.usual[rank];
+        self.usual[rank] = match before == 0.0 {
             true => took,
-            false => *mean + (took - *mean) * RUN_TIME_WEIGHT,
+            false => before + (took - before) * RUN_TIME_WEIGHT,
         };
+        (took, before)
     }
 }
--- a/crates/walnutmoor-core/src/retry_budget.rs
+++ b/crates/walnutmoor-core/src/retry_budget.rs
@@ -33,6 +33,8 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     bulkhead::URGENT_RANKS, digest, feasibility::Order, footprint::State,
     time::Millis,
@@ -40,7 +42,18 @@
 
 /// The position of a whole request in a uniform sample of requests: a hash of
 /// its id, the same at every node and for each call made for the request.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize,
+)]
 pub struct SampleKey(u16);
 
 impl SampleKey {
@@ -54,6 +67,11 @@
         self.fraction() < fraction
     }
 
+    /// The key at the same position in the first `fraction` of the sample.
+    pub fn scaled(self, fraction: f64) -> SampleKey {
+        SampleKey((f64::from(self.0) * fraction.clamp(0.0, 1.0)) as u16)
+    }
+
     /// The fraction of all requests with a lower key.
     pub(crate) fn fraction(self) -> f64 {
         f64::from(self.0) / f64::from(u16::MAX)
@@ -77,7 +95,7 @@
 
     /// True if the request lies in the first `fraction` of the sample.
     pub(crate) fn is_within(self, fraction: f64) -> bool {
-        self.sample_key.fraction() < fraction
+        self.sample_key.is_within(fraction)
     }
 
     /// The fraction of the burst that must remain for this retry to be
--- a/crates/walnutmoor-core/tests/shortage/mod.rs
+++ b/crates/walnutmoor-core/tests/shortage/mod.rs
@@ -594,6 +594,7 @@
             deadline: request.deadline,
             moved,
             has_alternative: false,
+            root: None,
         };
         let priority = Priority { rank, sample_key: request.sample_key };
         let budget = &mut self.budgets[instance];
--- a/crates/walnutmoor-core/tests/speed.rs
+++ b/crates/walnutmoor-core/tests/speed.rs
@@ -198,6 +198,7 @@
         deadline: Millis(deadline),
         moved: false,
         has_alternative: false,
+        root: None,
     }
 }
 
--- a/crates/walnutmoor-core/tests/speeds/mod.rs
+++ b/crates/walnutmoor-core/tests/speeds/mod.rs
@@ -308,6 +308,7 @@
             deadline: Millis(self.requests[&number].at + 5_000),
             moved: !self.requests[&number].state.tried().is_empty(),
             has_alternative: false,
+            root: None,
         };
         let now = self.now();
         match self.machines[machine].bulkhead.offer(now, work) {
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -29,6 +29,7 @@
 pub mod plan;
 pub mod proxy;
 pub mod restore;
+pub mod shares;
 pub mod shutdown;
 pub mod speed;
 pub mod verdict;
@@ -75,6 +76,7 @@
     restores: bool,
     notices: bool,
     speeds: bool,
+    hot_account: bool,
     planned_only: bool,
     overload: bool,
 }
@@ -91,6 +93,7 @@
             restores: false,
             notices: false,
             speeds: false,
+            hot_account: false,
             planned_only: false,
             overload: false,
         }
@@ -121,6 +124,13 @@
         self
     }
 
+    /// Whether there are client accounts, one of which asks for more than an
+    /// instance can serve.
+    pub fn hot_account(mut self, hot_account: bool) -> Config {
+        self.hot_account = hot_account;
+        self
+    }
+
     /// Whether there is planned work only. All other faults are left out, and
     /// no request may be lost.
     pub fn planned_only(mut self, planned_only: bool) -> Config {
@@ -178,6 +188,7 @@
         target: TARGET,
         has_long_tail: false,
         overload: &[],
+        has_accounts: config.hot_account,
     };
     let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -192,6 +203,9 @@
             load.spawn(caller.run(world.clone(), stop.clone()));
         }
     }
+    if config.hot_account {
+        shares::spawn_hot(&mut load, &world, config.seed, &stop);
+    }
     let plan = plan::draw(config.seed, SERVICES.len(), config.length);
     let mut faults = JoinSet::new();
     if config.poison {
@@ -216,6 +230,10 @@
     while faults.join_next().await.is_some() {}
     world.clear_faults();
     wait_recovered(&world).await;
+    let observed = match config.hot_account {
+        true => Some(shares::observe().await),
+        false => None,
+    };
     let mut violations = Vec::new();
     if config.speeds {
         violations.extend(speed::check_placement(&world).await);
@@ -224,6 +242,9 @@
     while load.join_next().await.is_some() {}
     world.check_poison();
     violations.extend(world.check());
+    if let Some(span) = observed {
+        violations.extend(shares::check(&world.record.exchanges(), span));
+    }
     Report {
         seed: config.seed,
         faults: plan.len(),
@@ -242,6 +263,7 @@
         target: TARGET,
         has_long_tail: true,
         overload: &[],
+        has_accounts: false,
     };
     let world = World::start(&config.program, properties).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -281,6 +303,7 @@
         target: overload::TARGET,
         has_long_tail: false,
         overload: &overload::SETTINGS,
+        has_accounts: false,
     };
     let world = World::start(&config.program, properties).await;
     world.call_in_runs("desk", "search");
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -27,6 +27,7 @@
     notice,
     plan::{Departure, Event, Fault, Link},
     proxy::{Mode, Proxy},
+    shares,
     shutdown::{self, Termination},
     verdict::{self, Record, Violation},
 };
@@ -40,6 +41,9 @@
 pub const SERVICES: [&str; 7] =
     ["front", "desk", "desk", "desk", "parts", "parts", "parts"];
 
+/// The service whose instances are slow in runs with client accounts.
+const SLOW_SERVICE: &str = "parts";
+
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
 
@@ -80,6 +84,8 @@
     pub has_long_tail: bool,
     /// The keys of the section `overload` that are enabled.
     pub overload: &'static [&'static str],
+    /// Whether there are client accounts, and instances of `parts` are slow.
+    pub has_accounts: bool,
 }
 
 /// A node with its instance and proxies.
@@ -186,6 +192,8 @@
     target: Millis,
     /// Whether instances have some long runs.
     has_long_tail: bool,
+    /// Whether there are client accounts.
+    pub(super) has_accounts: bool,
     /// The limits that instances have named.
     pub(super) limits: notice::Limits,
 }
@@ -214,8 +222,9 @@
     /// Starts all components.
     pub async fn start(program: &Path, config: Config) -> Arc<World> {
         let store = Store::start().await;
-        let state = desired_state(1, config.route_timeout, config.target);
-        store.write_desired(&state);
+        let Config { route_timeout, target, has_accounts, .. } = config;
+        let desired = desired_state(1, route_timeout, target, has_accounts);
+        store.write_desired(&desired);
         let mut members = Vec::new();
         for (index, service) in SERVICES.iter().enumerate() {
             let overload = config.overload;
@@ -225,6 +234,9 @@
             if config.has_long_tail {
                 member.instance().set_long_tail();
             }
+            if has_accounts && *service == SLOW_SERVICE {
+                member.instance().set_run_time(shares::RUN_TIME);
+            }
             members.push(member);
         }
         Arc::new(World {
@@ -243,6 +255,7 @@
             route_timeout: config.route_timeout,
             target: config.target,
             has_long_tail: config.has_long_tail,
+            has_accounts,
             limits: notice::Limits::default(),
         })
     }
@@ -479,11 +492,15 @@
         self.apply_for("store down", span, set).await;
     }
 
+    fn desired_state(&self, version: u64) -> String {
+        let (timeout, target) = (self.route_timeout, self.target);
+        desired_state(version, timeout, target, self.has_accounts)
+    }
+
     /// Writes the newest desired state again, after the store has lost it.
     pub fn rewrite_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
-        let (timeout, target) = (self.route_timeout, self.target);
-        let state = desired_state(self.version(), timeout, target);
+        let state = self.desired_state(self.version());
         self.store.write_desired(&state);
     }
 
@@ -545,7 +562,7 @@
     fn write_next_desired(&self) {
         let _guard = self.operator.lock().expect("no holder panics");
         let version = self.version() + 1;
-        let state = desired_state(version, self.route_timeout, self.target);
+        let state = self.desired_state(version);
         self.store.write_desired(&state);
         self.version.store(version, Ordering::SeqCst);
     }
@@ -597,6 +614,9 @@
         if self.has_long_tail {
             replacement.set_long_tail();
         }
+        if self.has_accounts && name == SLOW_SERVICE {
+            replacement.set_run_time(shares::RUN_TIME);
+        }
         *member.instance.lock().expect("no holder panics") = replacement;
         member.leaving.store(false, Ordering::SeqCst);
     }
@@ -711,7 +731,12 @@
 
 /// The desired state of a version. Each version adds a route, so that a node's
 /// responses show which version it has applied.
-fn desired_state(version: u64, timeout: Millis, target: Millis) -> String {
+fn desired_state(
+    version: u64,
+    timeout: Millis,
+    target: Millis,
+    accounts: bool,
+) -> String {
     let route = |name: &str, service: &str, effect| Route {
         target_latency: target,
         ..route(name, service, effect, timeout)
@@ -730,7 +755,12 @@
         .iter()
         .map(|name| (name.parse().expect("a service name"), spec()))
         .collect();
-    standin::desired(version, &routes, &services, &Limits::default())
+    let state =
+        standin::desired(version, &routes, &services, &Limits::default());
+    match accounts {
+        true => standin::with_accounts(&state, &shares::accounts()),
+        false => state,
+    }
 }
 
 fn route(name: &str, service: &str, effect: Effect, timeout: Millis) -> Route {
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -49,6 +49,11 @@
     run_seed(41, config(41, 8).speeds(true));
 }
 
+#[test]
+fn a_hot_account_leaves_others_their_share_after_faults() {
+    run_seed(51, config(51, 8).hot_account(true));
+}
+
 #[test]
 fn no_request_is_lost_by_planned_work() {
     run_seed(42001, config(42001, 8).planned_only(true));
@@ -85,6 +90,7 @@
             .poison(options.contains(&"poison"))
             .restores(options.contains(&"restores"))
             .notices(options.contains(&"notices"))
+            .hot_account(options.contains(&"hot"))
             .speeds(options.contains(&"speeds"))
             .planned_only(options.contains(&"planned"))
             .overload(options.contains(&"overload"));
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -44,6 +44,7 @@
     profile::Profile,
     quota::{self, Request},
     rate_limit::Rate,
+    share::{Report, Root},
     table::Effect,
     time::Millis,
 };
@@ -102,6 +103,9 @@
     DepartureRecorded,
     /// Profiles of routes that the sender has just learned.
     Profiles(Vec<Profile>),
+    /// The demand of client accounts for the sender's instance, which is short
+    /// of capacity.
+    Shares(Report),
 }
 
 /// The protocol version. Incremented with each incompatible change of the
@@ -146,8 +150,12 @@
     pub service: Service,
     /// The service of the sending node's instance.
     pub caller: Service,
-    /// The client account of the caller, if known.
+    /// The client account of the caller, which is named to the instance;
+    /// `None` for nested calls.
     pub account: Option<Account>,
+    /// The caller's request that it serves, to account for shares; `None`
+    /// without client accounts.
+    pub root: Option<Root>,
     /// The attempt id, as set by the caller.
     pub attempt: String,
     /// The fingerprint of the content; the same for all attempts.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -569,6 +569,10 @@
         let count = fields.len() - usize::from(need.is_none());
         let mut fields = fields[..count].to_vec();
         fields.extend(in_flight.told.iter().flat_map(turn::fields));
+        if kind == Kind::Share {
+            let share = admission::share_of(state, in_flight);
+            fields.push(("share", share.into()));
+        }
         let id = &in_flight.attempt;
         state.journal.log_request(now, Event::Refused, id, &fields);
     }
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -9,17 +9,18 @@
     bulkhead,
     error::{Kind, Ran, Refusal},
     footprint::Key,
-    ingress,
+    id, ingress,
     poison::MIN_CRASHES_TO_SHARE,
     reservation::{Caller, Flow},
     retry_budget::{Priority, SampleKey},
+    share::Root,
     table::{Effect, Route},
     throttle::{Outcome, Throttle},
     time::Millis,
 };
 use walnutmoor_platform::header;
 
-use super::{Arrival, Origin, not_run};
+use super::{Arrival, InFlight, Origin, not_run};
 use crate::{
     http1::Head,
     mesh::{
@@ -28,6 +29,7 @@
         requests::Stage,
         serve::CallOutcome,
         settings::Overload,
+        shares::Applicant,
         state::State,
         wire,
     },
@@ -60,12 +62,14 @@
         Origin::Run(parent) => Some(*parent),
         Origin::Caller(_) => None,
     };
-    if parent.is_none()
-        && !state.turns.is_enabled()
-        && !is_admitted(state, &in_flight.attempt, route, time_left)
-    {
-        return Err(overloaded(route));
-    }
+    let root = match &parent {
+        Some(parent) => parent.root,
+        None if state.turns.is_enabled() => {
+            root_by_rate(state, in_flight, route)
+        }
+        None => admit_caller(state, in_flight, route, time_left)
+            .map_err(|kind| overloaded(route, kind))?,
+    };
     let service = state.splitter.borrow_mut().pick(route);
     let service = service.ok_or_else(|| not_run(Kind::UnknownService))?;
     let urgency = match &parent {
@@ -95,6 +99,7 @@
         ),
         service,
         account: account.map(|account| account.name.clone()),
+        root,
         attempt: in_flight.attempt.clone(),
         fingerprint: content_hasher.finish(),
         method: head.method.to_string(),
@@ -122,19 +127,84 @@
     received_at + time_left(head).min(route.timeout)
 }
 
-/// True if a caller's request with this time left is admitted.
-fn is_admitted(
+/// Admits a caller's request with this time left, and returns what its calls
+/// inherit. It is `None` without client accounts.
+///
+/// # Errors
+///
+/// The reason if it is refused.
+fn admit_caller(
     state: &State,
-    attempt: &str,
+    in_flight: &InFlight,
     route: &Route,
     time_left: Millis,
-) -> bool {
+) -> Result<Option<Root>, Kind> {
     let is_retry = state.is_likely_retry(&route.name, time_left);
     let throttle = state.throttle.borrow();
-    if !throttle.admits(&route.name, is_retry, state.random_fraction()) {
-        return false;
+    let sample_key = SampleKey::of(header::root(&in_flight.attempt));
+    let root = if state.shares.is_enabled() {
+        let services = throttle.services(&route.name);
+        let applicant = Applicant {
+            account: in_flight.account.as_ref().map(|account| &account.name),
+            fraction: throttle.admitted_fraction(&route.name),
+            is_retry,
+            services: &services,
+            sample_key,
+        };
+        Some(state.shares.admit(state.now(), &applicant)?)
+    } else {
+        let draw = state.random_fraction();
+        match throttle.admits(&route.name, is_retry, draw) {
+            true => None,
+            false => return Err(Kind::Overloaded),
+        }
+    };
+    let overload = state.settings.overload;
+    match can_complete(overload, &throttle, &in_flight.attempt, route) {
+        true => Ok(root),
+        false => Err(Kind::Overloaded),
+    }
+}
+
+/// What the calls of a request inherit that was admitted by rate. It is `None`
+/// without client accounts.
+fn root_by_rate(
+    state: &State,
+    in_flight: &InFlight,
+    route: &Route,
+) -> Option<Root> {
+    if !state.shares.is_enabled() {
+        return None;
     }
-    can_complete(state.settings.overload, &throttle, attempt, route)
+    let throttle = state.throttle.borrow();
+    let applicant = Applicant {
+        account: in_flight.account.as_ref().map(|account| &account.name),
+        fraction: throttle.admitted_fraction(&route.name),
+        is_retry: false,
+        services: &throttle.services(&route.name),
+        sample_key: SampleKey::of(header::root(&in_flight.attempt)),
+    };
+    Some(state.shares.root(state.now(), &applicant))
+}
+
+/// The admitted fraction of the account of a request that was refused by its
+/// share, for the log.
+pub(super) fn share_of(state: &State, in_flight: &InFlight) -> f64 {
+    let account = in_flight.account.as_ref().map(|account| &account.name);
+    share(state, &in_flight.route, account)
+}
+
+/// The admitted fraction of an account on a route.
+fn share(state: &State, route: &str, account: Option<&id::Account>) -> f64 {
+    let throttle = state.throttle.borrow();
+    let applicant = Applicant {
+        account,
+        fraction: throttle.admitted_fraction(route),
+        is_retry: false,
+        services: &throttle.services(route),
+        sample_key: SampleKey::default(),
+    };
+    state.shares.fraction(state.now(), &applicant)
 }
 
 /// True unless a request must not run twice and is unlikely to complete.
@@ -153,16 +223,19 @@
     feasibility::can_complete(overload, throttle, &route.name, priority)
 }
 
-/// The refusal of a request above what its route admits.
-fn overloaded(route: &Route) -> Refusal {
+/// The refusal of a request above what its route or account admits.
+fn overloaded(route: &Route, kind: Kind) -> Refusal {
     let span = route.target_latency.0 as f64 * RETRY_AFTER_FRACTION;
-    let refusal = Refusal::new(Kind::Overloaded, Ran::No);
+    let refusal = Refusal::new(kind, Ran::No);
     refusal.retry_after(Millis(span as u64))
 }
 
 /// The fraction of a flow that is admitted.
 pub(super) fn fraction(state: &State, flow: &Flow) -> f64 {
-    state.throttle.borrow().admitted_fraction(&flow.route)
+    match state.shares.is_enabled() {
+        true => share(state, &flow.route, flow.account.as_ref()),
+        false => state.throttle.borrow().admitted_fraction(&flow.route),
+    }
 }
 
 /// Waits until a caller's request may be admitted, if this node decides by
@@ -186,7 +259,7 @@
     if !can_complete(overload, &state.throttle.borrow(), attempt, &route) {
         let told = state.turns.refuse_unreserved(state.now(), &request);
         arrival.in_flight.told = told;
-        return Err(overloaded(&route));
+        return Err(overloaded(&route, Kind::Overloaded));
     }
     let fraction = fraction(state, &request.flow);
     let draw = state.random_fraction();
@@ -199,7 +272,13 @@
         }
         Err(told) => {
             arrival.in_flight.told = told;
-            return Err(overloaded(&route));
+            let admitted = state.throttle.borrow();
+            let kind = match fraction < admitted.admitted_fraction(&route.name)
+            {
+                true => Kind::Share,
+                false => Kind::Overloaded,
+            };
+            return Err(overloaded(&route, kind));
         }
     }
     Ok(())
@@ -210,11 +289,15 @@
     let Arrival { in_flight, head, route, origin, .. } = arrival;
     let time_left = time_left(head);
     let account = origin.account();
+    // Accounts are admitted separately if their shares differ.
+    let own_account = account
+        .filter(|_| state.shares.is_enabled())
+        .map(|account| account.name.clone());
     let urgency = bulkhead::urgency(route.priority, false);
     let fingerprint = arrival.content_hasher.finish();
     ingress::Request {
         id: state.turns.next_id(),
-        flow: Flow::of(&route.name),
+        flow: Flow { route: route.name.clone(), account: own_account },
         caller: Caller {
             fingerprint,
             account: account.map(|account| account.name.clone()),
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -97,6 +97,9 @@
     Admission,
     /// The preference for the local zone has begun to fall or is full again.
     Zone,
+    /// The demand of client accounts for the instance of this node, which is
+    /// short of capacity.
+    Shares,
     /// Counters since the start of the process.
     Counters,
     /// An internal error, or input that could not be used.
@@ -130,6 +133,7 @@
         Event::Abandoned,
         Event::Admission,
         Event::Zone,
+        Event::Shares,
         Event::Counters,
         Event::Fault,
     ];
@@ -162,6 +166,7 @@
             Event::Abandoned => "abandoned",
             Event::Admission => "admission",
             Event::Zone => "zone",
+            Event::Shares => "shares",
             Event::Counters => "counters",
             Event::Fault => "fault",
         }
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -28,6 +28,7 @@
 | [`departure`] | remembers departed instances for the nodes beside them |
 | [`crash`] | detects crashes of the local instance |
 | [`quotas`] | enforces the quotas of client accounts |
+| [`shares`] | divides a short service fairly between client accounts |
 | [`suspicion`] | tracks requests suspected of crashing instances |
 | `feasibility` | orders retries by need and refuses infeasible requests |
 | [`zone`] | logs changes of the preference for the local zone |
@@ -71,6 +72,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod shares;
 mod shutdown;
 pub mod speed;
 pub mod state;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -182,6 +182,7 @@
     let zones = zone::Watch::default();
     loop {
         timer.tick().await;
+        state.publish_shares();
         state.advance_handover();
         if state.settings.overload.zone_spill {
             let balancer = state.balancer.borrow();
@@ -223,6 +224,7 @@
             ("arrivals", serve.arrivals.get().into()),
             ("repeats", serve.retries.get().into()),
             ("over_budget", serve.over_budget.get().into()),
+            ("over_share", serve.over_share.get().into()),
             ("limited", serve.diverted().into()),
             ("spilled", state.balancer.borrow().spilled().into()),
             ("callers", state.connections.get().into()),
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -50,6 +50,7 @@
         priority: call.priority,
         is_retry: call.is_retry || call.parent_is_retry,
         need: call.need,
+        root: call.root,
     };
     let run = Run {
         parent,
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -17,6 +17,7 @@
     id::{Incarnation, NodeId},
     profile::Profile,
     rate_limit::Rate,
+    share::Report,
     table::Splitter,
     throttle::Throttle,
     time::Millis,
@@ -35,6 +36,7 @@
     requests::Requests,
     serve::Serve,
     settings::Settings,
+    shares::Shares,
     shutdown::Shutdown,
     store::EraTracker,
     suspicion::Suspicion,
@@ -98,6 +100,8 @@
     pub(crate) quotas: Quotas,
     /// Reservations of callers, and the requests that wait at the ingress.
     pub(crate) turns: Turns,
+    /// Fair shares between client accounts.
+    pub(crate) shares: Shares,
     /// Departed instances.
     pub(super) departures: Departures,
     /// The exchange of learned profiles with other nodes.
@@ -151,6 +155,7 @@
             eras: EraTracker::default(),
             quotas: Quotas::new(settings.bounds().quota()),
             turns,
+            shares: Shares::default(),
             departures: Departures::default(),
             handover: Handover::new(settings.overload.handover),
             longest_timeouts: RefCell::new(Map::default()),
@@ -219,6 +224,37 @@
         }
     }
 
+    /// Sends the shares of client accounts at the local instance to every
+    /// linked node, if it is short and a report is due.
+    pub(super) fn publish_shares(&self) {
+        let now = self.now();
+        self.shares.expire(now);
+        let Some(report) = self.serve.share_report(now) else {
+            return;
+        };
+        let instance = (self.me, &self.settings.service);
+        let sessions = self.sessions.borrow();
+        let nodes = sessions
+            .values()
+            .filter(|session| session.connected_node().is_some())
+            .count();
+        let (shares, journal) = (&self.shares, &self.journal);
+        if shares.publish(now, journal, instance, &report, nodes) {
+            for session in sessions.values() {
+                session.send(Frame::Shares(report.clone()));
+            }
+        }
+    }
+
+    /// Records the shares that a node reports of its instance.
+    pub(super) fn receive_shares(&self, node: NodeId, report: Report) {
+        let balancer = self.balancer.borrow();
+        if let Some(service) = balancer.service(node) {
+            let (now, journal) = (self.now(), &self.journal);
+            self.shares.receive(now, journal, (node, service), report);
+        }
+    }
+
     /// The hello that this node sends on a new link.
     pub fn hello(&self) -> Hello {
         Hello {
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 mod restore;
 mod resume;
 mod returning;
+mod shares;
 mod shutdown;
 mod speeds;
 mod watching;
