--- a/crates/walnutmoor-standin/src/soak/speed.rs
+++ b/crates/walnutmoor-standin/src/soak/speed.rs
@@ -63,7 +63,7 @@
 const MIN_ARRIVALS: usize = 60;
 
 /// The fraction of the arrivals that may reach the slow instance. It was 0.02 to
-/// 0.03, and 0.14 to 0.15 with nodes that ignore the stated speed.
+/// 0.03, and 0.14 to 0.16 with nodes that ignore the stated speed.
 const MAX_SLOW_FRACTION: f64 = 0.08;
 
 /// Draws the changes of a run.
