--- a/crates/walnutmoor-core/src/bulkhead.rs
+++ b/crates/walnutmoor-core/src/bulkhead.rs
@@ -52,7 +52,7 @@
     digest::Map,
     id::CallId,
     rate_limit::{Limiter, Rate},
-    share::{self, Report, Root},
+    share::{self, Root},
     time::Millis,
 };
 
@@ -545,23 +545,6 @@
         load
     }
 
-    /// True if work is above the share of its account.
-    pub fn is_above_share(
-        &mut self,
-        now: Millis,
-        root: Option<&Root>,
-    ) -> bool {
-        let capacity = self.capacity(now);
-        self.shares.is_above(now, capacity, root)
-    }
-
-    /// The shares to report to other nodes; `None` unless the instance is
-    /// short of capacity.
-    pub fn share_report(&self, now: Millis) -> Option<Report> {
-        let capacity = self.capacity(now);
-        self.shares.report(now, capacity, self.is_shedding(now))
-    }
-
     /// Drops the bookkeeping of work taken from the queue.
     fn forget(&mut self, id: CallId) {
         if let Some(key) = self.keys.remove(&id) {
--- a/crates/walnutmoor-core/src/bulkhead/shares.rs
+++ b/crates/walnutmoor-core/src/bulkhead/shares.rs
@@ -2,6 +2,7 @@
 Which work of one instance is above the share of its client account.
 */
 
+use super::Bulkhead;
 use crate::{
     share::{Key, Level, Report, Root, Usage},
     time::Millis,
@@ -107,6 +108,25 @@
     }
 }
 
+impl Bulkhead {
+    /// True if work is above the share of its account.
+    pub fn is_above_share(
+        &mut self,
+        now: Millis,
+        root: Option<&Root>,
+    ) -> bool {
+        let capacity = self.capacity(now);
+        self.shares.is_above(now, capacity, root)
+    }
+
+    /// The shares to report to other nodes; `None` unless the instance is
+    /// short of capacity.
+    pub fn share_report(&self, now: Millis) -> Option<Report> {
+        let capacity = self.capacity(now);
+        self.shares.report(now, capacity, self.is_shedding(now))
+    }
+}
+
 fn total(demands: &[(Key, f64)]) -> f64 {
     demands.iter().map(|(_, demand)| demand).sum()
 }
--- a/crates/walnutmoor/src/mesh/shares.rs
+++ b/crates/walnutmoor/src/mesh/shares.rs
@@ -107,6 +107,13 @@
         view.fraction(now, services, applicant.key(), fraction)
     }
 
+    /// True if the account of a request demands no more than its share.
+    pub fn is_within(&self, now: Millis, applicant: &Applicant<'_>) -> bool {
+        let Applicant { services, fraction, .. } = *applicant;
+        let view = self.view.borrow();
+        view.is_within(now, services, applicant.key(), fraction)
+    }
+
     /// Admits a caller's request, and returns what its calls inherit.
     ///
     /// # Errors
--- a/crates/walnutmoor/tests/shares.rs
+++ b/crates/walnutmoor/tests/shares.rs
@@ -71,6 +71,24 @@
     assert!(weights.iter().all(|weight| *weight == Weight::ONE));
 }
 
+#[test]
+fn an_account_is_within_its_share_until_it_demands_more() {
+    let shares = shares();
+    let names = [name("hot"), name("calm")];
+    let within = names.each_ref().map(|account| {
+        let applicant = Applicant {
+            account: Some(account),
+            fraction: 0.5,
+            is_retry: false,
+            services: &[],
+            sample_key: SampleKey::default(),
+        };
+        shares.is_within(Millis(10), &applicant)
+    });
+
+    assert_eq!(within, [false, true]);
+}
+
 #[test]
 fn an_account_above_its_share_is_refused_by_it() {
     let (count, weights, kinds) = admitted(&shares(), Some(&name("hot")));
