--- a/crates/walnutmoor-core/src/reservation.rs
+++ b/crates/walnutmoor-core/src/reservation.rs
@@ -313,6 +313,8 @@
     pub fn ahead(&mut self, now: Millis, flow: &Flow, within: Millis) -> f64 {
         let capacity = self.flows.get_mut(flow);
         capacity.map_or(0.0, |capacity| {
+            // Forgets those that have most likely given up.
+            capacity.count_outstanding(now);
             capacity.due_before(now + within) as f64 - capacity.tokens(now)
         })
     }
--- a/crates/walnutmoor-core/tests/reservation.rs
+++ b/crates/walnutmoor-core/tests/reservation.rs
@@ -209,6 +209,21 @@
     assert_eq!(book.len(), 2);
 }
 
+/// Guards against new callers that are refused instead of waiting, because of
+/// reservations that nobody uses.
+#[test]
+fn callers_that_do_not_return_are_not_expected_before_new_ones() {
+    let (mut book, now) = book(0.5);
+    refuse_all(&mut book, now, 20);
+    let ahead = book.ahead(now, &flow(), Millis(400));
+    assert!(ahead > 4.0, "{ahead}");
+
+    let later = now + Millis(2_500);
+    let ahead = book.ahead(later, &flow(), Millis(400));
+
+    assert!(ahead <= 0.0, "{ahead}");
+}
+
 /// Guards against unbounded memory under a flood of distinct requests.
 #[test]
 fn number_of_remembered_callers_is_bounded() {
