--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -116,10 +116,13 @@
 /// the log.
 #[test]
 fn a_full_local_zone_is_printed() {
-    check("50ed", expect![[r#"
+    check(
+        "50ed",
+        expect![[r#"
         in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
         context at 79000 ms on a: requests may leave the local zone, which is full; preference "0.35"; service "parts"; used "0.93"; zone "east"
         context at 79900 ms on a: requests stay in the local zone again; preference "1.00"; service "parts"; used "0.71"; zone "east"
         at 80000 ms on a: an instance answered it; after_ms 90; tried ["10.0.0.3:7500"]; why ""
-    "#]]);
+    "#]],
+    );
 }
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -15,6 +15,7 @@
 use walnutmoor_core::{
     bulkhead::Load,
     edition::Edition,
+    feasibility::Need,
     footprint::Footprint,
     id::{CallId, Era, Incarnation, NodeId},
     lifetime::{Lifetime, StartTime},
@@ -346,3 +347,39 @@
         assert_eq!(restarted.receive().await, Frame::KnownLimit(rate));
     });
 }
+
+/// A retry of an idempotent request of rank 2 that needs this many more.
+fn retry(id: u64, need: Option<Need>) -> Frame {
+    let Frame::Call(call) = order(id, &format!("n{id}")) else {
+        unreachable!("it is a call");
+    };
+    Frame::Call(Box::new(Call {
+        effect: Effect::Idempotent,
+        priority: 2,
+        is_retry: true,
+        need,
+        ..*call
+    }))
+}
+
+/// Guards against a node that ignores the need that a call carries. A node
+/// that has just started has a burst of three retries.
+#[test]
+fn a_retry_that_needs_few_more_goes_before_one_that_needs_many() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let address = world.pairs[0].node.addresses().peers;
+        let mut peer = Peer::open(address, 7).await;
+        let (few, many) = (Need::from_retries(1.2), Need::from_retries(9.8));
+        peer.send(&retry(1, Some(few))).await;
+        assert!(is_answered(&peer.answer(1).await));
+
+        peer.send(&retry(2, Some(many))).await;
+        let denied = peer.answer(2).await;
+        peer.send(&retry(3, Some(few))).await;
+        let admitted = peer.answer(3).await;
+
+        assert!(matches!(denied, Reply::NotRun { .. }), "{denied:?}");
+        assert!(is_answered(&admitted), "{admitted:?}");
+    });
+}
