--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -9,7 +9,7 @@
     bulkhead,
     error::{Kind, Ran, Refusal},
     footprint::Key,
-    id, ingress,
+    ingress,
     poison::MIN_CRASHES_TO_SHARE,
     reservation::{Caller, Flow},
     retry_budget::{Priority, SampleKey},
@@ -143,6 +143,7 @@
     let throttle = state.throttle.borrow();
     let sample_key = SampleKey::of(header::root(&in_flight.attempt));
     let root = if state.shares.is_enabled() {
+        throttle.record_offer(&route.name);
         let services = throttle.services(&route.name);
         let applicant = Applicant {
             account: in_flight.account.as_ref().map(|account| &account.name),
@@ -187,18 +188,13 @@
     Some(state.shares.root(state.now(), &applicant))
 }
 
-/// The admitted fraction of the account of a request that was refused by its
-/// share, for the log.
+/// The admitted fraction of the account of a request. It is that of the route
+/// while no shares are known.
 pub(super) fn share_of(state: &State, in_flight: &InFlight) -> f64 {
-    let account = in_flight.account.as_ref().map(|account| &account.name);
-    share(state, &in_flight.route, account)
-}
-
-/// The admitted fraction of an account on a route.
-fn share(state: &State, route: &str, account: Option<&id::Account>) -> f64 {
+    let route = &in_flight.route;
     let throttle = state.throttle.borrow();
     let applicant = Applicant {
-        account,
+        account: in_flight.account.as_ref().map(|account| &account.name),
         fraction: throttle.admitted_fraction(route),
         is_retry: false,
         services: &throttle.services(route),
@@ -232,10 +228,7 @@
 
 /// The fraction of a flow that is admitted.
 pub(super) fn fraction(state: &State, flow: &Flow) -> f64 {
-    match state.shares.is_enabled() {
-        true => share(state, &flow.route, flow.account.as_ref()),
-        false => state.throttle.borrow().admitted_fraction(&flow.route),
-    }
+    state.throttle.borrow().admitted_fraction(&flow.route)
 }
 
 /// Waits until a caller's request may be admitted, if this node decides by
@@ -262,6 +255,15 @@
         return Err(overloaded(&route, Kind::Overloaded));
     }
     let fraction = fraction(state, &request.flow);
+    // There are too few requests of one account at one node to admit them by a
+    // rate of their own, so accounts with shares are admitted by sample key.
+    if fraction != share_of(state, &arrival.in_flight) {
+        return by_share(state, arrival, &request).map_err(|kind| {
+            let told = state.turns.refuse_unreserved(state.now(), &request);
+            arrival.in_flight.told = told;
+            overloaded(&route, kind)
+        });
+    }
     let draw = state.random_fraction();
     let clock = || state.now();
     let since = state.now();
@@ -272,32 +274,44 @@
         }
         Err(told) => {
             arrival.in_flight.told = told;
-            let admitted = state.throttle.borrow();
-            let kind = match fraction < admitted.admitted_fraction(&route.name)
-            {
-                true => Kind::Share,
-                false => Kind::Overloaded,
-            };
-            return Err(overloaded(&route, kind));
+            return Err(overloaded(&route, Kind::Overloaded));
         }
     }
     Ok(())
 }
 
+/// Admits a request by the share of its account.
+///
+/// # Errors
+///
+/// The reason if it is refused.
+fn by_share(
+    state: &State,
+    arrival: &Arrival,
+    request: &ingress::Request,
+) -> Result<(), Kind> {
+    let Arrival { in_flight, route, .. } = arrival;
+    let throttle = state.throttle.borrow();
+    let applicant = Applicant {
+        account: in_flight.account.as_ref().map(|account| &account.name),
+        fraction: throttle.admitted_fraction(&route.name),
+        is_retry: request.is_likely_retry,
+        services: &throttle.services(&route.name),
+        sample_key: SampleKey::of(header::root(&in_flight.attempt)),
+    };
+    state.shares.admit(state.now(), &applicant).map(|_| ())
+}
+
 /// The request as the decision by rate needs it.
 fn turn_request(state: &State, arrival: &Arrival) -> ingress::Request {
     let Arrival { in_flight, head, route, origin, .. } = arrival;
     let time_left = time_left(head);
     let account = origin.account();
-    // Accounts are admitted separately if their shares differ.
-    let own_account = account
-        .filter(|_| state.shares.is_enabled())
-        .map(|account| account.name.clone());
     let urgency = bulkhead::urgency(route.priority, false);
     let fingerprint = arrival.content_hasher.finish();
     ingress::Request {
         id: state.turns.next_id(),
-        flow: Flow { route: route.name.clone(), account: own_account },
+        flow: Flow::of(&route.name),
         caller: Caller {
             fingerprint,
             account: account.map(|account| account.name.clone()),
