--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -64,9 +64,7 @@
     };
     let root = match &parent {
         Some(parent) => parent.root,
-        None if state.turns.is_enabled() => {
-            root_by_rate(state, in_flight, route)
-        }
+        None if state.turns.is_enabled() => root_by_rate(state, in_flight),
         None => admit_caller(state, in_flight, route, time_left)
             .map_err(|kind| overloaded(route, kind))?,
     };
@@ -141,18 +139,9 @@
 ) -> Result<Option<Root>, Kind> {
     let is_retry = state.is_likely_retry(&route.name, time_left);
     let throttle = state.throttle.borrow();
-    let sample_key = SampleKey::of(header::root(&in_flight.attempt));
     let root = if state.shares.is_enabled() {
         throttle.record_offer(&route.name);
-        let services = throttle.services(&route.name);
-        let applicant = Applicant {
-            account: in_flight.account.as_ref().map(|account| &account.name),
-            fraction: throttle.admitted_fraction(&route.name),
-            is_retry,
-            services: &services,
-            sample_key,
-        };
-        Some(state.shares.admit(state.now(), &applicant)?)
+        Some(by_share(state, in_flight, is_retry)?)
     } else {
         let draw = state.random_fraction();
         match throttle.admits(&route.name, is_retry, draw) {
@@ -167,40 +156,67 @@
     }
 }
 
-/// What the calls of a request inherit that was admitted by rate. It is `None`
-/// without client accounts.
-fn root_by_rate(
+/// Passes on a request as far as shares are concerned.
+fn with_applicant<T>(
     state: &State,
     in_flight: &InFlight,
-    route: &Route,
-) -> Option<Root> {
-    if !state.shares.is_enabled() {
-        return None;
-    }
+    is_retry: bool,
+    decide: impl FnOnce(&Applicant<'_>) -> T,
+) -> T {
+    let route = &in_flight.route;
     let throttle = state.throttle.borrow();
-    let applicant = Applicant {
+    decide(&Applicant {
         account: in_flight.account.as_ref().map(|account| &account.name),
-        fraction: throttle.admitted_fraction(&route.name),
-        is_retry: false,
-        services: &throttle.services(&route.name),
+        fraction: throttle.admitted_fraction(route),
+        is_retry,
+        services: &throttle.services(route),
         sample_key: SampleKey::of(header::root(&in_flight.attempt)),
-    };
-    Some(state.shares.root(state.now(), &applicant))
+    })
+}
+
+/// Admits a request by the share of its account.
+///
+/// # Errors
+///
+/// The reason if it is refused.
+fn by_share(
+    state: &State,
+    in_flight: &InFlight,
+    is_retry: bool,
+) -> Result<Root, Kind> {
+    let now = state.now();
+    with_applicant(state, in_flight, is_retry, |applicant| {
+        state.shares.admit(now, applicant)
+    })
+}
+
+/// What the calls of a request inherit that was admitted by rate. It is `None`
+/// without client accounts.
+fn root_by_rate(state: &State, in_flight: &InFlight) -> Option<Root> {
+    let now = state.now();
+    state.shares.is_enabled().then(|| {
+        with_applicant(state, in_flight, false, |applicant| {
+            state.shares.root(now, applicant)
+        })
+    })
 }
 
 /// The admitted fraction of the account of a request. It is that of the route
 /// while no shares are known.
 pub(super) fn share_of(state: &State, in_flight: &InFlight) -> f64 {
-    let route = &in_flight.route;
-    let throttle = state.throttle.borrow();
-    let applicant = Applicant {
-        account: in_flight.account.as_ref().map(|account| &account.name),
-        fraction: throttle.admitted_fraction(route),
-        is_retry: false,
-        services: &throttle.services(route),
-        sample_key: SampleKey::default(),
-    };
-    state.shares.fraction(state.now(), &applicant)
+    let now = state.now();
+    with_applicant(state, in_flight, false, |applicant| {
+        state.shares.fraction(now, applicant)
+    })
+}
+
+/// True if the account of a request demands more than its share.
+fn exceeds_share(state: &State, in_flight: &InFlight) -> bool {
+    let now = state.now();
+    state.shares.is_enabled()
+        && with_applicant(state, in_flight, false, |applicant| {
+            !state.shares.is_within(now, applicant)
+        })
 }
 
 /// True unless a request must not run twice and is unlikely to complete.
@@ -258,7 +274,9 @@
     // There are too few requests of one account at one node to admit them by a
     // rate of their own, so accounts with shares are admitted by sample key.
     if fraction != share_of(state, &arrival.in_flight) {
-        return by_share(state, arrival, &request).map_err(|kind| {
+        let is_retry = request.is_likely_retry;
+        let admitted = by_share(state, &arrival.in_flight, is_retry);
+        return admitted.map(|_| ()).map_err(|kind| {
             let told = state.turns.refuse_unreserved(state.now(), &request);
             arrival.in_flight.told = told;
             overloaded(&route, kind)
@@ -280,28 +298,6 @@
     Ok(())
 }
 
-/// Admits a request by the share of its account.
-///
-/// # Errors
-///
-/// The reason if it is refused.
-fn by_share(
-    state: &State,
-    arrival: &Arrival,
-    request: &ingress::Request,
-) -> Result<(), Kind> {
-    let Arrival { in_flight, route, .. } = arrival;
-    let throttle = state.throttle.borrow();
-    let applicant = Applicant {
-        account: in_flight.account.as_ref().map(|account| &account.name),
-        fraction: throttle.admitted_fraction(&route.name),
-        is_retry: request.is_likely_retry,
-        services: &throttle.services(&route.name),
-        sample_key: SampleKey::of(header::root(&in_flight.attempt)),
-    };
-    state.shares.admit(state.now(), &applicant).map(|_| ())
-}
-
 /// The request as the decision by rate needs it.
 fn turn_request(state: &State, arrival: &Arrival) -> ingress::Request {
     let Arrival { in_flight, head, route, origin, .. } = arrival;
@@ -318,7 +314,7 @@
         },
         is_likely_retry: state.is_likely_retry(&route.name, time_left),
         rank: account.map_or(urgency, |account| account.urgency(urgency)),
-        is_over_share: false,
+        is_over_share: exceeds_share(state, in_flight),
         received_at: in_flight.received_at,
         deadline: in_flight.received_at + time_left,
         response_deadline: deadline(in_flight.received_at, head, route),
