--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -187,7 +187,7 @@
         route_timeout: ROUTE_TIMEOUT,
         target: TARGET,
         has_long_tail: false,
-        overload: &[],
+        overload: if config.hot_account { &["fair_shares"] } else { &[] },
         has_accounts: config.hot_account,
     };
     let world = World::start(&config.program, properties).await;
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -66,6 +66,8 @@
     pub keep_connections: bool,
     /// Passes learned profiles to other nodes.
     pub handover: bool,
+    /// Divides a short service fairly between client accounts.
+    pub fair_shares: bool,
 }
 
 /// The settings of a node.
--- a/crates/walnutmoor/src/mesh/shares.rs
+++ b/crates/walnutmoor/src/mesh/shares.rs
@@ -2,7 +2,8 @@
 Fair shares between client accounts: exchanges the reports of
 [`walnutmoor_core::share`], and admits callers' requests by them.
 
-Active only while the desired state has client accounts.
+Active only if the settings enable it, while the desired state has client
+accounts.
 
 # Example
 
@@ -11,7 +12,7 @@
 use walnutmoor_core::{retry_budget::SampleKey, share::Weight, time::Millis};
 
 // Without accounts in the desired state there are no shares.
-let shares = Shares::default();
+let shares = Shares::new(true);
 let applicant = Applicant {
     account: None,
     fraction: 0.5,
@@ -71,6 +72,7 @@
 /// The shares of client accounts, as one node knows them.
 #[derive(Debug, Default)]
 pub struct Shares {
+    is_allowed: bool,
     accounts: RefCell<Map<Key, Account>>,
     view: RefCell<View>,
     publisher: RefCell<Publisher>,
@@ -82,6 +84,12 @@
 }
 
 impl Shares {
+    /// Creates the shares of a node that has heard no report. `is_allowed`
+    /// tells whether its settings enable them.
+    pub fn new(is_allowed: bool) -> Shares {
+        Shares { is_allowed, ..Shares::default() }
+    }
+
     /// Adopts the accounts of a new desired state.
     pub fn set_accounts(&self, accounts: &Directory) {
         let names = accounts.names().into_iter();
@@ -89,9 +97,9 @@
             names.map(|name| (Key::of(&name), name)).collect();
     }
 
-    /// True if there are client accounts.
+    /// True if the settings enable shares and there are client accounts.
     pub fn is_enabled(&self) -> bool {
-        !self.accounts.borrow().is_empty()
+        self.is_allowed && !self.accounts.borrow().is_empty()
     }
 
     /// The numbers of reports that were sent, that were received and, of
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -155,7 +155,7 @@
             eras: EraTracker::default(),
             quotas: Quotas::new(settings.bounds().quota()),
             turns,
-            shares: Shares::default(),
+            shares: Shares::new(settings.overload.fair_shares),
             departures: Departures::default(),
             handover: Handover::new(settings.overload.handover),
             longest_timeouts: RefCell::new(Map::default()),
--- a/crates/walnutmoor/tests/mesh/shares.rs
+++ b/crates/walnutmoor/tests/mesh/shares.rs
@@ -104,7 +104,8 @@
 /// Nodes of `front`, `desk` and `parts`, where the instance of `parts` is
 /// short of capacity if it gets more than 70 requests a second.
 async fn world(accounts: &[Account]) -> World {
-    let mut world = World::start(&["front", "desk"]).await;
+    let services = ["front", "desk"];
+    let mut world = World::start_with(&services, &["fair_shares"]).await;
     world.add("parts").await;
     world.wait_until_connected().await;
     world.pairs[2].instance.set_run_time(RUN_TIME);
--- a/crates/walnutmoor/tests/shares.rs
+++ b/crates/walnutmoor/tests/shares.rs
@@ -26,7 +26,7 @@
 
 /// A node that has heard that `hot` demands 12 of 16 slots, and `calm` 4.
 fn shares() -> Shares {
-    let shares = Shares::default();
+    let shares = Shares::new(true);
     let accounts = ["hot", "calm"].map(|n| (Account::new(name(n)), vec![]));
     shares.set_accounts(&Directory::build(accounts).unwrap());
     let demands = [("hot", 12.0), ("calm", 4.0)];
@@ -120,7 +120,7 @@
 // without accounts must not count later.
 #[test]
 fn without_accounts_reports_are_ignored() {
-    let shares = Shares::default();
+    let shares = Shares::new(true);
     let demands = [(Key::of(&name("hot")), 12.0)];
     let report = Report::new(Millis(0), &demands).unwrap();
     let node = NodeId(([127, 0, 0, 1], 1).into());
@@ -144,3 +144,14 @@
         assert!(kinds.iter().all(|kind| *kind == Kind::Overloaded));
     }
 }
+
+/// Guards against shares that act although the settings do not enable them.
+#[test]
+fn shares_are_off_unless_enabled() {
+    let shares = Shares::new(false);
+    let accounts = ["hot", "calm"].map(|n| (Account::new(name(n)), vec![]));
+
+    shares.set_accounts(&Directory::build(accounts).unwrap());
+
+    assert!(!shares.is_enabled());
+}
