--- a/crates/walnutmoor-core/src/bulkhead/shares.rs
+++ b/crates/walnutmoor-core/src/bulkhead/shares.rs
@@ -14,9 +14,7 @@
 
 /// The fraction of the capacity that is divided into shares. The rest goes to
 /// work above its share, so that slots stay busy, while work within its share
-/// is not rejected because its arrivals vary. In the replay `share_replay`
-/// through calls, on eight seeds, the least served of the small accounts got
-/// 0.994 with 0.8, 0.973 with 0.85 and 0.959 with 0.9.
+/// is not rejected because its arrivals vary.
 const SHARED_FRACTION: f64 = 0.8;
 
 /// The time for which a computed level is used. It is short compared with the
--- a/crates/walnutmoor-core/src/reservation.rs
+++ b/crates/walnutmoor-core/src/reservation.rs
@@ -72,18 +72,15 @@
 const HORIZON_PERCENT: u64 = 33;
 
 /// The part of the rate by which retry times are spaced. The rest goes to new
-/// callers and absorbs a rate that falls after the promise. In the replay
-/// `return_policies`, 0.5 answers fewer callers in time (0.571 instead of 0.617
-/// in 12 s at 1.8 times the capacity), and with 1.0 callers are held for up to
-/// 0.8 s instead of 0.4 s when capacity falls.
+/// callers and absorbs a rate that falls after the promise.
 const RETURNING_FRACTION: f64 = 0.8;
 
 /// The spread of retry times, relative to their length.
 const JITTER: f64 = 0.1;
 
 /// The factor on the usual response time that a caller with a reservation is
-/// left at least until its target. In the replay, 1.0 makes a quarter of the
-/// answers late in a long overload, and 2.5 refuses more callers twice.
+/// left at least until its target. Less makes answers late in a long overload,
+/// and more refuses more callers twice.
 const RESPONSE_MARGIN: f64 = 1.5;
 
 /// The maximum number of callers that are remembered.
@@ -494,7 +491,7 @@
 /// The longest retry time with which a caller can be answered in time: within
 /// its own time, and within the target where that allows the shortest retry
 /// time. Without the target, most answers are late in an overload that lasts
-/// longer than callers may wait (0.205 in time instead of 0.617 in the replay).
+/// longer than callers may wait.
 fn horizon(budget: Budget, response_margin: Millis) -> Millis {
     let honoured = Millis(budget.left.0 * HORIZON_PERCENT / 100);
     let in_target = budget.target_left.since(response_margin);
