mesh: trust a health check only if a peer knows the instance

Hypotheses before the change: (1) a successful health check opens the instance at a node that remembers nothing; (2) a heartbeat from before the goodbye, delivered late, opens it; (3) the instance stays closed and other nodes send by an old report of its load.

Evidence: the line `instance` of the restarted node says which. In each of the ten red tests it reads `"source":"health check"`, `"ready":true`, about 250 ms after the start, and no other line opens the instance; so (1), and not (3).

Cause: a health check was believed although nobody who could know of a departure had been asked. The wait for peers ended after a second or with the first peers, which had all been started after the departure.

Change: a peer that was linked to an earlier incarnation of a node, and saw its instance accept work, says so when it links to the next incarnation, after the departures that it remembers. Without such a witness the node waits for a heartbeat, which a departed instance does not send. A peer whose link fell silent is no witness, as the node may have acknowledged a departure while it was cut off. The frame is new, so the protocol version rises to 5.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -81,6 +81,8 @@
     /// The value of the header that names its limit, if any.
     named_limit: Mutex<Option<String>>,
     says_leaving: AtomicBool,
+    /// What its health check says, if not the truth.
+    fake_health: Mutex<Option<bool>>,
     runs: Mutex<BTreeMap<String, u32>>,
     arrivals: Mutex<Vec<Arrival>>,
     aborted_runs: AtomicU64,
@@ -179,6 +181,7 @@
             heartbeats_stopped: AtomicBool::new(false),
             named_limit: Mutex::default(),
             says_leaving: AtomicBool::new(false),
+            fake_health: Mutex::default(),
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             aborted_runs: AtomicU64::new(0),
@@ -358,6 +361,18 @@
         self.says_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Makes its health check succeed or fail whatever its state is, or tell
+    /// the truth again.
+    pub fn fake_health(&self, healthy: Option<bool>) {
+        *self.fake_health.lock().expect("no holder panics") = healthy;
+    }
+
+    /// True if its health check succeeds.
+    fn is_healthy(&self) -> bool {
+        let fake = *self.fake_health.lock().expect("no holder panics");
+        fake.unwrap_or(!self.draining.load(Ordering::Relaxed))
+    }
+
     /// The headers in which it speaks of itself.
     fn notices(&self) -> String {
         let mut headers = String::new();
@@ -649,9 +664,9 @@
 }
 
 async fn respond_health(instance: &Instance, stream: &mut TcpStream) -> bool {
-    let status = match instance.draining.load(Ordering::Relaxed) {
-        true => "503 Service Unavailable",
-        false => "200 OK",
+    let status = match instance.is_healthy() {
+        true => "200 OK",
+        false => "503 Service Unavailable",
     };
     let load = instance.load_header();
     let headers = format!("{}: {}\r\n{load}", header::INSTANCE, instance.id());
--- a/crates/walnutmoor/src/mesh/departure.rs
+++ b/crates/walnutmoor/src/mesh/departure.rs
@@ -4,11 +4,20 @@
 A node that restarts knows nothing of its instance, whose health check may
 still succeed after it has announced its departure. Its peers remember the
 departure and report it before any call. So an announcement is acknowledged
-only when the peers that are reachable have recorded it, and a node that starts
-trusts a health check only after its peers have had the time to report.
+only when the peers that are reachable have recorded it.
+
+A health check says nothing about departures. A node that starts trusts it only
+if a peer has been linked to an earlier incarnation of the node while the
+instance accepted work, and only after all peers have had the time to report.
+Without such a witness, as after all nodes were killed, the node waits for a
+heartbeat, which a departed instance does not send.
 */
 
-use std::{cell::RefCell, collections::VecDeque, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    time::Duration,
+};
 
 use tokio::{sync::Notify, time::timeout};
 use walnutmoor_core::{
@@ -40,6 +49,9 @@
     /// instance.
     unrecorded: RefCell<Set<NodeId>>,
     recorded: Notify,
+    /// True once a peer has reported that the local instance accepted work
+    /// under an earlier incarnation of this node.
+    has_witness: Cell<bool>,
 }
 
 impl Departures {
@@ -49,6 +61,12 @@
         self.record_peer(node);
     }
 
+    /// Records that a peer knows the instance from an earlier incarnation of
+    /// this node.
+    pub(super) fn record_witness(&self) {
+        self.has_witness.set(true);
+    }
+
     /// Records that a peer knows of the departure, or can't be told now.
     pub(super) fn record_peer(&self, node: NodeId) {
         if self.unrecorded.borrow_mut().remove(&node) {
@@ -69,9 +87,14 @@
 }
 
 impl State {
+    /// True if a successful health check proves that the instance takes work.
+    pub(super) fn trusts_health_check(&self) -> bool {
+        self.departures.has_witness.get() && self.peers_have_reported()
+    }
+
     /// True once all reachable peers have linked to this node, and have thus
     /// reported what they remember of its instance, or have had the time to.
-    pub(super) fn peers_have_reported(&self) -> bool {
+    fn peers_have_reported(&self) -> bool {
         if self.now() >= REPORT_TIMEOUT {
             return true;
         }
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -106,11 +106,15 @@
     /// The demand of client accounts for the sender's instance, which is short
     /// of capacity.
     Shares(Report),
+    /// The sender was linked to an earlier incarnation of the receiver, and
+    /// the receiver's instance accepted work then. Follows
+    /// [`Frame::KnownDepartures`].
+    KnownServing,
 }
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -16,7 +16,7 @@
     time::{sleep, timeout},
 };
 use walnutmoor_core::{
-    edition::Edition, id::CallId, table::Effect, time::Millis,
+    bulkhead::Load, edition::Edition, id::CallId, table::Effect, time::Millis,
 };
 
 use super::Link;
@@ -112,12 +112,13 @@
         // The new incarnation does not know the calls sent to the former one.
         link.fail_pending(|_| true);
         link.former_limit.set(state.known_limit(link.node));
+        link.has_served_formerly.set(link.has_served.take());
     }
     let mut balance = state.balancer.borrow_mut();
     balance.join(link.node, &hello.service, &hello.zone);
     balance.down(link.node, Millis(0));
     drop(balance);
-    state.record_load(link.node, hello.load);
+    record_load(state, link, hello.load);
     state.shares.forget(link.node);
     link.last_received.set(now);
     link.unanswered_pings.set(None);
@@ -145,6 +146,10 @@
     link.outgoing.borrow_mut().take();
     state.balancer.borrow_mut().down(link.node, Millis::NEVER);
     state.departures.record_peer(link.node);
+    if link.unanswered_pings.get().is_some() {
+        // The peer may have acknowledged a departure while it was cut off.
+        link.has_served.set(false);
+    }
     let fields = [
         ("peer", link.node.to_string().into()),
         ("why", why.into()),
@@ -184,6 +189,9 @@
     if let Some(rate) = link.former_limit.take() {
         let _ = outgoing.send(Frame::KnownLimit(rate));
     }
+    if link.has_served_formerly.take() {
+        let _ = outgoing.send(Frame::KnownServing);
+    }
     if let Some(instance) = state.serve.departed() {
         let _ = outgoing.send(Frame::Departed(instance));
     }
@@ -261,10 +269,17 @@
     }
 }
 
+fn record_load(state: &State, link: &Link, load: Load) {
+    if load.accepting {
+        link.has_served.set(true);
+    }
+    state.record_load(link.node, load);
+}
+
 fn handle_frame(state: &Rc<State>, link: &Rc<Link>, frame: Frame) {
     match frame {
         Frame::Answer(id, reply, load) => {
-            state.record_load(link.node, load);
+            record_load(state, link, load);
             if let Reply::Answered { departed: Some(instance), .. } = &reply {
                 state.record_departed(link.node, instance.clone());
             }
@@ -272,7 +287,7 @@
         }
         Frame::Pong(edition, reaches_store, load) => {
             link.reaches_store.set(reaches_store);
-            state.record_load(link.node, load);
+            record_load(state, link, load);
             state.record_peer_edition(edition, link.node);
         }
         Frame::DepartureRecorded => state.departures.record_peer(link.node),
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -43,9 +43,13 @@
 /// heartbeat yet.
 const MIN_HEALTH_CHECK_PAUSE: Duration = Duration::from_millis(200);
 
-/// The pause between checks whether the peers have reported.
+/// The pause between checks whether a health check can be trusted.
 const REPORT_CHECK_PAUSE: Duration = Duration::from_millis(50);
 
+/// The uptime up to which peers that know the instance are expected to report.
+/// It exceeds the interval at which they try to reconnect.
+const WITNESS_TIMEOUT: Millis = Millis(2_000);
+
 /// The maximum pause between health checks.
 const MAX_HEALTH_CHECK_PAUSE: Duration = Duration::from_millis(1_600);
 
@@ -269,16 +273,20 @@
 }
 
 /// Checks the instance's health until it is known, so that a node that starts
-/// after its instance need not wait for the next heartbeat.
+/// after its instance need not wait for the next heartbeat. Does so only while
+/// the result can be trusted.
 async fn check_unknown_instance(state: Rc<State>) {
-    while !state.peers_have_reported() {
+    while state.serve.is_unknown()
+        && !state.trusts_health_check()
+        && state.now() < WITNESS_TIMEOUT
+    {
         sleep(REPORT_CHECK_PAUSE).await;
     }
     let mut pause = MIN_HEALTH_CHECK_PAUSE;
     loop {
         sleep(pause).await;
         pause = (pause * 2).min(MAX_HEALTH_CHECK_PAUSE);
-        if !state.serve.is_unknown() {
+        if !state.serve.is_unknown() || !state.trusts_health_check() {
             pause = MAX_HEALTH_CHECK_PAUSE;
             continue;
         }
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -320,6 +320,7 @@
         Frame::KnownDepartures(instances) => {
             state.serve.record_departed(state, instances)
         }
+        Frame::KnownServing => state.departures.record_witness(),
         Frame::KnownLimit(rate) => {
             let source = "a former life of this node";
             state.serve.adopt_limit(state, rate, source);
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod accounts;
 mod connections;
 mod crash_log;
+mod departures;
 mod desired;
 mod faults;
 mod fixture;
