mesh: keep departures in the record of the node

What callers saw: after all nodes were killed, a heartbeat from before the goodbye that arrived late opened the departed instance, and an instance that had said only in responses that it leaves was opened by its next heartbeat.

Cause: only nodes remember a departure, and nothing survives all of them.

Change: the record of a node in the directory, which is written at its start and read by all, lists the last four departed lifetimes of its instance. A departure is written beside the announcement to the peers, and the acknowledgement waits for both, for at most 500 ms together as before; the write is repeated until it succeeds. A node that starts reads its record before it opens its instance, for at most 500 ms. Each write names the revision that it replaces, as a call without a response may take effect seconds later and would undo a departure. After a restore of the store, a node whose instance has departed checks its record again. There is no new kind of object and no new watch; a departure costs one read and one write.

Weighed and not taken: to acknowledge only what the store has confirmed. It would make a successful health check sound evidence after any restart, but goodbyes during an outage of the store would never be acknowledged, and a zone that is emptied at once exceeds the store's rate of writes for longer than an instance waits.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod config;
 pub mod connection;
 pub mod demand;
+pub mod departure;
 pub mod digest;
 pub mod directory;
 pub mod edition;
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -55,9 +55,17 @@
         &self,
         state: &Rc<State>,
         lifetimes: Vec<Lifetime>,
+        source: &str,
     ) {
         let change = self.tracker.borrow_mut().record_departed(lifetimes);
-        self.apply(state, change, "a former life of this node");
+        self.apply(state, change, source);
+    }
+
+    /// Opens the bulkhead if only the record of this node was awaited.
+    pub(super) fn open_by_record(&self, state: &Rc<State>) {
+        self.update_bulkhead(state);
+        state.broadcast_load();
+        self.advance(state);
     }
 
     /// The current lifetime of the instance, if it has departed.
@@ -110,21 +118,27 @@
             let rate = self.named_limit();
             self.bulkhead.borrow_mut().limit_rate(state.now(), rate);
         }
-        self.update_bulkhead();
+        self.update_bulkhead(state);
         if let Some(lifetime) = self.departed() {
             state.broadcast_departure(&lifetime);
+            state.record_own_departure(lifetime);
         }
         self.log_instance(state, source);
         state.broadcast_load();
         self.advance(state);
     }
 
-    /// Opens the bulkhead if the instance is ready, and closes it otherwise.
-    fn update_bulkhead(&self) {
+    /// Opens the bulkhead if the instance is ready and the departures in the
+    /// record of this node are known, and closes it otherwise.
+    fn update_bulkhead(&self, state: &State) {
         let tracker = self.tracker.borrow();
         let mut bulkhead = self.bulkhead.borrow_mut();
         match tracker.current() {
-            Some(current) if current.ready && !self.draining.get() => {
+            Some(current)
+                if current.ready
+                    && !self.draining.get()
+                    && state.may_open_instance() =>
+            {
                 bulkhead.open(current.slots);
             }
             _ => bulkhead.close(),
@@ -180,7 +194,7 @@
     }
     serve.suspended.set(false);
     if serve.tracker.borrow().is_ready() && !serve.draining.get() {
-        serve.update_bulkhead();
+        serve.update_bulkhead(&state);
         state.broadcast_load();
     }
 }
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -18,7 +18,7 @@
 
 use super::{
     control::{self, Endpoint},
-    ingress,
+    departure, ingress,
     instance::Outcome,
     journal::{Event, Journal},
     link::{self, CHECK_INTERVAL},
@@ -97,6 +97,8 @@
     spawn_local(store::sync_directory(state.clone()));
     spawn_local(store::sync_suspects(state.clone()));
     spawn_local(store::write_suspects(state.clone()));
+    spawn_local(store::write_departures(state.clone()));
+    spawn_local(departure::open_by_record(state.clone()));
     spawn_local(maintain(state.clone()));
     spawn_local(check_unknown_instance(state.clone()));
     spawn_local(log_counters(state.clone()));
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -318,7 +318,7 @@
             state.merge_evidence(&evidence, SOURCE_PEER)
         }
         Frame::KnownDepartures(instances) => {
-            state.serve.record_departed(state, instances)
+            state.on_known_departures(instances)
         }
         Frame::KnownServing => state.departures.record_witness(),
         Frame::KnownLimit(rate) => {
--- a/crates/walnutmoor/src/mesh/shutdown.rs
+++ b/crates/walnutmoor/src/mesh/shutdown.rs
@@ -71,7 +71,7 @@
     state.shutdown.schedule.set(Some(schedule));
     state.phase.set(Phase::Leaving);
     log_phase(state, "leaving");
-    if state.serve.has_left() {
+    if state.serve.has_left() || state.knows_only_departures() {
         let state = state.clone();
         spawn_local(async move { store::unregister(&state).await });
     }
--- a/crates/walnutmoor/src/mesh/store.rs
+++ b/crates/walnutmoor/src/mesh/store.rs
@@ -1,6 +1,6 @@
 /*!
-The client of the platform's store: the desired state, the directory of nodes,
-and records of suspected requests.
+The client of the platform's store: the desired state, the directory of nodes
+with the departures of their instances, and records of suspected requests.
 
 The desired state is read once and then watched by long polling, which costs
 the store one call per change. Only a few nodes of each availability zone
@@ -15,6 +15,7 @@
 */
 
 mod client;
+mod departures;
 mod directory;
 mod era;
 mod suspects;
@@ -27,6 +28,7 @@
 
 pub(super) use era::EraTracker;
 
+pub use departures::write_departures;
 pub use directory::{sync_directory, unregister};
 pub use suspects::{sync_suspects, write_suspects};
 pub use watch::sync_desired;
@@ -55,11 +57,16 @@
     task: &'static str,
     is_failing: bool,
     delay: Millis,
+    max_delay: Millis,
 }
 
 impl Backoff {
     fn new(task: &'static str) -> Backoff {
-        Backoff { task, is_failing: false, delay: MIN_BACKOFF }
+        Backoff::with_max(task, MAX_BACKOFF)
+    }
+
+    fn with_max(task: &'static str, max_delay: Millis) -> Backoff {
+        Backoff { task, is_failing: false, delay: MIN_BACKOFF, max_delay }
     }
 
     fn on_success(&mut self, state: &State) {
@@ -77,7 +84,7 @@
             state.journal.log_event(state.now(), Event::Lost, &fields);
         }
         let delay = state.jitter(self.delay);
-        self.delay = Millis(self.delay.0 * 2).min(MAX_BACKOFF);
+        self.delay = Millis(self.delay.0 * 2).min(self.max_delay);
         sleep(Duration::from_millis(delay.0)).await;
     }
 }
--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -11,15 +11,16 @@
     time::{Instant, sleep, timeout_at},
 };
 use walnutmoor_core::{
+    departure::Lifetimes,
     digest::Set,
-    id::{Era, NodeId, Service, Zone},
+    id::{Era, NodeId, Revision, Service, Zone},
     time::Millis,
 };
 use walnutmoor_platform::store::{self, Kind, Object};
 
 use super::{
     Backoff, MAX_BACKOFF,
-    client::{CALL_TIMEOUT, Client, Error, Response},
+    client::{CALL_TIMEOUT, Client, Error},
 };
 use crate::mesh::{
     journal::Event,
@@ -39,7 +40,7 @@
 const MAX_RECENT_UPTIME: Millis = Millis(60_000);
 
 /// Minimum window over which the nodes spread the check of their records.
-const MIN_CHECK_WINDOW: Millis = Millis(1_000);
+pub(super) const MIN_CHECK_WINDOW: Millis = Millis(1_000);
 
 /// Time in addition to the check window after which a node that has not
 /// written its record again counts as gone.
@@ -49,12 +50,19 @@
 /// store.
 const CHECKS_PER_SECOND: u64 = 500;
 
+/// Attempts of a write whose record changes meanwhile. Only late writes of this
+/// node itself change it.
+const MAX_WRITE_ATTEMPTS: u32 = 3;
+
 /// The record of a node.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 struct Record {
     node: NodeId,
     zone: Zone,
     service: Service,
+    /// The departures that were announced to any incarnation of the node.
+    #[serde(default, skip_serializing_if = "Lifetimes::is_empty")]
+    departed: Lifetimes,
 }
 
 /// Registers this node, and keeps its links in line with the directory.
@@ -63,6 +71,7 @@
     let mut backoff = Backoff::new("directory");
     let mut eras = state.eras.subscribe();
     let mut is_registered = false;
+    let mut is_first = true;
     // The first read must not be stale, or it may miss nodes that have just
     // registered.
     let mut stale = false;
@@ -72,6 +81,9 @@
         if !is_registered && state.phase.get() == Phase::Serving {
             is_registered = register(&state, &mut client).await;
         }
+        if std::mem::take(&mut is_first) {
+            state.on_record_read(is_registered);
+        }
         match client.list(Kind::Node, stale).await {
             Ok((objects, _)) => {
                 backoff.on_success(&state);
@@ -200,31 +212,92 @@
     state.me.to_string().replace(':', "-")
 }
 
-/// Writes the record of this node; returns true if the store confirms it.
-async fn register(state: &State, client: &mut Client) -> bool {
-    let record = Record {
-        node: state.me,
-        zone: state.settings.zone.clone(),
-        service: state.settings.service.clone(),
-    };
-    let name = record_name(state);
-    let create = store::create(Kind::Node, &name, &record);
-    let mut result = client.call(create, CALL_TIMEOUT).await;
-    let exists = |response: &Response| response.status == StatusCode::CONFLICT;
-    if result.as_ref().is_ok_and(exists) {
-        let replace = store::replace(Kind::Node, &name, &record);
-        result = client.call(replace, CALL_TIMEOUT).await;
-    }
-    let error = match result {
-        Ok(response) if response.status.is_success() => return true,
-        Ok(response) => Error::Status(response.status.as_u16()),
-        Err(error) => error,
+/// Registers this node; returns true if the store confirms its record.
+async fn register(state: &Rc<State>, client: &mut Client) -> bool {
+    let Err(error) = write_record(state, client, false).await else {
+        return true;
     };
     let why = format!("cannot write the record of this node: {error}");
     state.journal.log_event(state.now(), Event::Fault, &[("why", why.into())]);
     false
 }
 
+/// Writes the record of this node, and adopts the departures that it holds.
+///
+/// Every write names the revision that it replaces. A call without a response
+/// may take effect seconds later, and must not undo a departure that was
+/// written meanwhile. `exists` saves a call if the record is expected to exist.
+pub(super) async fn write_record(
+    state: &Rc<State>,
+    client: &mut Client,
+    exists: bool,
+) -> Result<(), Error> {
+    let name = record_name(state);
+    let mut stored = None;
+    if exists {
+        stored = read_record(state, client).await?;
+    }
+    for _ in 0..MAX_WRITE_ATTEMPTS {
+        let record = Record {
+            node: state.me,
+            zone: state.settings.zone.clone(),
+            service: state.settings.service.clone(),
+            departed: state.departed_lifetimes(),
+        };
+        let call = match &stored {
+            Some((stored, _)) if *stored == record => {
+                state.confirm_departures(&record.departed);
+                return Ok(());
+            }
+            Some((_, at)) => {
+                store::replace_at(Kind::Node, &name, *at, &record)
+            }
+            // A node that exits has removed its record.
+            None if state.phase.get() != Phase::Serving => {
+                state.confirm_departures(&record.departed);
+                return Ok(());
+            }
+            None => store::create(Kind::Node, &name, &record),
+        };
+        let response = client.call(call, CALL_TIMEOUT).await?;
+        if response.status.is_success() {
+            state.confirm_departures(&record.departed);
+            return Ok(());
+        }
+        if response.status != StatusCode::CONFLICT {
+            return Err(Error::Status(response.status.as_u16()));
+        }
+        stored = read_record(state, client).await?;
+    }
+    Err(Error::Status(StatusCode::CONFLICT.as_u16()))
+}
+
+/// Reads the record of this node and adopts its departures. Returns `None` if
+/// it does not exist.
+async fn read_record(
+    state: &Rc<State>,
+    client: &mut Client,
+) -> Result<Option<(Record, Revision)>, Error> {
+    let get = store::get(Kind::Node, &record_name(state));
+    let response = client.call(get, CALL_TIMEOUT).await?;
+    match response.status {
+        StatusCode::NOT_FOUND => return Ok(None),
+        status if !status.is_success() => {
+            return Err(Error::Status(status.as_u16()));
+        }
+        _ => {}
+    }
+    let object = store::object(&response.body)?;
+    let record = decode(state, &object).unwrap_or_else(|| Record {
+        node: state.me,
+        zone: state.settings.zone.clone(),
+        service: state.settings.service.clone(),
+        departed: Lifetimes::default(),
+    });
+    state.adopt_departures(&record.departed);
+    Ok(Some((record, object.revision)))
+}
+
 /// Removes the record of this node, after its instance has left.
 pub async fn unregister(state: &Rc<State>) {
     let mut client = Client::new(state);
--- a/crates/walnutmoor/tests/mesh/departures.rs
+++ b/crates/walnutmoor/tests/mesh/departures.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
+use walnutmoor_core::lifetime::Report;
 use walnutmoor_standin::{mesh::store::PendingWatches, soak::proxy::Mode};
 
 use crate::fixture::{World, run, until};
@@ -80,7 +81,8 @@
     });
 }
 
-// Guards against a restart that is remembered by nobody for a second time.
+// Guards against a record that a restarted node writes without the departures
+// that it contained.
 #[test]
 fn a_departed_instance_is_not_used_after_all_nodes_were_killed_twice() {
     run(async {
@@ -192,6 +194,56 @@
     });
 }
 
+// Guards against an instance whose heartbeats go on although it has said in a
+// response that it leaves.
+#[test]
+fn an_instance_that_said_it_leaves_is_not_used_after_all_nodes_were_killed() {
+    run(async {
+        let mut world = start().await;
+        let leaving = world.pairs[LEAVING].instance.clone();
+        leaving.say_leaving();
+        until("the node heeds a response", || async {
+            send_for(&world, Duration::from_millis(50), "told").await;
+            let log = world.pairs[LEAVING].node.log();
+            log.contains("\"source\":\"response\"")
+        })
+        .await;
+        until("the store has recorded the departure", || async {
+            let log = world.pairs[LEAVING].node.log();
+            log.contains("\"departures\":\"recorded\"")
+        })
+        .await;
+
+        restart_all(&mut world, [0, 1, 2]);
+
+        assert_not_used(&world, "said").await;
+    });
+}
+
+// Guards against a heartbeat from before the departure that arrives after it.
+#[test]
+fn a_late_heartbeat_does_not_open_a_departed_instance() {
+    run(async {
+        let mut world = start().await;
+        let leaving = world.pairs[LEAVING].instance.clone();
+        assert_eq!(leaving.send_goodbye().await, 200);
+
+        restart_all(&mut world, [1, 0, 2]);
+        let late = Report {
+            lifetime: leaving.lifetime(),
+            slots: 8,
+            sequence: 1_000_000,
+            ready: true,
+        };
+        until("the node takes heartbeats", || async {
+            leaving.send_report(&late).await == 200
+        })
+        .await;
+
+        assert_not_used(&world, "late").await;
+    });
+}
+
 // Guards against a departed lifetime that is used until the next one at its
 // address registers, and against a next one that is not used.
 #[test]
