lifetime: a failed health check is not a departure

What callers saw: an instance that failed one health check while its node knew nothing of it yet was not used for the rest of its life, although its heartbeats said that it was ready; a service of few instances stays short.

Cause: the check's result became the state of the current lifetime, and a lifetime that has stopped accepting work never does so again. The platform says that health answers may be false either way, and that an instance also fails the check while it is unwell.

Evidence: found by asking of each thing that a starting node believes who else could know it. The new process test, in which the health check fails once and the next heartbeat says ready, timed out after 60 s without a request at the instance; the line `instance` of the check stayed the last one.

Change: a failed check is logged and leaves the lifetime unknown, so the next check or heartbeat decides. Departed lifetimes that peers or the record remember are closed as before.

--- a/crates/walnutmoor-core/src/lifetime.rs
+++ b/crates/walnutmoor-core/src/lifetime.rs
@@ -224,7 +224,8 @@
     }
 
     /// Records an instance that a health check found, with unknown start time.
-    /// Ignored if a lifetime is already known.
+    /// Ignored if a lifetime is already known, and if the check has failed: an
+    /// instance may fail it for a while and is not leaving.
     pub fn record_health_check(
         &mut self,
         id: &str,
@@ -237,7 +238,10 @@
         let found = Lifetime::new(id, None);
         let former = self.former.iter().filter(|f| found.matches(f));
         let former = former.max_by_key(|former| former.started_at).cloned();
-        let ready = ready && former.is_none();
+        if former.is_none() && !ready {
+            return Change::None;
+        }
+        let ready = former.is_none();
         let lifetime = former.unwrap_or(found);
         self.current = Some(Instance { lifetime, slots, sequence: 0, ready });
         Change::State
--- a/crates/walnutmoor-core/tests/lifetime.rs
+++ b/crates/walnutmoor-core/tests/lifetime.rs
@@ -84,6 +84,19 @@
     assert!(tracker.is_ready());
 }
 
+// Guards against a failed health check that is taken for a departure.
+#[test]
+fn a_failed_health_check_does_not_keep_a_lifetime_from_work() {
+    let lifetime = life("i-1", 100);
+    let mut tracker = Tracker::new();
+
+    let change = tracker.record_health_check("i-1", 8, false);
+    tracker.report(&report(&lifetime, 5, true));
+
+    assert!(!change.has_changed());
+    assert!(tracker.is_ready());
+}
+
 #[test]
 fn an_instance_without_a_start_time_is_identified_by_its_id() {
     let only = Lifetime::new("i-1", None);
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -85,6 +85,14 @@
             .tracker
             .borrow_mut()
             .record_health_check(instance, slots, ready);
+        if !change.has_changed() && !ready {
+            let fields = [
+                ("instance", instance.into()),
+                ("ready", ready.into()),
+                ("source", "health check".into()),
+            ];
+            state.journal.log_event(state.now(), Event::Instance, &fields);
+        }
         self.apply(state, change, "health check");
     }
 
--- a/crates/walnutmoor/tests/mesh/leaving.rs
+++ b/crates/walnutmoor/tests/mesh/leaving.rs
@@ -165,6 +165,44 @@
     });
 }
 
+// Guards against a failed health check that is taken for a departure, which
+// would keep the instance unused for the rest of its life.
+#[test]
+fn an_instance_whose_health_check_failed_is_used_after_its_next_heartbeat() {
+    run(async {
+        let mut world = World::start(&["front", "desk", "desk"]).await;
+        let desk = world.pairs[1].instance.clone();
+        desk.stop_heartbeats();
+        desk.fake_health(Some(false));
+        world.pairs[1].node.restart();
+        until("the node has checked the health", || async {
+            world.pairs[1].node.log().contains("health check")
+        })
+        .await;
+        let before = desk.total_runs();
+
+        let heartbeat = Report {
+            lifetime: desk.lifetime(),
+            slots: 8,
+            sequence: 1_000_000,
+            ready: true,
+        };
+        assert_eq!(desk.send_report(&heartbeat).await, 200);
+
+        let mut sent = 0;
+        until("the instance is used", || {
+            sent += 1;
+            let id = format!("again-{sent}");
+            let (world, desk) = (&world, &desk);
+            async move {
+                world.send(0, "order", &id).await;
+                desk.total_runs() > before
+            }
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_departed_instance_is_not_used_after_its_node_and_a_peer_restarted() {
     run(async {
