mesh: announce a goodbye also of a lifetime that is not current

A goodbye of a lifetime that the node did not take for the current one was acknowledged, and neither peers nor the store were told. After a restart of the node its peers testified that the instance had served, the health check succeeded, and the departed lifetime got requests.

Change: every goodbye is announced and written, whatever lifetime is the current one, and its acknowledgement waits for both.

--- a/crates/walnutmoor-core/src/departure.rs
+++ b/crates/walnutmoor-core/src/departure.rs
@@ -1,7 +1,9 @@
 /*!
-Departed lifetimes of an instance, and which of them the store has recorded.
+Departed lifetimes of an instance, which of them the store has recorded, and
+who can testify that an instance has not departed.
 
-The departures of an instance are kept in the directory record of the node
+A node that restarts knows nothing of its instance. A peer is a [`Witness`] if
+it knows the instance from an earlier incarnation of the node. The departures of an instance are kept in the directory record of the node
 beside it, so that they outlive all nodes. A [`Ledger`] says what is still to
 be written, also after the store was restored from an older copy.
 
@@ -72,6 +74,39 @@
     }
 }
 
+/// What a node knows of the instance beside a peer, which it tells the peer's
+/// next incarnation.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Witness {
+    /// Whether the instance has accepted work under this incarnation.
+    has_served: bool,
+    /// Whether it had under the last one, with no departure missed since.
+    has_served_formerly: bool,
+}
+
+impl Witness {
+    /// Records a report of the instance's load.
+    pub fn observe(&mut self, accepting: bool) {
+        self.has_served |= accepting;
+    }
+
+    /// Records that the peer was silent. It may have acknowledged a departure
+    /// that it could not announce.
+    pub fn on_silence(&mut self) {
+        self.has_served = false;
+    }
+
+    /// Records that the peer has a new incarnation.
+    pub fn on_restart(&mut self) {
+        self.has_served_formerly = std::mem::take(&mut self.has_served);
+    }
+
+    /// Whether to testify to the new incarnation, which is done once.
+    pub fn take_testimony(&mut self) -> bool {
+        std::mem::take(&mut self.has_served_formerly)
+    }
+}
+
 /// The departures of the instance beside a node.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
--- a/crates/walnutmoor/src/mesh/control.rs
+++ b/crates/walnutmoor/src/mesh/control.rs
@@ -109,9 +109,7 @@
         Ok(Call::Leave(lifetime)) => state.serve.leave(state, &lifetime),
         Err(error) => return refuse(state, error.to_string()),
     }
-    if state.serve.has_left() {
-        state.await_departure_recorded().await;
-    }
+    state.await_departure_recorded().await;
     reply(StatusCode::OK, heartbeat::ACKNOWLEDGEMENT)
 }
 
--- a/crates/walnutmoor/src/mesh/departure.rs
+++ b/crates/walnutmoor/src/mesh/departure.rs
@@ -125,9 +125,14 @@
             && reachable.all(|link| connected.contains(&link.node))
     }
 
-    /// Announces to every linked node that the local instance has departed,
-    /// so that they can report it to this node after a restart.
-    pub fn broadcast_departure(&self, instance: &Lifetime) {
+    /// Announces a departure of the local instance to every linked node and
+    /// schedules its write to the store, so that this node learns of it after
+    /// a restart.
+    pub(super) fn announce_departure(&self, instance: &Lifetime) {
+        if self.departures.ledger.borrow_mut().insert(instance.clone()) {
+            self.departures.awaits_store.set(true);
+            self.departures.to_write.notify_one();
+        }
         for link in self.links() {
             if link.is_healthy() {
                 let mut unrecorded = self.departures.unrecorded.borrow_mut();
@@ -180,14 +185,6 @@
         self.serve.record_departed(self, lifetimes, source);
     }
 
-    /// Schedules the write of a departure of the local instance.
-    pub(super) fn record_own_departure(&self, lifetime: Lifetime) {
-        if self.departures.ledger.borrow_mut().insert(lifetime) {
-            self.departures.awaits_store.set(true);
-            self.departures.to_write.notify_one();
-        }
-    }
-
     /// The departures of the local instance that are known.
     pub(super) fn departed_lifetimes(&self) -> Lifetimes {
         self.departures.ledger.borrow().lifetimes().clone()
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -46,6 +46,10 @@
         source: &str,
     ) {
         let change = self.tracker.borrow_mut().leave(lifetime);
+        if !change.has_changed() {
+            // Another lifetime is the current one, but may be the wrong one.
+            state.announce_departure(lifetime);
+        }
         self.apply(state, change, source);
     }
 
@@ -128,8 +132,7 @@
         }
         self.update_bulkhead(state);
         if let Some(lifetime) = self.departed() {
-            state.broadcast_departure(&lifetime);
-            state.record_own_departure(lifetime);
+            state.announce_departure(&lifetime);
         }
         self.log_instance(state, source);
         state.broadcast_load();
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -19,6 +19,7 @@
     task::AbortHandle,
 };
 use walnutmoor_core::{
+    departure::Witness,
     digest::Map,
     error::Kind,
     id::{CallId, Incarnation, NodeId, Zone},
@@ -99,11 +100,8 @@
     /// The rate limit that the peer's instance named to an earlier incarnation
     /// of the peer.
     former_limit: Cell<Option<Rate>>,
-    /// Whether the peer's instance has accepted work since the handshake.
-    has_served: Cell<bool>,
-    /// Whether the instance accepted work under an earlier incarnation of the
-    /// peer, and no departure can have been missed since.
-    has_served_formerly: Cell<bool>,
+    /// What is known of the peer's instance.
+    witness: RefCell<Witness>,
     /// Whether a protocol version mismatch was logged.
     mismatch_logged: Cell<bool>,
     dead: Notify,
@@ -126,8 +124,7 @@
             zone: RefCell::new(None),
             reaches_store: Cell::new(true),
             former_limit: Cell::new(None),
-            has_served: Cell::new(false),
-            has_served_formerly: Cell::new(false),
+            witness: RefCell::default(),
             mismatch_logged: Cell::new(false),
             dead: Notify::new(),
             task: RefCell::new(None),
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -112,7 +112,7 @@
         // The new incarnation does not know the calls sent to the former one.
         link.fail_pending(|_| true);
         link.former_limit.set(state.known_limit(link.node));
-        link.has_served_formerly.set(link.has_served.take());
+        link.witness.borrow_mut().on_restart();
     }
     let mut balance = state.balancer.borrow_mut();
     balance.join(link.node, &hello.service, &hello.zone);
@@ -147,8 +147,7 @@
     state.balancer.borrow_mut().down(link.node, Millis::NEVER);
     state.departures.record_peer(link.node);
     if link.unanswered_pings.get().is_some() {
-        // The peer may have acknowledged a departure while it was cut off.
-        link.has_served.set(false);
+        link.witness.borrow_mut().on_silence();
     }
     let fields = [
         ("peer", link.node.to_string().into()),
@@ -189,7 +188,7 @@
     if let Some(rate) = link.former_limit.take() {
         let _ = outgoing.send(Frame::KnownLimit(rate));
     }
-    if link.has_served_formerly.take() {
+    if link.witness.borrow_mut().take_testimony() {
         let _ = outgoing.send(Frame::KnownServing);
     }
     if let Some(instance) = state.serve.departed() {
@@ -270,9 +269,7 @@
 }
 
 fn record_load(state: &State, link: &Link, load: Load) {
-    if load.accepting {
-        link.has_served.set(true);
-    }
+    link.witness.borrow_mut().observe(load.accepting);
     state.record_load(link.node, load);
 }
 
--- a/crates/walnutmoor/tests/mesh/departures.rs
+++ b/crates/walnutmoor/tests/mesh/departures.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use walnutmoor_core::lifetime::Report;
+use walnutmoor_core::lifetime::{Lifetime, Report};
 use walnutmoor_standin::{mesh::store::PendingWatches, soak::proxy::Mode};
 
 use crate::fixture::{World, run, until};
@@ -268,6 +268,30 @@
     });
 }
 
+// Guards against a goodbye that is acknowledged and told to nobody, as the node
+// takes another lifetime for the current one.
+#[test]
+fn a_goodbye_of_a_lifetime_that_is_not_current_is_not_forgotten() {
+    run(async {
+        let mut world = start().await;
+        let leaving = world.pairs[LEAVING].instance.clone();
+        leaving.stop_heartbeats();
+        let next = Report {
+            lifetime: Lifetime::new("i-next", None),
+            slots: 8,
+            sequence: 1,
+            ready: true,
+        };
+        assert_eq!(leaving.send_report(&next).await, 200);
+        assert_eq!(leaving.send_goodbye().await, 200);
+
+        // Its peers know the node and testify that its instance served.
+        world.pairs[LEAVING].node.restart();
+
+        assert_not_used(&world, "not-current").await;
+    });
+}
+
 // Guards against an acknowledgement that comes before anybody but the node
 // itself knows of the departure.
 #[test]
