measure: both harms of a restart of all nodes

`measure restart` plays, for each seed, a goodbye and then the kill of all nodes, the kill alone, and the kill of one node, with heartbeats 1.5 s apart, and prints requests that reached the departed instance too late, the time until instances are used again, and the calls to the store of the departure.

--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the stand-ins: measuring runs, recorded sessions,
 //! soak runs and the daemon itself.
 
-use std::{io, process::ExitCode};
+use std::{io, path::PathBuf, process::ExitCode};
 
 use getopts::Options;
 use walnutmoor::prelude::*;
@@ -19,6 +19,9 @@
       [--mode enforce|observe] [--seed N] [--seconds N] [--trace]
       SCENARIO: steady, slow, surge, storm, outage, churn, rollout
   measure slopes     cost per fleet size of parts of the core, as JSON lines
+  measure restart [--seed N] [--count N] [--program PATH]
+                     departures and unused instances after all nodes of
+                     N runs were killed, as JSON lines
   measure restore [--nodes N]
                      cost of a store restore for N nodes, as JSON
   soak --seed N [--count N] [--seconds N] [--logs DIR]
@@ -60,6 +63,8 @@
     options.optopt("", "seed", "seed of the load", "N");
     options.optopt("", "seconds", "duration of the overload", "N");
     options.optopt("", "nodes", "number of nodes", "N");
+    options.optopt("", "count", "number of runs", "N");
+    options.optopt("", "program", "program of the nodes", "PATH");
     options.optflag("", "trace", "print the state of the bottleneck");
     let usage_error = |e: getopts::Fail| Failure::usage(e.to_string());
     let matches = options.parse(args).map_err(usage_error)?;
@@ -78,6 +83,10 @@
     if scenario == "restore" {
         return restore(number("nodes", 12)? as usize);
     }
+    if scenario == "restart" {
+        let program = matches.opt_str("program").map(PathBuf::from);
+        return restart(program, number("seed", 1)?, number("count", 1)?);
+    }
     let plan = Plan {
         scenario: scenario.parse()?,
         topology: Topology::named(
@@ -95,6 +104,27 @@
     Ok(())
 }
 
+fn restart(
+    program: Option<PathBuf>,
+    seed: u64,
+    count: u64,
+) -> Result<(), Failure> {
+    let own = std::env::current_exe();
+    let own = own.map_err(|e| Failure::Internal(e.to_string()))?;
+    let program = program.unwrap_or(own);
+    for seed in seed..seed + count {
+        let report = measure::restart::run(&program, seed);
+        let report = runtime()?.block_on(report);
+        let timed_out = || Failure::Internal("a run timed out".into());
+        let report = report.ok_or_else(timed_out)?;
+        println!(
+            "{}",
+            serde_json::to_string(&report).expect("report serializes to JSON")
+        );
+    }
+    Ok(())
+}
+
 fn restore(nodes: usize) -> Result<(), Failure> {
     let program = std::env::current_exe();
     let program = program.map_err(|e| Failure::Internal(e.to_string()))?;
@@ -130,7 +160,7 @@
     let length = std::time::Duration::from_secs(number("seconds", 20)?);
     let program = std::env::current_exe();
     let program = program.map_err(|e| Failure::Internal(e.to_string()))?;
-    let logs = matches.opt_str("logs").map(std::path::PathBuf::from);
+    let logs = matches.opt_str("logs").map(PathBuf::from);
     let mut failed = 0;
     for seed in first..first + number("count", 1)? {
         let config = soak::Config::new(program.clone(), seed);
--- a/crates/walnutmoor-standin/src/measure.rs
+++ b/crates/walnutmoor-standin/src/measure.rs
@@ -9,6 +9,7 @@
 
 mod faults;
 mod probe;
+pub mod restart;
 pub mod restore;
 pub mod slopes;
 mod world;
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -78,6 +78,7 @@
     sequence: AtomicU64,
     draining: AtomicBool,
     heartbeats_stopped: AtomicBool,
+    heartbeat_ms: AtomicU64,
     /// The value of the header that names its limit, if any.
     named_limit: Mutex<Option<String>>,
     says_leaving: AtomicBool,
@@ -137,8 +138,8 @@
     }
 }
 
-/// The interval between heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// The default interval between heartbeats, in milliseconds.
+const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
 /// The interval between checks for a released run or a free address.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -179,6 +180,7 @@
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             heartbeats_stopped: AtomicBool::new(false),
+            heartbeat_ms: AtomicU64::new(HEARTBEAT_INTERVAL_MS),
             named_limit: Mutex::default(),
             says_leaving: AtomicBool::new(false),
             fake_health: Mutex::default(),
@@ -389,6 +391,12 @@
         headers
     }
 
+    /// Sets the interval between its heartbeats, from the next one on.
+    pub fn set_heartbeat_interval(&self, interval: Duration) {
+        let interval_ms = interval.as_millis() as u64;
+        self.heartbeat_ms.store(interval_ms, Ordering::Relaxed);
+    }
+
     /// Stops sending heartbeats.
     pub fn stop_heartbeats(&self) {
         self.heartbeats_stopped.store(true, Ordering::Relaxed);
@@ -522,7 +530,8 @@
 async fn send_heartbeats(instance: Arc<Instance>) {
     while !instance.heartbeats_stopped.load(Ordering::Relaxed) {
         instance.send_heartbeat().await;
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        let interval_ms = instance.heartbeat_ms.load(Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
     }
 }
 
