soak: kills of all nodes right after departures

Draws departures, each followed within 2.3 s by a kill of all nodes while the instance serves on; around a third of them the store is down, around a third it is cut off from the node, and half of the health checks lie. The faults have their own generator, so the plans of earlier seeds stay as they are.

--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -76,6 +76,7 @@
     restores: bool,
     notices: bool,
     speeds: bool,
+    departures: bool,
     hot_account: bool,
     planned_only: bool,
     overload: bool,
@@ -93,6 +94,7 @@
             restores: false,
             notices: false,
             speeds: false,
+            departures: false,
             hot_account: false,
             planned_only: false,
             overload: false,
@@ -124,6 +126,13 @@
         self
     }
 
+    /// Whether all nodes are killed shortly after instances have left, while
+    /// these serve on.
+    pub fn departures(mut self, departures: bool) -> Config {
+        self.departures = departures;
+        self
+    }
+
     /// Whether there are client accounts, one of which asks for more than an
     /// instance can serve.
     pub fn hot_account(mut self, hot_account: bool) -> Config {
@@ -224,6 +233,12 @@
         let changes = speed::draw(config.seed, nodes, config.length);
         faults.spawn(speed::run(world.clone(), changes));
     }
+    if config.departures {
+        let events = plan::draw_departures(config.seed, nodes, config.length);
+        for event in events {
+            faults.spawn(world.clone().inject(event));
+        }
+    }
     for event in &plan {
         faults.spawn(world.clone().inject(*event));
     }
--- a/crates/walnutmoor-standin/src/soak/plan.rs
+++ b/crates/walnutmoor-standin/src/soak/plan.rs
@@ -54,6 +54,8 @@
     Replace(usize, Departure),
     /// The operator changes the desired state this many times.
     ChangeDesired(u32),
+    /// The health check of an instance succeeds whatever its state is.
+    LieAboutHealth(usize),
 }
 
 /// The schedule of a request that crashes instances and is sent repeatedly.
@@ -166,6 +168,62 @@
     }
 }
 
+/// The pause between two departures with a kill of all nodes, in milliseconds.
+const MIN_DEPARTURE_PAUSE_MS: u64 = 2_500;
+
+/// Upper bound of the time from a departure to the kill of all nodes, in
+/// milliseconds. A departed instance serves on for a little longer.
+const MAX_KILL_DELAY_MS: u64 = 2_300;
+
+/// Draws departures, each followed by a kill of all nodes while the instance
+/// serves on. Around some of them the store is down or cut off from the node,
+/// or the health check lies. They have their own generator, so that the other
+/// faults of a seed don't depend on them.
+pub fn draw_departures(
+    seed: u64,
+    nodes: usize,
+    length: Duration,
+) -> Vec<Event> {
+    let rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(29));
+    let mut draw = Sampler { rng, nodes };
+    let mut events = Vec::new();
+    let mut at = 300 + draw.below(MIN_DEPARTURE_PAUSE_MS);
+    while u128::from(at) < length.as_millis() {
+        let node = draw.node();
+        let kill_at = at + draw.below(MAX_KILL_DELAY_MS);
+        let outage_ends_at = kill_at + draw.below(1_000);
+        let departure = draw.choose(&[Departure::Drain, Departure::Goodbye]);
+        let kill_span = draw.below(1_200);
+        let store = match draw.below(3) {
+            0 => Some(Fault::StoreDown),
+            1 => {
+                let link = Link::Store(node);
+                Some(Fault::DegradeLink(link, Mode::StallBoth))
+            }
+            _ => None,
+        };
+        let lies = draw.below(2) == 0;
+        let mut add = |from: u64, to: u64, fault| {
+            let span = Duration::from_millis(to - from);
+            events.push(Event {
+                at: Duration::from_millis(from),
+                span,
+                fault,
+            });
+        };
+        if let Some(fault) = store {
+            add(at - 200, outage_ends_at, fault);
+        }
+        if lies {
+            add(at, kill_at + MAX_KILL_DELAY_MS, Fault::LieAboutHealth(node));
+        }
+        add(at, at, Fault::Replace(node, departure));
+        add(kill_at, kill_at + kill_span, Fault::KillAll);
+        at = kill_at + MIN_DEPARTURE_PAUSE_MS + draw.below(3_000);
+    }
+    events
+}
+
 /// Draws random values. The order of draws determines the plan of a seed.
 struct Sampler {
     rng: ChaCha8Rng,
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -354,6 +354,12 @@
                 self.apply_for("store mute", span, set).await;
             }
             Fault::StoreCompact => self.store.compact(),
+            Fault::LieAboutHealth(node) => {
+                let instance = self.members[node].instance();
+                instance.fake_health(Some(true));
+                sleep(span).await;
+                instance.fake_health(None);
+            }
             Fault::Misbehave(node, behavior) => {
                 let instance = self.members[node].instance();
                 let set = |on| {
@@ -652,6 +658,7 @@
         | Fault::Pause(node)
         | Fault::Term(node)
         | Fault::Reload(node)
+        | Fault::LieAboutHealth(node)
         | Fault::Misbehave(node, _)
         | Fault::Slow(node, _)
         | Fault::Replace(node, _) => Some(node),
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -82,6 +82,13 @@
     run_seed(39224, config);
 }
 
+/// Guards against departures that are forgotten if all nodes are killed right
+/// after them, while the store is down or health checks lie.
+#[test]
+fn departures_are_remembered_through_kills_of_all_nodes() {
+    run_seed(61, config(61, 10).departures(true));
+}
+
 #[test]
 fn seeds_that_failed_before_hold() {
     let seeds = include_str!("../testdata/soak-seeds.txt");
@@ -99,6 +106,7 @@
             .notices(options.contains(&"notices"))
             .hot_account(options.contains(&"hot"))
             .speeds(options.contains(&"speeds"))
+            .departures(options.contains(&"departures"))
             .planned_only(options.contains(&"planned"))
             .overload(options.contains(&"overload"));
         run_seed(seed, config);
