--- a/crates/walnutmoor/src/mesh/store/directory.rs
+++ b/crates/walnutmoor/src/mesh/store/directory.rs
@@ -245,14 +245,15 @@
             departed: state.departed_lifetimes(),
         };
         let call = match &stored {
-            Some((stored, _)) if *stored == record => {
+            Some((Some(stored), _)) if *stored == record => {
                 state.confirm_departures(&record.departed);
                 return Ok(());
             }
             Some((_, at)) => {
                 store::replace_at(Kind::Node, &name, *at, &record)
             }
-            // A node that exits has removed its record.
+            // A node that exits has removed its record, and must not create
+            // it again.
             None if state.phase.get() != Phase::Serving => {
                 state.confirm_departures(&record.departed);
                 return Ok(());
@@ -273,11 +274,11 @@
 }
 
 /// Reads the record of this node and adopts its departures. Returns `None` if
-/// it does not exist.
+/// there is none, and no record if it cannot be decoded.
 async fn read_record(
     state: &Rc<State>,
     client: &mut Client,
-) -> Result<Option<(Record, Revision)>, Error> {
+) -> Result<Option<(Option<Record>, Revision)>, Error> {
     let get = store::get(Kind::Node, &record_name(state));
     let response = client.call(get, CALL_TIMEOUT).await?;
     match response.status {
@@ -288,13 +289,10 @@
         _ => {}
     }
     let object = store::object(&response.body)?;
-    let record = decode(state, &object).unwrap_or_else(|| Record {
-        node: state.me,
-        zone: state.settings.zone.clone(),
-        service: state.settings.service.clone(),
-        departed: Lifetimes::default(),
-    });
-    state.adopt_departures(&record.departed);
+    let record = decode(state, &object);
+    if let Some(record) = &record {
+        state.adopt_departures(&record.departed);
+    }
     Ok(Some((record, object.revision)))
 }
 
