mesh: log and count a cancellation at each hop

What callers saw: instances worked on after the caller had left, and no log line said at which hop the time passed. The counters left_to_finish and aborted_late are sums, and a canceled line was written by the ingress, without the node that had the request, and by the serving node only for runs that were left to finish.

Change: the ingress logs the stage, the route and the node that had the request. The serving node logs each cancellation that it receives with what it does, and the late abort of a run that was left. Counters: callers_left, sent, unsent, received, dropped, aborted, kept. No decision is changed.

--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -125,6 +125,12 @@
                 "requests stay in the local zone again"
             }
             "zone" => "requests may leave the local zone, which is full",
+            "canceled" if self.value["hop"] == "serving" => {
+                "it was canceled at the node of the instance"
+            }
+            "canceled" if self.value["hop"] == "aborted_late" => {
+                "its canceled run did not finish and was aborted"
+            }
             "canceled" => "its caller canceled it before an answer",
             "unanswered" => "its node exited before it was answered",
             "abandoned" => "it was not started, and its connection closed",
--- a/crates/walnutmoor/src/mesh/cancellation.rs
+++ b/crates/walnutmoor/src/mesh/cancellation.rs
@@ -64,9 +64,23 @@
     }
 }
 
-/// Counters of canceled calls.
+/// Counters of canceled calls, at each hop that a cancellation passes.
 #[derive(Debug, Default)]
 pub struct Counters {
+    /// Requests whose caller left before the response was complete.
+    pub callers_left: Cell<u64>,
+    /// Cancellations that were sent to other nodes.
+    pub sent: Cell<u64>,
+    /// Cancellations of calls whose link was down.
+    pub unsent: Cell<u64>,
+    /// Cancellations of calls to the local instance that were received.
+    pub received: Cell<u64>,
+    /// Canceled calls that had not started.
+    pub dropped: Cell<u64>,
+    /// Canceled calls whose run was aborted at once.
+    pub aborted: Cell<u64>,
+    /// Canceled calls whose run may happen only once and goes on.
+    pub kept: Cell<u64>,
     /// Canceled calls whose run was left to finish.
     pub left_to_finish: Cell<u64>,
     /// Those among them that did not finish in time and were aborted.
@@ -79,8 +93,15 @@
 
 impl Counters {
     /// The counters with their names in logs and metrics.
-    pub fn list(&self) -> [(&'static str, u64); 4] {
+    pub fn list(&self) -> [(&'static str, u64); 11] {
         [
+            ("callers_left", self.callers_left.get()),
+            ("sent", self.sent.get()),
+            ("unsent", self.unsent.get()),
+            ("received", self.received.get()),
+            ("dropped", self.dropped.get()),
+            ("aborted", self.aborted.get()),
+            ("kept", self.kept.get()),
             ("left_to_finish", self.left_to_finish.get()),
             ("aborted_late", self.aborted_late.get()),
             ("refused_calls", self.refused_calls.get()),
@@ -89,6 +110,31 @@
     }
 }
 
+/// What a node does with a cancellation that it receives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Action {
+    /// The call had not started, and is dropped.
+    Dropped,
+    /// Its run is aborted.
+    Aborted,
+    /// Its run is left to finish.
+    LeftToFinish,
+    /// Its run may happen only once, and goes on.
+    Kept,
+}
+
+impl Action {
+    /// The name in the log.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Action::Dropped => "dropped",
+            Action::Aborted => "aborted",
+            Action::LeftToFinish => "left_to_finish",
+            Action::Kept => "kept",
+        }
+    }
+}
+
 /// Adds one to a counter.
 pub(super) fn increment(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
@@ -102,6 +148,18 @@
     pub counters: Counters,
 }
 
+impl Counters {
+    /// Counts what was done with a cancellation.
+    pub(super) fn record(&self, action: Action) {
+        increment(match action {
+            Action::Dropped => &self.dropped,
+            Action::Aborted => &self.aborted,
+            Action::LeftToFinish => &self.left_to_finish,
+            Action::Kept => &self.kept,
+        });
+    }
+}
+
 /// The state of a run whose call is canceled.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Running<'a> {
@@ -143,7 +201,6 @@
             OnCancel::Abort => None,
             OnCancel::Finish(limit) => {
                 signal.set();
-                increment(&self.counters.left_to_finish);
                 Some(limit)
             }
         }
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -27,6 +27,7 @@
 };
 
 use super::{
+    cancellation,
     frame::{Call, Headers, Reply},
     journal::Event,
     link::Link,
@@ -145,9 +146,13 @@
             return;
         }
         self.state.balancer.borrow_mut().done(self.node, None);
+        let counters = &self.state.serve.cancellations.counters;
         match &self.handle {
             Handle::Local(id) => self.state.serve.cancel(self.state, *id),
-            Handle::Remote(link, id) => link.cancel(*id),
+            Handle::Remote(link, id) if link.cancel(*id) => {
+                cancellation::increment(&counters.sent);
+            }
+            Handle::Remote(..) => cancellation::increment(&counters.unsent),
         }
     }
 }
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -148,8 +148,18 @@
             return;
         }
         metrics::counter!("walnutmoor_canceled_total").increment(1);
+        cancellation::increment(
+            &state.serve.cancellations.counters.callers_left,
+        );
         let now = state.now();
-        let fields = [("after_ms", now.since(self.received_at).0.into())];
+        let stage = self.request.stage();
+        let fields = [
+            ("hop", "ingress".into()),
+            ("stage", stage.as_str().into()),
+            ("sent_to", stage.node().map(|node| node.to_string()).into()),
+            ("route", self.route.as_str().into()),
+            ("after_ms", now.since(self.received_at).0.into()),
+        ];
         let id = &self.attempt;
         state.journal.log_request(now, Event::Canceled, id, &fields);
     }
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -198,11 +198,12 @@
         }
     }
 
-    /// Cancels a pending call.
-    pub fn cancel(&self, id: CallId) {
+    /// Cancels a pending call. Returns whether the link was up.
+    pub fn cancel(&self, id: CallId) -> bool {
         if self.pending.borrow_mut().remove(&id).is_some() {
             self.send(Frame::Cancel(id));
         }
+        self.is_up()
     }
 
     /// Sends due pings and detects a suspect or dead link. Called at about
--- a/crates/walnutmoor/src/mesh/requests.rs
+++ b/crates/walnutmoor/src/mesh/requests.rs
@@ -152,6 +152,11 @@
         self.entry.stage.set(stage);
     }
 
+    /// How far it has got.
+    pub fn stage(&self) -> Stage {
+        self.entry.stage.get()
+    }
+
     /// Sets when its response is due.
     pub fn set_deadline(&self, deadline: Millis) {
         self.entry.deadline.set(Some(deadline));
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -38,7 +38,7 @@
 use walnutmoor_platform::header;
 
 use super::{
-    cancellation::{self, Cancellations, Running, Signal},
+    cancellation::{Action, Cancellations, Running, Signal, increment},
     crash::Detector,
     feasibility,
     frame::{Call, Reply},
@@ -340,7 +340,7 @@
         let refuses = signal.is_some_and(|signal| signal.is_set());
         if refuses {
             let counters = &self.cancellations.counters;
-            cancellation::increment(&counters.refused_calls);
+            increment(&counters.refused_calls);
         }
         refuses
     }
@@ -511,11 +511,20 @@
         };
         let sink = job.sink.take();
         let started = job.call.is_none();
-        if !was_queued && started && job.effect == Effect::Once {
-            return;
-        }
+        let is_kept = !was_queued && started && job.effect == Effect::Once;
+        let attempt = job.attempt.clone();
         drop(jobs);
-        if started && self.leave_to_finish(state, id) {
+        increment(&self.cancellations.counters.received);
+        let run_time = self.bulkhead.borrow().run_time(state.now(), id);
+        let action = match started {
+            _ if is_kept => Action::Kept,
+            true if self.leave_to_finish(state, id) => Action::LeftToFinish,
+            true => Action::Aborted,
+            false => Action::Dropped,
+        };
+        self.cancellations.counters.record(action);
+        log_cancel(state, &attempt, action, run_time, sink.as_ref());
+        if matches!(action, Action::Kept | Action::LeftToFinish) {
             return;
         }
         self.abort(state, id);
@@ -553,15 +562,6 @@
         let Some(limit) = self.cancellations.decide(running) else {
             return false;
         };
-        let fields = [
-            ("left_to_finish", true.into()),
-            ("run_ms", age.0.into()),
-            ("mean_run_ms", mean.0.into()),
-        ];
-        if state.journal.has_room(now, Event::Canceled) {
-            let id = &job.attempt;
-            state.journal.log_request(now, Event::Canceled, id, &fields);
-        }
         self.abort_after(state, id, limit);
         true
     }
@@ -571,13 +571,30 @@
         let state = state.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(Duration::from_millis(limit.0)).await;
-            if state.serve.abort(&state, id) {
-                let counters = &state.serve.cancellations.counters;
-                cancellation::increment(&counters.aborted_late);
-            }
+            state.serve.abort_late(&state, id);
         });
     }
 
+    /// Aborts a call that was left to finish and has not.
+    fn abort_late(&self, state: &Rc<State>, id: CallId) {
+        let now = state.now();
+        let run_time = self.bulkhead.borrow().run_time(now, id);
+        let attempt = |job: &Job| job.attempt.clone();
+        let attempt = self.jobs.borrow().get(&id).map(attempt);
+        if !self.abort(state, id) {
+            return;
+        }
+        increment(&self.cancellations.counters.aborted_late);
+        let fields = [
+            ("hop", "aborted_late".into()),
+            ("run_ms", run_time.map(|(age, _)| age.0).into()),
+        ];
+        let attempt = attempt.unwrap_or_default();
+        if state.journal.has_room(now, Event::Canceled) {
+            state.journal.log_request(now, Event::Canceled, &attempt, &fields);
+        }
+    }
+
     /// Removes a job, and aborts its task if it has started. Returns false if
     /// there is no such job or it has not started.
     fn abort(&self, state: &Rc<State>, id: CallId) -> bool {
@@ -688,6 +705,33 @@
     }
 }
 
+/// Logs what was done with a canceled call.
+fn log_cancel(
+    state: &State,
+    attempt: &str,
+    action: Action,
+    run_time: Option<(Millis, Millis)>,
+    sink: Option<&Sink>,
+) {
+    let now = state.now();
+    if !state.journal.has_room(now, Event::Canceled) {
+        return;
+    }
+    let from = match sink {
+        Some(Sink::Remote(session, _)) => session.connected_node(),
+        Some(Sink::Local(_)) => Some(state.me),
+        None => None,
+    };
+    let fields = [
+        ("hop", "serving".into()),
+        ("action", action.as_str().into()),
+        ("run_ms", run_time.map(|(age, _)| age.0).into()),
+        ("mean_run_ms", run_time.map(|(_, mean)| mean.0).into()),
+        ("from", from.map(|node| node.to_string()).into()),
+    ];
+    state.journal.log_request(now, Event::Canceled, attempt, &fields);
+}
+
 /// The bulkhead's view of a call.
 fn work(id: CallId, call: &Call, deadline: Millis) -> Work {
     Work {
