mesh: see a close behind bytes that are not read

What callers saw: work went on for callers that had left. Whoever had more on the way than the read-ahead of 32 KB was worked for to the end, at any load.

Cause: a closed connection was found only by reading, and a connection is not read while its read-ahead is full, or while that of the node is above its share of memory.

Evidence: in the new test a caller leaves with 64 KB, 320 KB or 8 MB of requests behind one that runs. Now all end after a canceled line of the ingress.

Change: while a connection is not read, the node waits for what the kernel reports of a closed socket, which does not depend on unread bytes. More bytes than the kernel holds keep the close from arriving. So a full backlog that stands still for 100 ms behind requests in flight is given up: it is read and discarded, the requests in flight are answered, and the last response says that the connection closes. None of the discarded requests was passed on, so callers may resend them. A draining connection discards what it reads, too. If the read-ahead of the node is above its share, a connection with requests in flight still reads 8 KB ahead, instead of nothing.

Weighed: a larger limit, which moves the fault to callers with more bytes; giving up the backlog at once, which breaks pipelines that move, and a test with 200 pipelined requests guards against that. A caller that closes only its sending side still counts as gone, as before.

--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -5,11 +5,17 @@
 [`Pipeline`] decides which requests may be in flight together. If the caller
 disconnects, all of its requests are dropped and thereby canceled. If it does
 not read its responses, no further requests are read.
+
+A close is seen while the connection is read, and usually also while it is not:
+the kernel reports it although bytes before it are unread. But if more bytes are
+on the way than the kernel holds, the close is behind them. So a connection
+whose backlog stands still does not start the requests of this backlog any more,
+and reads and discards it.
 */
 
 use std::{collections::VecDeque, io, pin::pin, rc::Rc, time::Duration};
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{
     FutureExt, StreamExt,
     future::{self, LocalBoxFuture},
@@ -17,28 +23,38 @@
 };
 use http::Method;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
+    net::{TcpStream, tcp::ReadHalf},
     time::{sleep, timeout},
 };
 use walnutmoor_core::{error::Kind, pipeline::Pipeline, time::Millis};
 
 use super::{
     ingress::{self, Arrival, InFlight, Rejection},
+    journal::Event,
     output::Output,
     requests::{self, Stage},
     state::State,
     wire::Answer,
 };
-use crate::http1::{self, Decoder, Event};
+use crate::http1::{self, Decoder};
 
 /// The number of bytes reserved for one read.
 const READ_BYTES: usize = 8 << 10;
 
 /// The fraction of the node's memory that bytes read ahead on all connections
-/// may take. Above it, only connections without requests in flight are read.
+/// may take. Above it, connections with requests in flight read less ahead.
 const MAX_READ_AHEAD_FRACTION: f64 = 0.05;
 
+/// The number of bytes that a connection with requests in flight reads ahead
+/// even if all connections together are above their fraction.
+const MIN_READ_AHEAD: usize = READ_BYTES;
+
+/// How long a full backlog may stand still behind requests in flight. A close
+/// may be hidden behind it, and work has to stop within 500 ms after the caller
+/// has left.
+const MAX_STALL: Millis = Millis(100);
+
 /// The number of unwritten response bytes at which a connection stops
 /// decoding new requests.
 const MAX_UNWRITTEN_BYTES: usize = 256 << 10;
@@ -75,6 +91,17 @@
     Discard(usize),
 }
 
+/// What happens to the bytes that the caller sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Intake {
+    /// They are read and decoded.
+    Read,
+    /// They are not read, as enough of them wait to be decoded.
+    Pause,
+    /// They are read and discarded, as no further request is started.
+    Discard,
+}
+
 struct Connection {
     state: Rc<State>,
     decoder: Decoder,
@@ -93,6 +120,8 @@
     max_read_ahead: usize,
     /// When something was last decoded, answered or written.
     last_progress: Millis,
+    /// Since when bytes are not read.
+    paused_since: Option<Millis>,
 }
 
 impl Drop for Connection {
@@ -136,6 +165,48 @@
     })
 }
 
+/// Reads from the caller, or waits until it closes the connection.
+///
+/// # Errors
+///
+/// If the connection was closed or has broken.
+async fn receive(
+    reader: &mut ReadHalf<'_>,
+    buffer: &mut BytesMut,
+    intake: Intake,
+) -> io::Result<()> {
+    match intake {
+        Intake::Pause => return closed(reader).await,
+        Intake::Discard => buffer.clear(),
+        Intake::Read => {}
+    }
+    if buffer.capacity() - buffer.len() < READ_BYTES / 2 {
+        buffer.reserve(READ_BYTES);
+    }
+    match reader.read_buf(buffer).await? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Ok(()),
+    }
+}
+
+/// Waits until the caller closes the connection, also if bytes are unread.
+#[cfg(any(target_os = "linux", target_os = "android"))]
+async fn closed(reader: &ReadHalf<'_>) -> io::Result<()> {
+    // Unlike `READABLE`, this is not ready while there are bytes to read.
+    let ready = reader.ready(Interest::PRIORITY).await?;
+    match ready.is_read_closed() {
+        true => Err(io::ErrorKind::UnexpectedEof.into()),
+        false => Ok(()),
+    }
+}
+
+/// Never returns: without support by the kernel a close is seen once the
+/// backlog is read.
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
+async fn closed(_reader: &ReadHalf<'_>) -> io::Result<()> {
+    std::future::pending().await
+}
+
 impl Connection {
     fn new(state: Rc<State>) -> Connection {
         let limits = state.table().map(|table| table.limits);
@@ -154,6 +225,7 @@
             read_ahead: 0,
             max_read_ahead: settings.bytes.max(max_head_bytes),
             last_progress: state.now(),
+            paused_since: None,
             state,
         }
     }
@@ -167,11 +239,9 @@
             if self.pipeline.is_drained() && !self.output.has_remaining() {
                 return Ok(());
             }
-            let may_read = self.may_read();
+            let intake = self.intake();
+            let stall_left = self.stall_left(intake);
             let buffer = self.decoder.buffer();
-            if may_read && buffer.capacity() - buffer.len() < READ_BYTES / 2 {
-                buffer.reserve(READ_BYTES);
-            }
             tokio::select! {
                 biased;
                 written = writer.write_buf(&mut self.output),
@@ -188,10 +258,11 @@
                         self.respond(completed);
                     }
                 }
-                read = reader.read_buf(buffer), if may_read => {
-                    if read? == 0 {
-                        return Err(io::ErrorKind::UnexpectedEof.into());
-                    }
+                received = receive(&mut reader, buffer, intake) => received?,
+                () = sleep(stall_left.unwrap_or_default()),
+                    if stall_left.is_some() =>
+                {
+                    self.abandon_backlog();
                 }
                 () = &mut timer => {
                     let stalled = self.state.now().since(self.last_progress);
@@ -211,16 +282,46 @@
         }
     }
 
-    /// True if the connection may be read. Reading while requests are in
-    /// flight also detects that the caller has disconnected.
-    fn may_read(&self) -> bool {
-        if self.decoder.buffered() >= self.max_read_ahead {
-            return false;
+    /// Decides whether the connection is read.
+    fn intake(&self) -> Intake {
+        if self.pipeline.is_draining() {
+            return Intake::Discard;
         }
         let memory = (self.state.settings.memory << 20) as f64;
         let is_over = self.state.undecoded_bytes.get() as f64
             > memory * MAX_READ_AHEAD_FRACTION;
-        !is_over || self.pending.is_empty()
+        let max_read_ahead = match is_over && !self.pending.is_empty() {
+            true => MIN_READ_AHEAD.min(self.max_read_ahead),
+            false => self.max_read_ahead,
+        };
+        match self.decoder.buffered() < max_read_ahead {
+            true => Intake::Read,
+            false => Intake::Pause,
+        }
+    }
+
+    /// How much longer the backlog may stand still; `None` if no requests are
+    /// in flight or the connection is read.
+    fn stall_left(&mut self, intake: Intake) -> Option<Duration> {
+        if intake != Intake::Pause || self.pending.is_empty() {
+            self.paused_since = None;
+            return None;
+        }
+        let now = self.state.now();
+        let since = *self.paused_since.get_or_insert(now);
+        Some(Duration::from_millis(MAX_STALL.since(now.since(since)).0))
+    }
+
+    /// Starts none of the requests that wait behind those in flight.
+    fn abandon_backlog(&mut self) {
+        metrics::counter!("walnutmoor_abandoned_backlogs_total").increment(1);
+        let fields = [
+            ("backlog_bytes", self.decoder.buffered().into()),
+            ("in_flight", self.pending.len().into()),
+        ];
+        let journal = &self.state.journal;
+        journal.log_event(self.state.now(), Event::Abandoned, &fields);
+        self.drain();
     }
 
     /// Updates the total of the node by the bytes buffered here.
@@ -283,17 +384,20 @@
             Err(error) => self.reject_unreadable(error),
         }
         self.last_progress = self.state.now();
+        self.paused_since = None;
         true
     }
 
-    fn handle_event(&mut self, event: Event) {
+    fn handle_event(&mut self, event: http1::Event) {
         let reading = std::mem::replace(&mut self.reading, ReadState::Head);
         self.reading = match (reading, event) {
-            (_, Event::Head(head)) => match Arrival::open(&self.state, head) {
-                Ok(arrival) => ReadState::Body(Box::new(arrival)),
-                Err(rejection) => self.reject(*rejection),
-            },
-            (ReadState::Body(mut arrival), Event::Data(data)) => {
+            (_, http1::Event::Head(head)) => {
+                match Arrival::open(&self.state, head) {
+                    Ok(arrival) => ReadState::Body(Box::new(arrival)),
+                    Err(rejection) => self.reject(*rejection),
+                }
+            }
+            (ReadState::Body(mut arrival), http1::Event::Data(data)) => {
                 match arrival.push_body(&self.state, &data) {
                     Ok(()) => ReadState::Body(arrival),
                     Err(kind) => {
@@ -302,10 +406,10 @@
                     }
                 }
             }
-            (ReadState::Body(arrival), Event::End) => {
+            (ReadState::Body(arrival), http1::Event::End) => {
                 ReadState::Blocked(arrival)
             }
-            (ReadState::Discard(left), Event::Data(data)) => {
+            (ReadState::Discard(left), http1::Event::Data(data)) => {
                 if data.len() > left {
                     self.drain();
                 }
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -9,6 +9,7 @@
 mod desired;
 mod faults;
 mod fixture;
+mod gone;
 mod handover;
 mod leaving;
 mod limits;
