mesh: end the calls of an aborted run, and refuse further ones

What callers saw: calls went on, and new ones reached instances, for a request whose caller had left, where the instance does not stop when its connection is closed.

Cause: Serve::abort removed the run without setting its signal. Its calls in flight were served to the end, and later ones were taken for requests of an ordinary caller, as their run was no longer known.

Change: aborting a run sets its signal, with or without overload.keep_connections, and the node remembers the attempt until its deadline, 4,096 at most. If the attempt runs again, its calls are served, which a second test guards.

--- a/crates/walnutmoor/src/mesh/cancellation.rs
+++ b/crates/walnutmoor/src/mesh/cancellation.rs
@@ -1,11 +1,14 @@
 /*!
-Canceled calls whose run is left to finish, so that its connection to the
-instance is reused.
+The cancellation of calls that run on the local instance.
 
-`walnutmoor_core::connection` decides which runs are left to finish. Such a run
-keeps its slot, and its response is observed and then discarded. The nested
-calls that it waits for are canceled and further ones are refused as not run,
-so it ends soon. If it does not, it is aborted.
+The run of a canceled call is aborted, which closes its connection, or left to
+finish, so that its connection is reused: `walnutmoor_core::connection` decides.
+A run that is left keeps its slot, and its response is observed and then
+discarded. If it does not end soon, it is aborted.
+
+In both cases the nested calls in progress are canceled, and further ones are
+refused as not run. An instance may go on although its connection was closed, so
+aborted runs are remembered until their deadline.
 
 # Example
 
@@ -19,16 +22,19 @@
 ```
 */
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+};
 
 use tokio::sync::Notify;
 use walnutmoor_core::{
     connection::{self, OnCancel},
+    digest,
     time::Millis,
 };
 
-use super::serve::Run;
-
 /// The cancellation of a run.
 #[derive(Debug, Default)]
 pub struct Signal {
@@ -140,10 +146,52 @@
     counter.set(counter.get() + 1);
 }
 
+/// The number of aborted runs that are remembered at most.
+const MAX_ABORTED: usize = 4_096;
+
+/// Runs that were aborted, until their deadline.
+#[derive(Debug, Default)]
+struct AbortedRuns {
+    /// The deadlines by the digest of the attempt id.
+    deadlines: digest::Map<u64, Millis>,
+    by_deadline: BTreeSet<(Millis, u64)>,
+}
+
+impl AbortedRuns {
+    fn insert(&mut self, now: Millis, attempt: &str, deadline: Millis) {
+        self.remove(attempt);
+        while let Some((first, _)) = self.by_deadline.first() {
+            if *first > now && self.by_deadline.len() < MAX_ABORTED {
+                break;
+            }
+            if let Some((_, key)) = self.by_deadline.pop_first() {
+                self.deadlines.remove(&key);
+            }
+        }
+        let key = digest::of(attempt);
+        self.deadlines.insert(key, deadline);
+        self.by_deadline.insert((deadline, key));
+    }
+
+    fn remove(&mut self, attempt: &str) {
+        let key = digest::of(attempt);
+        if let Some(deadline) = self.deadlines.remove(&key) {
+            self.by_deadline.remove(&(deadline, key));
+        }
+    }
+
+    fn contains(&self, now: Millis, attempt: &str) -> bool {
+        let deadline = self.deadlines.get(&digest::of(attempt));
+        deadline.is_some_and(|deadline| *deadline > now)
+    }
+}
+
 /// The cancellation of running calls at one instance.
 #[derive(Debug, Default)]
 pub struct Cancellations {
+    /// True if runs may be left to finish.
     is_enabled: bool,
+    aborted: RefCell<AbortedRuns>,
     /// What became of canceled runs.
     pub counters: Counters,
 }
@@ -174,16 +222,29 @@
 }
 
 impl Cancellations {
-    /// Creates the state; without effect unless enabled.
+    /// Creates the state. Unless enabled, all canceled runs are aborted.
     pub fn new(is_enabled: bool) -> Cancellations {
         Cancellations { is_enabled, ..Cancellations::default() }
     }
 
-    /// The signal of a run for a nested call; `None` if nested calls are not
-    /// canceled with their run.
-    pub(super) fn of_run(&self, run: Option<&Run>) -> Option<Rc<Signal>> {
-        let run = run.filter(|_| self.is_enabled)?;
-        Some(run.cancellation.clone())
+    /// Remembers until its deadline that a run was aborted.
+    pub(super) fn record_abort(
+        &self,
+        now: Millis,
+        attempt: &str,
+        deadline: Millis,
+    ) {
+        self.aborted.borrow_mut().insert(now, attempt, deadline);
+    }
+
+    /// Records that an attempt runs again.
+    pub(super) fn record_start(&self, attempt: &str) {
+        self.aborted.borrow_mut().remove(attempt);
+    }
+
+    /// True if the run of an attempt was aborted and may still go on.
+    pub(super) fn is_aborted(&self, now: Millis, attempt: &str) -> bool {
+        self.aborted.borrow().contains(now, attempt)
     }
 
     /// Decides how long a canceled run is left to finish; `None` if it is to
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -359,7 +359,7 @@
             return Ok(None);
         };
         let attempt = &self.in_flight.attempt;
-        match state.serve.refuses_call(attempt) {
+        match state.serve.refuses_call(state.now(), attempt) {
             true => Err(not_run(Kind::Canceled)),
             false => Ok(state.serve.cancellation(attempt)),
         }
@@ -429,7 +429,8 @@
     let table = state.table().ok_or(Kind::Starting)?;
     let is_finishing = state.phase.get() == Phase::Finishing;
     // The runs that the node still finishes may depend on their calls.
-    let is_nested = state.serve.is_nested_call(&in_flight.attempt);
+    let is_nested =
+        state.serve.is_nested_call(state.now(), &in_flight.attempt);
     if is_finishing && !is_nested {
         return Err(Kind::Leaving);
     }
@@ -473,16 +474,17 @@
     let key = header::key(&head.headers);
     let sender = Sender {
         is_public: route.is_public,
-        is_local_run: state.serve.is_nested_call(id),
+        is_local_run: state.serve.is_nested_call(state.now(), id),
         has_call_id: header::parent(id).is_some(),
     };
     let account = accounts.authenticate(key, sender)?.cloned();
     // With accounts configured, a request with a key is from a caller.
     let may_be_run = accounts.is_empty() || key == Key::Missing;
-    if account.is_none() && may_be_run && state.serve.refuses_call(id) {
+    let may_be_run = account.is_none() && may_be_run;
+    if may_be_run && state.serve.refuses_call(state.now(), id) {
         return Err(Kind::Canceled);
     }
-    let parent = match account.is_none() && may_be_run {
+    let parent = match may_be_run {
         true => state.serve.parent(state.now(), id),
         false => None,
     };
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -57,6 +57,7 @@
         footprint: Footprint::default(),
         cancellation: Rc::default(),
     };
+    serve.cancellations.record_start(&call.attempt);
     serve.runs.borrow_mut().insert(call.attempt.clone(), run);
     serve.arrivals.set(serve.arrivals.get() + 1);
     let lifetime = serve.lifetime();
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -132,7 +132,7 @@
     pub(super) parent: Parent,
     /// The merged footprint of its nested calls so far.
     pub(super) footprint: Footprint,
-    /// Set once the call is canceled and left to finish.
+    /// Set once the call is canceled.
     pub(super) cancellation: Rc<Signal>,
 }
 
@@ -311,10 +311,14 @@
         !self.is_unknown() && !self.tracker.borrow().is_ready()
     }
 
-    /// True if the attempt is a nested call of a running request.
-    pub fn is_nested_call(&self, attempt: &str) -> bool {
-        let parent = header::parent(attempt);
-        parent.is_some_and(|id| self.runs.borrow().contains_key(id))
+    /// True if the attempt is a nested call of a request that is running, or
+    /// whose run was aborted.
+    pub fn is_nested_call(&self, now: Millis, attempt: &str) -> bool {
+        let Some(parent) = header::parent(attempt) else {
+            return false;
+        };
+        self.runs.borrow().contains_key(parent)
+            || self.cancellations.is_aborted(now, parent)
     }
 
     /// What a nested call inherits, if its parent is running. Records the call
@@ -326,25 +330,36 @@
         Some(parent)
     }
 
-    /// The signal that cancels a nested call; `None` if it is not canceled
-    /// with the run that makes it.
+    /// The signal that cancels a nested call with the run that makes it;
+    /// `None` if that run has ended.
     pub(super) fn cancellation(&self, attempt: &str) -> Option<Rc<Signal>> {
         let runs = self.runs.borrow();
-        self.cancellations.of_run(runs.get(header::parent(attempt)?))
+        let run = runs.get(header::parent(attempt)?)?;
+        Some(run.cancellation.clone())
     }
 
     /// True if nested calls of the run that makes this one are refused, since
     /// it was canceled.
-    pub(super) fn refuses_call(&self, attempt: &str) -> bool {
+    pub(super) fn refuses_call(&self, now: Millis, attempt: &str) -> bool {
         let signal = self.cancellation(attempt);
-        let refuses = signal.is_some_and(|signal| signal.is_set());
+        let parent = header::parent(attempt);
+        let refuses = signal.is_some_and(|signal| signal.is_set())
+            || parent.is_some_and(|id| self.cancellations.is_aborted(now, id));
         if refuses {
-            let counters = &self.cancellations.counters;
-            increment(&counters.refused_calls);
+            increment(&self.cancellations.counters.refused_calls);
         }
         refuses
     }
 
+    /// Ends the nested calls of a run that nobody waits for any more.
+    pub(super) fn end_calls(&self, state: &State, job: &Job) {
+        if let Some(run) = self.runs.borrow().get(&job.attempt) {
+            run.cancellation.set();
+        }
+        let deadline = job.effective_deadline();
+        self.cancellations.record_abort(state.now(), &job.attempt, deadline);
+    }
+
     /// Records the outcome of a nested call, if its parent is still running.
     pub(super) fn record_call_outcome(
         &self,
@@ -601,12 +616,13 @@
         let Some(job) = self.take_job(state, id) else {
             return false;
         };
-        let Some(task) = job.task else {
+        let Some(task) = &job.task else {
             return false;
         };
         task.abort();
         if job.call.is_none() {
             self.pool.record_closing(Closing::Canceled);
+            self.end_calls(state, &job);
         }
         self.detector.record_interrupted(state.now(), job.fingerprint);
         self.finish(state, id, &job.attempt, false);
--- a/crates/walnutmoor/tests/mesh/gone.rs
+++ b/crates/walnutmoor/tests/mesh/gone.rs
@@ -14,7 +14,9 @@
     instance::Instance,
 };
 
-use crate::fixture::{World, desired, headers, route, run, until};
+use crate::fixture::{
+    World, desired, guarantees_not_run, headers, route, run, until,
+};
 
 /// Long enough that no request ends by its timeout unless its caller's leaving
 /// is missed.
@@ -163,3 +165,63 @@
         assert_eq!(all_runs, answered.len(), "only answered requests ran");
     });
 }
+
+/// Sends a nested call as the instance of a node, and leaves its response
+/// unread.
+async fn call(world: &World, attempt: &str) -> Connection {
+    let address = world.pairs[1].node.addresses().callers;
+    let mut connection = Connection::open(address).await.unwrap();
+    connection.write(&request(attempt, "")).await.unwrap();
+    connection
+}
+
+/// Guards against calls of an aborted run at an instance that goes on although
+/// its connection was closed.
+#[test]
+fn calls_of_an_aborted_run_end_and_further_ones_are_refused() {
+    run(async {
+        let world = world().await;
+        let desk = &world.pairs[1].instance;
+        ["root", "root.1"].iter().for_each(|id| desk.hold(id));
+        let mut caller = connect(&world).await;
+        caller.write(&request("root", "")).await.unwrap();
+        wait_for_start(desk, "root").await;
+        let mut first = call(&world, "root.1").await;
+        wait_for_start(desk, "root.1").await;
+
+        drop(caller);
+        let ended = first.read().await.unwrap();
+        until("both runs are aborted", || async { desk.aborted_runs() == 2 })
+            .await;
+        let further = call(&world, "root.2").await.read().await.unwrap();
+
+        assert_eq!(ended.status, 502, "it may have run");
+        assert!(guarantees_not_run(&further), "{further:?}");
+        assert_eq!(world.runs("root.2"), 0);
+    });
+}
+
+/// Guards against the refusal of calls of a later run of the same attempt.
+#[test]
+fn calls_of_an_attempt_that_runs_again_are_served() {
+    run(async {
+        let world = world().await;
+        let desk = &world.pairs[1].instance;
+        desk.hold("root");
+        for _ in 0..2 {
+            let before = desk.runs("root");
+            let mut caller = connect(&world).await;
+            caller.write(&request("root", "")).await.unwrap();
+            until("it runs", || async { desk.runs("root") > before }).await;
+            if before > 0 {
+                let served = call(&world, "root.1").await.read().await;
+                assert_eq!(served.unwrap().status, 200);
+            }
+            drop(caller);
+            until("it is aborted", || async {
+                desk.aborted_runs() == u64::from(before) + 1
+            })
+            .await;
+        }
+    });
+}
