mesh: refuse calls of a run whose connection broke

Found by reading, the same cause at another place: if the connection to the instance breaks, nobody can get the response any more and the request may be sent elsewhere, while the instance may go on and make calls. They were taken for requests of an ordinary caller.

Evidence: in the new test an instance closes the connection before its response and then makes a call, which was answered with 200. Now it is refused as not run.

Change: the run of an idempotent call that ends without a response is remembered like an aborted one. A once-only run is not, as its calls are never refused.

--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -12,6 +12,7 @@
     footprint::{Footprint, Key},
     id::{Account, CallId},
     lifetime::Lifetime,
+    table::Effect,
     time::Millis,
 };
 use walnutmoor_platform::header::{self, Verdict};
@@ -113,6 +114,10 @@
     let Some(job) = state.serve.take_job(state, id) else {
         return;
     };
+    // Its response can no longer arrive, although the instance may go on.
+    if !answered && job.effect == Effect::Idempotent {
+        state.serve.end_calls(state, &job);
+    }
     // The slot is freed first, so that the load sent with the reply is
     // current.
     state.serve.finish(state, id, &job.attempt, answered);
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -143,7 +143,7 @@
     pub(super) fingerprint: Fingerprint,
     /// The call, until it starts.
     pub(super) call: Option<Call>,
-    effect: Effect,
+    pub(super) effect: Effect,
     deadline: Millis,
     caller_deadline: Millis,
     pub(super) sink: Option<Sink>,
--- a/crates/walnutmoor/tests/mesh/gone.rs
+++ b/crates/walnutmoor/tests/mesh/gone.rs
@@ -11,7 +11,7 @@
 use walnutmoor_platform::header;
 use walnutmoor_standin::mesh::{
     caller::{Connection, Response, format_request},
-    instance::Instance,
+    instance::{Behavior, Instance},
 };
 
 use crate::fixture::{
@@ -201,6 +201,27 @@
     });
 }
 
+/// Guards against calls of a run whose response can no longer arrive, since its
+/// connection broke.
+#[test]
+fn calls_of_a_run_whose_connection_broke_are_refused() {
+    run(async {
+        let world = world().await;
+        let desk = &world.pairs[1].instance;
+        desk.set_behavior(Behavior::DropsResponses);
+        let mut caller = connect(&world).await;
+
+        caller.write(&request("root", "")).await.unwrap();
+        let failed = caller.read().await.unwrap();
+        desk.set_behavior(Behavior::Healthy);
+        let further = call(&world, "root.1").await.read().await.unwrap();
+
+        assert_eq!(failed.status, 502);
+        assert!(guarantees_not_run(&further), "{further:?}");
+        assert_eq!(world.runs("root.1"), 0);
+    });
+}
+
 /// Guards against the refusal of calls of a later run of the same attempt.
 #[test]
 fn calls_of_an_attempt_that_runs_again_are_served() {
