link: wait the whole resume timeout after each break

What callers saw: an idempotent request failed with 502, or went to another instance, less than 250 ms after its link had broken, if the link had also broken shortly before.

Cause: the timer of an earlier break failed the calls of a later one, as it only asked whether the link was down.

Change: the timer applies only to the break that has started it.

--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -88,6 +88,8 @@
     /// The incarnation of the peer at the last handshake.
     incarnation: Cell<Option<Incarnation>>,
     last_received: Cell<Millis>,
+    /// The number of times that the link has broken.
+    breaks: Cell<u64>,
     /// When the first and the last unanswered ping were sent.
     unanswered_pings: Cell<Option<(Millis, Millis)>>,
     is_suspect: Cell<bool>,
@@ -118,6 +120,7 @@
             last_call_id: Cell::new(0),
             incarnation: Cell::new(None),
             last_received: Cell::new(Millis(0)),
+            breaks: Cell::new(0),
             unanswered_pings: Cell::new(None),
             is_suspect: Cell::new(false),
             rank: watcher::Rank::of(node),
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -155,10 +155,12 @@
         ("calls", link.pending.borrow().len().into()),
     ];
     state.journal.log_event(now, Event::Lost, &fields);
+    let breaks = link.breaks.get() + 1;
+    link.breaks.set(breaks);
     let link = link.clone();
     tokio::task::spawn_local(async move {
         sleep(RESUME_TIMEOUT).await;
-        if !link.is_up() {
+        if !link.is_up() && link.breaks.get() == breaks {
             link.fail_pending(|effect| effect == Effect::Idempotent);
         }
     });
