mesh: reconcile cancellations when a link is up again

What callers saw: work went on for callers that had left around the time at which a link between two nodes broke, until the deadline of the request.

Cause: a cancellation was one frame, sent once if the link was up. Frames that wait on a link are dropped with it, and the handshake that followed asked for pending calls only, so nobody ever ended that run. Idempotent calls that fail after the resume timeout went on at the peer in the same way, and so did those of a node that does not come back.

Evidence: the new test breaks the link at 13 moments from 60 ms after to 60 ms before the caller leaves, and another one holds frames up before.

Change: when a link is up again, the calling node names all calls that it still waits for, an empty list too, and the serving node cancels all others. Once-only calls are not interrupted, and their replies are kept as before. A cancellation carries how long ago the caller may have left, which is how long the process was suspended before it saw that. The frames change, so the protocol version rises to 6.

Not built: an end of calls on a link that is silent but not closed. A frozen node would lose the results of its callers, who may still wait.

--- a/crates/walnutmoor/src/mesh/cancellation.rs
+++ b/crates/walnutmoor/src/mesh/cancellation.rs
@@ -81,6 +81,10 @@
     pub unsent: Cell<u64>,
     /// Cancellations of calls to the local instance that were received.
     pub received: Cell<u64>,
+    /// Calls that another node did not name when its link was up again.
+    pub unwanted: Cell<u64>,
+    /// Calls whose link was down for too long.
+    pub unlinked: Cell<u64>,
     /// Canceled calls that had not started.
     pub dropped: Cell<u64>,
     /// Canceled calls whose run was aborted at once.
@@ -99,12 +103,14 @@
 
 impl Counters {
     /// The counters with their names in logs and metrics.
-    pub fn list(&self) -> [(&'static str, u64); 11] {
+    pub fn list(&self) -> [(&'static str, u64); 13] {
         [
             ("callers_left", self.callers_left.get()),
             ("sent", self.sent.get()),
             ("unsent", self.unsent.get()),
             ("received", self.received.get()),
+            ("unwanted", self.unwanted.get()),
+            ("unlinked", self.unlinked.get()),
             ("dropped", self.dropped.get()),
             ("aborted", self.aborted.get()),
             ("kept", self.kept.get()),
@@ -116,6 +122,36 @@
     }
 }
 
+/// Why a call is canceled at the node of the instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Its caller left, or its deadline passed, at least this long ago.
+    Canceled(Millis),
+    /// The other node did not name it when its link was up again.
+    Unwanted,
+    /// The link to the other node was down for too long.
+    Unlinked,
+}
+
+impl Reason {
+    /// The name in the log.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Reason::Canceled(_) => "canceled",
+            Reason::Unwanted => "unwanted",
+            Reason::Unlinked => "unlinked",
+        }
+    }
+
+    /// When its caller left; `None` if it is not known.
+    pub(super) fn left_ago(self) -> Option<Millis> {
+        match self {
+            Reason::Canceled(left_ago) => Some(left_ago),
+            Reason::Unwanted | Reason::Unlinked => None,
+        }
+    }
+}
+
 /// What a node does with a cancellation that it receives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Action {
@@ -197,8 +233,13 @@
 }
 
 impl Counters {
-    /// Counts what was done with a cancellation.
-    pub(super) fn record(&self, action: Action) {
+    /// Counts a cancellation, and what was done with it.
+    pub(super) fn record(&self, reason: Reason, action: Action) {
+        increment(match reason {
+            Reason::Canceled(_) => &self.received,
+            Reason::Unwanted => &self.unwanted,
+            Reason::Unlinked => &self.unlinked,
+        });
         increment(match action {
             Action::Dropped => &self.dropped,
             Action::Aborted => &self.aborted,
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -27,7 +27,7 @@
 };
 
 use super::{
-    cancellation,
+    cancellation::{self, Reason},
     frame::{Call, Headers, Reply},
     journal::Event,
     link::Link,
@@ -134,7 +134,10 @@
     /// Cancels the call, but still accepts a reply that it has not run.
     fn withdraw(&self) {
         match &self.handle {
-            Handle::Local(id) => self.state.serve.cancel(self.state, *id),
+            Handle::Local(id) => {
+                let reason = Reason::Canceled(Millis(0));
+                self.state.serve.cancel(self.state, *id, reason);
+            }
             Handle::Remote(link, id) => link.withdraw(*id),
         }
     }
@@ -147,12 +150,19 @@
         }
         self.state.balancer.borrow_mut().done(self.node, None);
         let counters = &self.state.serve.cancellations.counters;
+        let left_ago = self.state.lag();
         match &self.handle {
-            Handle::Local(id) => self.state.serve.cancel(self.state, *id),
-            Handle::Remote(link, id) if link.cancel(*id) => {
-                cancellation::increment(&counters.sent);
+            Handle::Local(id) => {
+                let reason = Reason::Canceled(left_ago);
+                self.state.serve.cancel(self.state, *id, reason);
+            }
+            Handle::Remote(link, id) => {
+                let counter = match link.cancel(*id, left_ago) {
+                    true => &counters.sent,
+                    false => &counters.unsent,
+                };
+                cancellation::increment(counter);
             }
-            Handle::Remote(..) => cancellation::increment(&counters.unsent),
         }
     }
 }
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -64,10 +64,13 @@
     /// Asks the receiver to run a request.
     Call(Box<Call>),
     /// Cancels a call: its caller has disconnected, its deadline has passed or
-    /// the sender exits. Answered only if the call has not started.
-    Cancel(CallId),
-    /// Asks for the replies to these calls after the link has reconnected.
-    Query(Vec<CallId>),
+    /// the sender exits. Carries the time since then, as far as the sender
+    /// knows it. Answered only if the call has not started.
+    Cancel(CallId, Millis),
+    /// Names all calls that the sender still waits for after the link has
+    /// reconnected. The receiver replies to those that have ended, and cancels
+    /// all other calls of the sender.
+    Resume(Vec<CallId>),
     /// The reply to a call, with the load of the instance.
     Answer(CallId, Reply, Load),
     /// Checks that the receiver is alive. Carries the edition of the sender's
@@ -114,7 +117,7 @@
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -1,10 +1,11 @@
 /*!
 The client side of a link to another node: sends calls and receives replies.
 
-A link that breaks is reopened, and the peer is queried for the results of the
-calls that were in flight. It replies to the ones that it received and reports
-the others as not run, so that most broken connections lose no results. If the
-peer has restarted with a new incarnation, the results are unknown.
+A link that breaks is reopened, and the peer is told which of the calls that were
+in flight are still wanted. It replies to the ones that it received, reports the
+others as not run, and cancels all that are not wanted any more, so that most
+broken connections lose neither results nor cancellations. If the peer has
+restarted with a new incarnation, the results are unknown.
 */
 
 mod carrier;
@@ -197,14 +198,16 @@
     /// Cancels a pending call, but still accepts a reply that it has not run.
     pub fn withdraw(&self, id: CallId) {
         if self.pending.borrow().contains_key(&id) {
-            self.send(Frame::Cancel(id));
+            self.send(Frame::Cancel(id, Millis(0)));
         }
     }
 
-    /// Cancels a pending call. Returns whether the link was up.
-    pub fn cancel(&self, id: CallId) -> bool {
+    /// Cancels a pending call whose caller left this long ago. Returns whether
+    /// the link was up. If the cancellation is lost with the link, the peer
+    /// learns of it when the link reconnects.
+    pub fn cancel(&self, id: CallId, left_ago: Millis) -> bool {
         if self.pending.borrow_mut().remove(&id).is_some() {
-            self.send(Frame::Cancel(id));
+            self.send(Frame::Cancel(id, left_ago));
         }
         self.is_up()
     }
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -176,11 +176,9 @@
     let (read, write, bytes) = stream;
     let (outgoing, frames) = unbounded_channel();
     let ids: Vec<CallId> = link.pending.borrow().keys().copied().collect();
-    if !ids.is_empty() {
-        // Must precede all new calls: the peer recognizes calls that it
-        // never received by their greater numbers.
-        let _ = outgoing.send(Frame::Query(ids));
-    }
+    // Must precede all new calls: the peer recognizes calls that it never
+    // received by their greater numbers, and cancels all that are not named.
+    let _ = outgoing.send(Frame::Resume(ids));
     // A restarted peer must not use an instance that has announced its
     // departure, even if its health check still succeeds.
     let departed = state.departed(link.node);
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -162,6 +162,7 @@
     loop {
         timer.tick().await;
         let now = state.now();
+        state.record_check(now);
         let paused = now.since(last) > CHECK_INTERVAL + PAUSE_THRESHOLD;
         last = now;
         let links = state.links();
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -2,7 +2,9 @@
 The server side of links: accepts calls from other nodes and replies to them.
 
 Replies are retained for a while. If the link breaks before the other node has
-read them, it queries for them after reconnecting.
+read them, it asks for them after reconnecting. The calls that it does not name
+then are canceled. If it does not reconnect, its idempotent calls are canceled
+after a while, as nobody waits for them any more.
 */
 
 use std::{
@@ -21,16 +23,18 @@
     },
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
     task::AbortHandle,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use walnutmoor_core::{
-    digest::Map,
+    digest::{Map, Set},
     error::Kind,
     id::{CallId, NodeId},
+    table::Effect,
     time::Millis,
 };
 
 use super::{
+    cancellation::Reason,
     frame::{self, Frame, Hello, PROTOCOL_VERSION, Reply},
     journal::Event,
     link::transmit,
@@ -47,6 +51,11 @@
 /// How long the first frame may take.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long the idempotent calls of a broken link go on. The other node has
+/// given them up by then, and work has to stop within 500 ms after the caller
+/// has left.
+const UNLINKED_TIMEOUT: Millis = Millis(400);
+
 /// How long a reply is retained. Exceeds the time in which a link reconnects.
 const REPLY_RETENTION: Millis = Millis(3_000);
 
@@ -66,11 +75,21 @@
     /// sending, and an older connection is closed before a newer one is read,
     /// so a queried call with a greater number was lost for good.
     last_call_id: Cell<u64>,
-    /// The calls in progress, with their numbers on this node.
-    running: RefCell<Map<CallId, CallId>>,
+    /// The calls in progress.
+    running: RefCell<Map<CallId, Running>>,
+    /// When the link broke; `None` while it is connected.
+    unlinked_at: Cell<Option<Millis>>,
     retained: RefCell<VecDeque<(Millis, CallId, Reply)>>,
 }
 
+/// A call in progress.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    /// Its number on this node.
+    local_id: CallId,
+    effect: Effect,
+}
+
 impl Session {
     fn new(node: NodeId) -> Rc<Session> {
         Rc::new(Session {
@@ -80,6 +99,7 @@
             task: RefCell::new(None),
             last_call_id: Cell::new(0),
             running: RefCell::new(Map::default()),
+            unlinked_at: Cell::new(None),
             retained: RefCell::new(VecDeque::new()),
         })
     }
@@ -130,7 +150,47 @@
         self.send(Frame::Answer(id, reply, state.serve.load(state.now())));
     }
 
-    /// The reply to a queried call; `None` if it is still running.
+    /// Cancels a call in progress.
+    fn cancel(&self, state: &Rc<State>, id: CallId, reason: Reason) {
+        let running = self.running.borrow().get(&id).copied();
+        if let Some(running) = running {
+            state.serve.cancel(state, running.local_id, reason);
+            self.running.borrow_mut().remove(&id);
+        }
+    }
+
+    /// Cancels the calls in progress that match.
+    fn cancel_all(
+        &self,
+        state: &Rc<State>,
+        reason: Reason,
+        matches: impl Fn(CallId, Effect) -> bool,
+    ) {
+        let running = self.running.borrow();
+        let matching =
+            running.iter().filter(|(id, r)| matches(**id, r.effect));
+        let matching: Vec<CallId> = matching.map(|(id, _)| *id).collect();
+        drop(running);
+        for id in matching {
+            self.cancel(state, id, reason);
+        }
+    }
+
+    /// Replies to the calls that the other node still waits for, as far as
+    /// they have ended, and cancels all others.
+    fn resume(&self, state: &Rc<State>, wanted: Vec<CallId>) {
+        let wanted: Set<CallId> = wanted.into_iter().collect();
+        let is_unwanted = |id, _| !wanted.contains(&id);
+        self.cancel_all(state, Reason::Unwanted, is_unwanted);
+        for id in wanted {
+            if let Some(reply) = self.find_reply(id) {
+                let load = state.serve.load(state.now());
+                self.send(Frame::Answer(id, reply, load));
+            }
+        }
+    }
+
+    /// The reply to a call; `None` if it is still running.
     fn find_reply(&self, id: CallId) -> Option<Reply> {
         if id.0 > self.last_call_id.get() {
             let retry = Millis(0);
@@ -158,7 +218,7 @@
             Err(error) => {
                 let fields = [("why", error.to_string().into())];
                 state.journal.log_event(state.now(), Event::Fault, &fields);
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                sleep(Duration::from_millis(20)).await;
                 continue;
             }
         };
@@ -184,6 +244,7 @@
     }
     let (outgoing, frames) = unbounded_channel();
     *session.outgoing.borrow_mut() = Some(outgoing);
+    session.unlinked_at.set(None);
     session.unwritten.set(0);
     session.send(Frame::Hello(state.hello_reply()));
     if let Some(evidence) = state.evidence_frame() {
@@ -216,6 +277,15 @@
     // before it takes the session over.
     session.outgoing.borrow_mut().take();
     session.unwritten.set(0);
+    let unlinked_at = state.now();
+    session.unlinked_at.set(Some(unlinked_at));
+    tokio::task::spawn_local(async move {
+        sleep(Duration::from_millis(UNLINKED_TIMEOUT.0)).await;
+        if session.unlinked_at.get() == Some(unlinked_at) {
+            let is_idempotent = |_, effect| effect == Effect::Idempotent;
+            session.cancel_all(&state, Reason::Unlinked, is_idempotent);
+        }
+    });
 }
 
 /// The session of an incarnation, created if needed.
@@ -281,25 +351,16 @@
             let id = call.id;
             session.last_call_id.set(session.last_call_id.get().max(id.0));
             let local_id = state.serve.allocate_call_id();
-            session.running.borrow_mut().insert(id, local_id);
+            let running = Running { local_id, effect: call.effect };
+            session.running.borrow_mut().insert(id, running);
             let sink = Sink::Remote(session.clone(), id);
             state.serve.submit(state, local_id, *call, sink);
         }
-        Frame::Cancel(id) => {
-            let local_id = session.running.borrow().get(&id).copied();
-            if let Some(local_id) = local_id {
-                state.serve.cancel(state, local_id);
-                session.running.borrow_mut().remove(&id);
-            }
-        }
-        Frame::Query(ids) => {
-            for id in ids {
-                if let Some(reply) = session.find_reply(id) {
-                    let load = state.serve.load(state.now());
-                    session.send(Frame::Answer(id, reply, load));
-                }
-            }
+        Frame::Cancel(id, left_ago) => {
+            let reason = Reason::Canceled(left_ago + state.lag());
+            session.cancel(state, id, reason);
         }
+        Frame::Resume(wanted) => session.resume(state, wanted),
         Frame::Ping(edition) => {
             let load = state.serve.load(state.now());
             let reaches_store = state.reaches_store();
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -38,7 +38,9 @@
 use walnutmoor_platform::header;
 
 use super::{
-    cancellation::{Action, Cancellations, Running, Signal, increment},
+    cancellation::{
+        Action, Cancellations, Reason, Running, Signal, increment,
+    },
     crash::Detector,
     feasibility,
     frame::{Call, Reply},
@@ -518,7 +520,7 @@
     /// Cancels a call that nobody waits for any more, and replies that it has
     /// not run if it has not started. A call that may run only once is not
     /// interrupted after it has started; another one may be left to finish.
-    pub fn cancel(&self, state: &Rc<State>, id: CallId) {
+    pub fn cancel(&self, state: &Rc<State>, id: CallId, reason: Reason) {
         let was_queued = self.bulkhead.borrow_mut().cancel(id);
         let mut jobs = self.jobs.borrow_mut();
         let Some(job) = jobs.get_mut(&id) else {
@@ -529,16 +531,17 @@
         let is_kept = !was_queued && started && job.effect == Effect::Once;
         let attempt = job.attempt.clone();
         drop(jobs);
-        increment(&self.cancellations.counters.received);
         let run_time = self.bulkhead.borrow().run_time(state.now(), id);
         let action = match started {
             _ if is_kept => Action::Kept,
-            true if self.leave_to_finish(state, id) => Action::LeftToFinish,
+            true if self.leave_to_finish(state, id, reason) => {
+                Action::LeftToFinish
+            }
             true => Action::Aborted,
             false => Action::Dropped,
         };
-        self.cancellations.counters.record(action);
-        log_cancel(state, &attempt, action, run_time, sink.as_ref());
+        self.cancellations.counters.record(reason, action);
+        log_cancel(state, &attempt, reason, action, run_time, sink.as_ref());
         if matches!(action, Action::Kept | Action::LeftToFinish) {
             return;
         }
@@ -551,7 +554,15 @@
     /// Leaves a canceled running call to finish if it is expected to end soon.
     /// Returns false if it is to be aborted, as one is that is suspected of
     /// crashing instances.
-    fn leave_to_finish(&self, state: &Rc<State>, id: CallId) -> bool {
+    fn leave_to_finish(
+        &self,
+        state: &Rc<State>,
+        id: CallId,
+        reason: Reason,
+    ) -> bool {
+        let Some(left_ago) = reason.left_ago() else {
+            return false;
+        };
         let jobs = self.jobs.borrow();
         let Some(job) = jobs.get(&id) else {
             return false;
@@ -577,6 +588,7 @@
         let Some(limit) = self.cancellations.decide(running) else {
             return false;
         };
+        let limit = limit.since(left_ago);
         self.abort_after(state, id, limit);
         true
     }
@@ -725,6 +737,7 @@
 fn log_cancel(
     state: &State,
     attempt: &str,
+    reason: Reason,
     action: Action,
     run_time: Option<(Millis, Millis)>,
     sink: Option<&Sink>,
@@ -740,6 +753,7 @@
     };
     let fields = [
         ("hop", "serving".into()),
+        ("why", reason.as_str().into()),
         ("action", action.as_str().into()),
         ("run_ms", run_time.map(|(age, _)| age.0).into()),
         ("mean_run_ms", run_time.map(|(_, mean)| mean.0).into()),
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -30,7 +30,7 @@
     handover::Handover,
     ingress::turn::Turns,
     journal::{Event, Journal},
-    link::Link,
+    link::{CHECK_INTERVAL, Link},
     peer::Session,
     quotas::Quotas,
     requests::Requests,
@@ -109,6 +109,8 @@
     /// The longest timeout that a caller of each route has sent.
     longest_timeouts: RefCell<Map<String, Millis>>,
     rng: RefCell<SmallRng>,
+    /// When the periodic checks last ran.
+    last_check: Cell<Millis>,
     started_at: Instant,
 }
 
@@ -160,6 +162,7 @@
             handover: Handover::new(settings.overload.handover),
             longest_timeouts: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
+            last_check: Cell::new(Millis(0)),
             started_at: Instant::now(),
             settings,
         })
@@ -170,6 +173,17 @@
         Millis(self.started_at.elapsed().as_millis() as u64)
     }
 
+    /// Records that the periodic checks run.
+    pub(super) fn record_check(&self, now: Millis) {
+        self.last_check.set(now);
+    }
+
+    /// How long this process has been suspended just before: what it learns
+    /// now may have happened this long ago.
+    pub(super) fn lag(&self) -> Millis {
+        self.now().since(self.last_check.get() + CHECK_INTERVAL)
+    }
+
     /// Adds jitter: a random duration between 0.5 and 1.5 times this one.
     pub fn jitter(&self, duration: Millis) -> Millis {
         let factor: f64 = self.rng.borrow_mut().random_range(0.5..1.5);
--- a/crates/walnutmoor/tests/mesh/gone.rs
+++ b/crates/walnutmoor/tests/mesh/gone.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::Method;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use walnutmoor_core::{
     table::{Effect, Route},
     time::Millis,
@@ -14,6 +14,8 @@
     instance::{Behavior, Instance},
 };
 
+use walnutmoor_standin::soak::proxy::Mode;
+
 use crate::fixture::{
     World, desired, guarantees_not_run, headers, route, run, until,
 };
@@ -66,7 +68,11 @@
 
 /// Waits until a run has ended, and asserts that it was canceled.
 async fn wait_for_cancel(world: &World, attempt: &str) {
-    let desk = &world.pairs[1].instance;
+    wait_for_cancel_at(world, &world.pairs[1].instance, attempt).await;
+}
+
+/// The same at this instance.
+async fn wait_for_cancel_at(world: &World, desk: &Instance, attempt: &str) {
     until("its run has ended", || async {
         let mut arrivals = desk.arrivals().into_iter();
         let arrival = arrivals.find(|arrival| arrival.id == attempt);
@@ -246,3 +252,67 @@
         }
     });
 }
+
+/// Guards against a cancellation that is lost with the link on which it was
+/// sent, or that is not sent as the link is down.
+#[test]
+fn work_ends_for_a_caller_that_leaves_around_a_reset_of_the_link() {
+    run(async {
+        let mut world = world().await;
+        let proxy = world.add_behind_proxy("desk").await;
+        let desk = world.pairs[2].instance.clone();
+        // Only the instance behind the proxy is used.
+        assert_eq!(world.pairs[1].instance.drain().await, 200);
+        for (round, lead_ms) in (-60_i64..=60).step_by(10).enumerate() {
+            world.send_until_ok(0, "browse", &format!("up-{round}")).await;
+            let attempt = format!("held-{round}");
+            desk.hold(&attempt);
+            let mut caller = connect(&world).await;
+            caller.write(&request(&attempt, "")).await.unwrap();
+            wait_for_start(&desk, &attempt).await;
+
+            let pause = Duration::from_millis(lead_ms.unsigned_abs());
+            if lead_ms < 0 {
+                drop(caller);
+                sleep(pause).await;
+                proxy.reset();
+            } else {
+                proxy.reset();
+                sleep(pause).await;
+                drop(caller);
+            }
+
+            wait_for_cancel_at(&world, &desk, &attempt).await;
+        }
+    });
+}
+
+/// The same while frames are held up in one direction or in both, before the
+/// link is reset.
+#[test]
+fn work_ends_for_a_caller_that_leaves_while_the_link_is_silent() {
+    run(async {
+        let mut world = world().await;
+        let proxy = world.add_behind_proxy("desk").await;
+        let desk = world.pairs[2].instance.clone();
+        assert_eq!(world.pairs[1].instance.drain().await, 200);
+        let modes = [Mode::StallToTarget, Mode::StallBoth];
+        for (round, mode) in modes.into_iter().enumerate() {
+            world.send_until_ok(0, "browse", &format!("up-{round}")).await;
+            let attempt = format!("held-{round}");
+            desk.hold(&attempt);
+            let mut caller = connect(&world).await;
+            caller.write(&request(&attempt, "")).await.unwrap();
+            wait_for_start(&desk, &attempt).await;
+
+            proxy.set_mode(mode);
+            drop(caller);
+            sleep(Duration::from_millis(100)).await;
+            // The frames that were held up are lost.
+            proxy.reset();
+            proxy.set_mode(Mode::Forward);
+
+            wait_for_cancel_at(&world, &desk, &attempt).await;
+        }
+    });
+}
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -33,6 +33,8 @@
 struct Peer {
     stream: TcpStream,
     bytes: BytesMut,
+    /// The calls that the node still waited for when it opened the link.
+    wanted: Vec<CallId>,
 }
 
 fn hello(
@@ -57,6 +59,10 @@
 }
 
 impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        Peer { stream, bytes: BytesMut::new(), wanted: Vec::new() }
+    }
+
     async fn open(address: SocketAddr, incarnation: u64) -> Peer {
         // Nothing listens on this port, so the node cannot open a link of its
         // own.
@@ -71,7 +77,7 @@
         incarnation: u64,
     ) -> Peer {
         let stream = TcpStream::connect(address).await.unwrap();
-        let mut peer = Peer { stream, bytes: BytesMut::new() };
+        let mut peer = Peer::new(stream);
         peer.send(&hello(node, incarnation, "front", Load::default())).await;
         assert!(matches!(peer.receive().await, Frame::Hello(_)));
         peer
@@ -84,11 +90,14 @@
         load: Load,
     ) -> Peer {
         let (stream, _) = listener.accept().await.unwrap();
-        let mut peer = Peer { stream, bytes: BytesMut::new() };
+        let mut peer = Peer::new(stream);
         assert!(matches!(peer.receive().await, Frame::Hello(_)));
         let node = listener.local_addr().unwrap();
         peer.send(&hello(node, incarnation, "desk", load)).await;
-        peer
+        let Frame::Resume(wanted) = peer.receive().await else {
+            panic!("it precedes all other frames");
+        };
+        Peer { wanted, ..peer }
     }
 
     /// The next call that the node sends.
@@ -172,7 +181,7 @@
         drop(peer);
 
         let mut peer = Peer::open(address, 7).await;
-        peer.send(&Frame::Query(vec![CallId(1)])).await;
+        peer.send(&Frame::Resume(vec![CallId(1)])).await;
 
         assert!(is_answered(&peer.answer(1).await));
         assert_eq!(world.runs("r1"), 1);
@@ -200,7 +209,7 @@
         .await;
 
         let mut peer = Peer::open(addresses.peers, 7).await;
-        peer.send(&Frame::Query(vec![CallId(1)])).await;
+        peer.send(&Frame::Resume(vec![CallId(1)])).await;
 
         assert!(is_answered(&peer.answer(1).await));
     });
@@ -218,7 +227,7 @@
         // A call that the node has not read yet arrives on the older
         // connection.
         let mut newer = Peer::open(address, 7).await;
-        newer.send(&Frame::Query(vec![CallId(1), CallId(2)])).await;
+        newer.send(&Frame::Resume(vec![CallId(1), CallId(2)])).await;
         let reply = newer.answer(2).await;
         let mut bytes = BytesMut::new();
         frame::encode(&order(2, "n2"), &mut bytes);
@@ -244,7 +253,7 @@
             peer.answer(id).await;
         }
 
-        peer.send(&Frame::Query(vec![CallId(1)])).await;
+        peer.send(&Frame::Resume(vec![CallId(1)])).await;
 
         let reply = peer.answer(1).await;
         assert!(matches!(reply, Reply::Unknown(_)), "{reply:?}");
@@ -261,7 +270,7 @@
         assert!(is_answered(&peer.answer(1).await));
 
         let mut other = Peer::open(address, 8).await;
-        other.send(&Frame::Query(vec![CallId(1)])).await;
+        other.send(&Frame::Resume(vec![CallId(1)])).await;
 
         let reply = other.answer(1).await;
         assert!(matches!(reply, Reply::NotRun { .. }), "{reply:?}");
@@ -385,3 +394,95 @@
         assert!(is_answered(&admitted), "{admitted:?}");
     });
 }
+
+/// A call that runs until it is released or canceled.
+async fn send_held(world: &World, peer: &mut Peer, id: u64, effect: Effect) {
+    let attempt = format!("held-{id}");
+    let Frame::Call(call) = order(id, &attempt) else {
+        unreachable!("it is a call");
+    };
+    world.pairs[0].instance.hold(&attempt);
+    peer.send(&Frame::Call(Box::new(Call { effect, ..*call }))).await;
+    until("the call runs", || async { world.runs(&attempt) == 1 }).await;
+}
+
+/// Guards against a run that goes on for nobody, as its cancellation was lost
+/// with the link.
+#[test]
+fn a_call_that_is_not_wanted_when_the_link_is_up_again_is_canceled() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let address = world.pairs[0].node.addresses().peers;
+        let mut peer = Peer::open(address, 7).await;
+        send_held(&world, &mut peer, 1, Effect::Idempotent).await;
+        send_held(&world, &mut peer, 2, Effect::Idempotent).await;
+        drop(peer);
+
+        let mut peer = Peer::open(address, 7).await;
+        peer.send(&Frame::Resume(vec![CallId(2)])).await;
+        until("the other one is aborted", || async {
+            world.pairs[0].instance.aborted_runs() == 1
+        })
+        .await;
+        world.pairs[0].instance.release("held-2");
+
+        assert!(is_answered(&peer.answer(2).await));
+        until("the reason is logged", || async {
+            world.pairs[0].node.log().contains("\"unwanted\"")
+        })
+        .await;
+    });
+}
+
+/// Guards against a run that goes on for a node that does not come back, and
+/// against the loss of a once-only run that it asks for later.
+#[test]
+fn idempotent_calls_end_if_the_link_stays_down() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let address = world.pairs[0].node.addresses().peers;
+        let mut peer = Peer::open(address, 7).await;
+        send_held(&world, &mut peer, 1, Effect::Idempotent).await;
+        send_held(&world, &mut peer, 2, Effect::Once).await;
+
+        drop(peer);
+        until("the idempotent one is aborted", || async {
+            world.pairs[0].instance.aborted_runs() == 1
+        })
+        .await;
+        let mut peer = Peer::open(address, 7).await;
+        peer.send(&Frame::Resume(vec![CallId(2)])).await;
+        world.pairs[0].instance.release("held-2");
+
+        assert!(is_answered(&peer.answer(2).await));
+        until("the reason is logged", || async {
+            world.pairs[0].node.log().contains("\"unlinked\"")
+        })
+        .await;
+    });
+}
+
+/// Guards against a peer that is not told that nobody waits for a call any
+/// more.
+#[test]
+fn a_resumed_link_names_only_the_calls_whose_callers_wait() {
+    run(async {
+        let world = World::start(&["front"]).await;
+        let (listener, _link) = listen(&world).await;
+        let mut peer = Peer::accept(&listener, 7, accepting()).await;
+        assert_eq!(peer.wanted, Vec::new());
+        let gone = {
+            let sent = world.send(0, "browse", "gone");
+            let called = async { peer.call().await.id };
+            tokio::select! {
+                _ = sent => unreachable!("there is no answer"),
+                id = called => id,
+            }
+        };
+        // The link breaks before the caller's leaving is seen.
+        drop(peer);
+        let peer = Peer::accept(&listener, 7, accepting()).await;
+
+        assert!(!peer.wanted.contains(&gone), "{:?}", peer.wanted);
+    });
+}
