ingress: finish calls of a canceled run at a terminating node

It was a call of an instance whose run had been canceled.

Cause: a call in progress ends with the run that makes it, also at a node that is shutting down and has to finish what it has taken.

Evidence: in the new test the run of the call was aborted; now it ends with its own response.

Change: once the node is shutting down, calls in progress go on when their run is canceled, until they end or their deadline passes. Further calls are still refused as not run.

--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -410,7 +410,7 @@
         let finished = tokio::select! {
             biased;
             finished = self.dispatch(state, &request) => finished,
-            () = cancellation::wait(canceled) => {
+            () = run_canceled(state, canceled) => {
                 return Ok(end_with_run(state));
             }
         };
@@ -536,6 +536,15 @@
     }
 }
 
+/// Waits until the run that makes a nested call is canceled. Never returns if
+/// this node is shutting down then: it finishes what it has taken.
+async fn run_canceled(state: &State, canceled: Option<Rc<Signal>>) {
+    cancellation::wait(canceled).await;
+    if state.phase.get() != Phase::Serving {
+        std::future::pending().await
+    }
+}
+
 /// The response to a nested call in progress whose run was canceled. It may
 /// have run.
 fn end_with_run(state: &State) -> Answer {
--- a/crates/walnutmoor/tests/mesh/gone.rs
+++ b/crates/walnutmoor/tests/mesh/gone.rs
@@ -228,6 +228,35 @@
     });
 }
 
+/// Guards against a call that a terminating node breaks off while an instance
+/// works on it.
+#[test]
+fn calls_of_a_canceled_run_are_finished_at_a_terminating_node() {
+    run(async {
+        let world = world().await;
+        let desk = &world.pairs[1].instance;
+        ["root", "root.1"].iter().for_each(|id| desk.hold(id));
+        let mut caller = connect(&world).await;
+        caller.write(&request("root", "")).await.unwrap();
+        wait_for_start(desk, "root").await;
+        let mut first = call(&world, "root.1").await;
+        wait_for_start(desk, "root.1").await;
+        world.pairs[1].node.signal("TERM");
+        until("it shuts down", || async {
+            world.pairs[1].node.log().contains("\"stop\"")
+        })
+        .await;
+
+        drop(caller);
+        until("the run is aborted", || async { desk.aborted_runs() >= 1 })
+            .await;
+        desk.release("root.1");
+        let finished = first.read().await.unwrap();
+
+        assert!(is_for(&finished, "root.1"), "{finished:?}");
+    });
+}
+
 /// Guards against the refusal of calls of a later run of the same attempt.
 #[test]
 fn calls_of_an_attempt_that_runs_again_are_served() {
