soak: callers that leave while links break and nodes pause

The soak had no check for work that goes on after a caller has left, and its callers always waited for their responses.

Instances have long runs, go on with their calls when their connection closes, and half of the seeds have keep_connections. The verdict follows the rule: at most a quarter of the idempotent runs that would have lasted half a second longer may do so, and at most three requests may reach an instance later than that, where both nodes were undisturbed but for resets of links.

--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -25,7 +25,7 @@
   measure restore [--nodes N]
                      cost of a store restore for N nodes, as JSON
   soak --seed N [--count N] [--seconds N] [--logs DIR]
-       [--planned | --overload] [--hot] [--departures]
+       [--planned | --overload | --leaving] [--hot] [--departures]
                      node processes under fault injection, for N seeds
   drive              replay a session: JSON events in, JSON actions out
   node ... | mesh ...  run the daemon, for measuring and soak runs
@@ -147,6 +147,7 @@
     options.optopt("", "logs", "directory for logs of failed runs", "DIR");
     options.optflag("", "planned", "planned work only; nothing may be lost");
     options.optflag("", "overload", "bursts; promises of return are kept");
+    options.optflag("", "leaving", "callers leave; the work for them ends");
     options.optflag("", "departures", "all nodes killed after departures");
     options.optflag("", "hot", "client accounts, one of which is hot");
     let usage_error = |e: getopts::Fail| Failure::usage(e.to_string());
@@ -172,6 +173,7 @@
         let config = config.hot_account(matches.opt_present("hot"));
         let config = config.planned_only(matches.opt_present("planned"));
         let config = config.overload(matches.opt_present("overload"));
+        let config = config.leaving(matches.opt_present("leaving"));
         let report = runtime()?.block_on(soak::run(&config));
         failed += u32::from(!report.violations.is_empty());
         print_report(&report);
@@ -200,6 +202,9 @@
         .collect();
     let counts = counts.join(", ");
     println!("seed {seed}: {faults} faults; {promises} promises; {counts}");
+    if let Some(gone) = &report.gone {
+        println!("  {gone}");
+    }
     for violation in &report.violations {
         println!("  broken: {violation}");
     }
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -660,7 +660,12 @@
 /// The percentage of long runs at an instance with a long tail.
 const LONG_RUN_PERCENT: u64 = 5;
 
-/// The run time of an attempt at an instance with a long tail.
+/// The run time of an attempt at an instance with a long tail, unless it is
+/// cut short.
+pub fn planned_run_time(attempt: &str) -> Duration {
+    Duration::from_millis(long_tailed_run_ms(attempt))
+}
+
 fn long_tailed_run_ms(attempt: &str) -> u64 {
     let seed = attempt.bytes().fold(7, |sum: u64, byte| {
         sum.wrapping_mul(31).wrapping_add(u64::from(byte))
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -23,6 +23,7 @@
 ```
 */
 
+pub mod gone;
 pub mod load;
 pub mod notice;
 pub mod overload;
@@ -80,6 +81,7 @@
     hot_account: bool,
     planned_only: bool,
     overload: bool,
+    leaving: bool,
 }
 
 impl Config {
@@ -98,6 +100,7 @@
             hot_account: false,
             planned_only: false,
             overload: false,
+            leaving: false,
         }
     }
 
@@ -154,6 +157,13 @@
         self
     }
 
+    /// Whether callers leave before their responses while links between nodes
+    /// break and nodes pause, and the work for them has to end.
+    pub fn leaving(mut self, leaving: bool) -> Config {
+        self.leaving = leaving;
+        self
+    }
+
     /// The time during which new faults begin.
     pub fn length(mut self, length: Duration) -> Config {
         self.length = length;
@@ -170,6 +180,8 @@
     pub faults: usize,
     /// The number of promises of return that were judged.
     pub promises: usize,
+    /// What became of requests whose callers left, if that was judged.
+    pub gone: Option<gone::Summary>,
     /// The number of requests by response status.
     pub status_counts: StatusCounts,
     /// The violated invariants.
@@ -181,6 +193,7 @@
 /// Executes a run.
 pub async fn run(config: &Config) -> Report {
     match (config.overload, config.planned_only) {
+        _ if config.leaving => run_leaving(config).await,
         (true, _) => run_overload(config).await,
         (false, true) => run_planned(config).await,
         (false, false) => run_faults(config).await,
@@ -264,6 +277,7 @@
         seed: config.seed,
         faults: plan.len(),
         promises: 0,
+        gone: None,
         status_counts: world.record.status_counts(),
         violations,
         logs: world.members.iter().map(world::Member::log).collect(),
@@ -304,6 +318,67 @@
         seed: config.seed,
         faults: plan.len(),
         promises: 0,
+        gone: None,
+        status_counts: world.record.status_counts(),
+        violations,
+        logs: world.members.iter().map(world::Member::log).collect(),
+    }
+}
+
+/// The number of callers of each node that leave.
+const LEAVING_CALLERS_PER_NODE: u64 = 5;
+
+/// The timeout of all routes for callers that leave.
+const LEAVING_ROUTE_TIMEOUT: Millis = Millis(10_000);
+
+/// Executes a run with callers that leave before their responses.
+async fn run_leaving(config: &Config) -> Report {
+    let properties = world::Config {
+        downtime: Duration::ZERO,
+        route_timeout: LEAVING_ROUTE_TIMEOUT,
+        target: TARGET,
+        has_long_tail: true,
+        overload: match config.seed.is_multiple_of(2) {
+            true => &[],
+            false => &["keep_connections"],
+        },
+        has_accounts: false,
+    };
+    let world = World::start(&config.program, properties).await;
+    world.call_in_runs("desk", "search");
+    let stop = Arc::new(AtomicBool::new(false));
+    let record = Arc::new(gone::Record::default());
+    let mut load = JoinSet::new();
+    wait_recovered(&world).await;
+    for node in 0..SERVICES.len() {
+        for index in 0..LEAVING_CALLERS_PER_NODE {
+            let caller = gone::Caller::new(node, index, config.seed);
+            load.spawn(caller.run(
+                world.clone(),
+                record.clone(),
+                stop.clone(),
+            ));
+        }
+    }
+    let plan = plan::draw_leaving(config.seed, SERVICES.len(), config.length);
+    let mut faults = JoinSet::new();
+    for event in &plan {
+        faults.spawn(world.clone().inject(*event));
+    }
+    while faults.join_next().await.is_some() {}
+    world.clear_faults();
+    stop.store(true, Ordering::Relaxed);
+    while load.join_next().await.is_some() {}
+    wait_recovered(&world).await;
+    let is_disturbed = |node, from, to| world.was_disturbed(node, from, to);
+    let gone = gone::judge(&record, &world.arrivals_by_node(), is_disturbed);
+    let mut violations = world.check();
+    violations.extend(gone::check(&gone));
+    Report {
+        seed: config.seed,
+        faults: plan.len(),
+        promises: 0,
+        gone: Some(gone),
         status_counts: world.record.status_counts(),
         violations,
         logs: world.members.iter().map(world::Member::log).collect(),
@@ -355,6 +430,7 @@
         seed: config.seed,
         faults: plan.len(),
         promises: held.len(),
+        gone: None,
         status_counts: world.record.status_counts(),
         violations,
         logs,
--- a/crates/walnutmoor-standin/src/soak/plan.rs
+++ b/crates/walnutmoor-standin/src/soak/plan.rs
@@ -224,6 +224,37 @@
     events
 }
 
+/// The mean interval between two faults around callers that leave, in
+/// milliseconds.
+const MEAN_LEAVING_INTERVAL_MS: u64 = 400;
+
+/// Upper bound of the span of these faults, in milliseconds.
+const MAX_LEAVING_SPAN_MS: u64 = 600;
+
+/// Draws faults around callers that leave: links between nodes are reset or
+/// stall, and nodes pause.
+pub fn draw_leaving(seed: u64, nodes: usize, length: Duration) -> Vec<Event> {
+    let rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(37));
+    let mut draw = Sampler { rng, nodes };
+    let mut events = Vec::new();
+    let mut at = 0;
+    loop {
+        at += draw.below(2 * MEAN_LEAVING_INTERVAL_MS);
+        if u128::from(at) >= length.as_millis() {
+            return events;
+        }
+        let node = draw.node();
+        let link = Link::Peers(node);
+        let fault = match draw.below(6) {
+            0 => Fault::Pause(node),
+            1 => Fault::DegradeLink(link, draw.mode()),
+            _ => Fault::ResetLink(link),
+        };
+        let span = Duration::from_millis(draw.below(MAX_LEAVING_SPAN_MS));
+        events.push(Event { at: Duration::from_millis(at), span, fault });
+    }
+}
+
 /// Draws random values. The order of draws determines the plan of a seed.
 struct Sampler {
     rng: ChaCha8Rng,
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -205,6 +205,8 @@
     node: Option<usize>,
     /// True if it stops the process for a while or for good.
     stops: bool,
+    /// True if it only resets the connections of a link.
+    is_reset: bool,
     from: Instant,
     to: Option<Instant>,
 }
@@ -329,7 +331,9 @@
             fault,
             Fault::Kill(_) | Fault::KillAll | Fault::Pause(_) | Fault::Term(_)
         );
-        disruptions.push(Disruption { node, stops, from, to: None });
+        let is_reset = matches!(fault, Fault::ResetLink(_));
+        let disruption = Disruption { node, stops, is_reset, from, to: None };
+        disruptions.push(disruption);
         Some(disruptions.len() - 1)
     }
 
@@ -398,6 +402,30 @@
         }
     }
 
+    /// All requests that reached an instance, with the indices of the nodes.
+    /// Does not include those of former instances.
+    pub fn arrivals_by_node(&self) -> Vec<(usize, Arrival)> {
+        let members = self.members.iter().enumerate();
+        let all = members.flat_map(|(node, member)| {
+            let arrivals = member.instance().arrivals().into_iter();
+            arrivals.map(move |arrival| (node, arrival))
+        });
+        all.collect()
+    }
+
+    /// True if a node was disturbed between two times by another fault than
+    /// the reset of a link.
+    pub(super) fn was_disturbed(
+        &self,
+        node: usize,
+        from: Instant,
+        to: Instant,
+    ) -> bool {
+        let disruptions = self.disruptions.lock().expect("no holder panics");
+        let mut lasting = disruptions.iter().filter(|d| !d.is_reset);
+        lasting.any(|disruption| disruption.overlaps(node, from, to))
+    }
+
     /// True if the process of a node was stopped between two times.
     pub(super) fn was_stopped(
         &self,
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -59,6 +59,15 @@
     run_seed(42001, config(42001, 8).planned_only(true));
 }
 
+/// Guards against work that goes on for callers that have left, with and
+/// without `keep_connections`.
+#[test]
+fn work_ends_for_callers_that_leave_under_faults() {
+    for seed in [51, 52] {
+        run_seed(seed, config(seed, 8).leaving(true));
+    }
+}
+
 #[test]
 fn promises_of_return_are_kept_in_bursts() {
     wait::run(async {
@@ -108,6 +117,7 @@
             .speeds(options.contains(&"speeds"))
             .departures(options.contains(&"departures"))
             .planned_only(options.contains(&"planned"))
+            .leaving(options.contains(&"leaving"))
             .overload(options.contains(&"overload"));
         run_seed(seed, config);
     }
--- a/crates/walnutmoor-standin/tests/verdict.rs
+++ b/crates/walnutmoor-standin/tests/verdict.rs
@@ -5,8 +5,9 @@
 use tokio::time::Instant;
 use walnutmoor_core::table::Effect;
 use walnutmoor_standin::{
-    mesh::instance::Arrival,
+    mesh::instance::{Arrival, planned_run_time},
     soak::{
+        gone,
         overload::{self, Attempt, Return},
         shares,
         shutdown::{Termination, check as check_lost},
@@ -337,3 +338,73 @@
     let none = BTreeSet::new();
     assert!(overload::held(&without, &none, |_, _, _| false).is_empty());
 }
+
+/// An idempotent request to node 0 that would run for at least a second and
+/// whose caller left 700 ms ago, with its run at an instance.
+fn left(ended_ago: Option<u64>) -> (gone::Record, Arrival) {
+    let now = Instant::now();
+    let ago = |ms| now - Duration::from_millis(ms);
+    let ids = (0..).map(|n| format!("left-{n}"));
+    let is_long = |id: &String| planned_run_time(id) > Duration::from_secs(2);
+    let id = ids.into_iter().find(is_long).unwrap();
+    let record = gone::Record::default();
+    record.record_left(&id, 0, ago(700));
+    let ended_at = ended_ago.map(ago);
+    (record, Arrival { at: ago(800), ended_at, ..ran(&id) })
+}
+
+fn judge_left(record: &gone::Record, arrival: Arrival) -> gone::Summary {
+    gone::judge(record, &[(1, arrival)], |_, _, _| false)
+}
+
+#[test]
+fn work_that_goes_on_for_a_caller_that_left_is_detected() {
+    for ended_ago in [None, Some(10)] {
+        let (record, arrival) = left(ended_ago);
+        let summary = judge_left(&record, arrival);
+        assert_eq!((summary.lasting, summary.late), (1, 1), "{summary}");
+    }
+
+    let (record, arrival) = left(Some(500));
+    let summary = judge_left(&record, arrival);
+    assert_eq!((summary.lasting, summary.late), (1, 0), "{summary}");
+}
+
+#[test]
+fn work_at_disturbed_nodes_is_not_judged() {
+    for disturbed in [0, 1] {
+        let (record, arrival) = left(None);
+        let is_disturbed = |node, _, _| node == disturbed;
+        let summary = gone::judge(&record, &[(1, arrival)], is_disturbed);
+        assert_eq!(summary.lasting, 0, "{summary}");
+    }
+}
+
+#[test]
+fn requests_that_reach_an_instance_after_their_caller_left_are_detected() {
+    let (record, arrival) = left(None);
+    let late = Instant::now() - Duration::from_millis(100);
+    for id in [
+        arrival.id.clone(),
+        format!("{}.1", arrival.id),
+        format!("probe-{}-7", arrival.id),
+    ] {
+        let arrival = Arrival { at: late, id, ..arrival.clone() };
+        let summary = judge_left(&record, arrival);
+        assert_eq!(summary.reached_late, 1, "{summary}");
+    }
+}
+
+#[test]
+fn the_verdict_on_callers_that_left_follows_the_rule() {
+    let summary = |lasting, late, reached_late| gone::Summary {
+        lasting,
+        late,
+        reached_late,
+        ..gone::Summary::default()
+    };
+    assert_eq!(gone::check(&summary(40, 10, 3)), []);
+    assert_eq!(gone::check(&summary(7, 7, 0)), []);
+    assert_eq!(gone::check(&summary(40, 11, 0)).len(), 1);
+    assert_eq!(gone::check(&summary(0, 0, 4)).len(), 1);
+}
