worker: send a cancellation also if the driver's channel was full

Found by reading, the same cause at the other way in (walnutmoor node): when a caller left while the channel of the driver was full, its cancellation was dropped, and the work went on until the deadline.

Change: like replies, cancellations are sent again until the channel takes them. Not changed, and only suspected: the driver drops an abort if the channel towards the sender of requests is full; no test has brought that about.

--- a/crates/walnutmoor/src/worker/driver.rs
+++ b/crates/walnutmoor/src/worker/driver.rs
@@ -12,7 +12,9 @@
 };
 
 use bytes::Bytes;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam_channel::{
+    Receiver, RecvTimeoutError, Sender, TrySendError, bounded,
+};
 use tokio::sync::{mpsc, oneshot};
 use walnutmoor_core::{
     call::{self, Arrival, Envelope, Trailer},
@@ -122,6 +124,25 @@
 /// The sending half of the driver's channel.
 pub type InputSender = Sender<Input>;
 
+/// The delay before an input is sent again to the full channel.
+const INPUT_RETRY_DELAY: Duration = Duration::from_millis(1);
+
+/// Sends an input to the driver and waits while the channel is full, so that
+/// no answer and no cancellation is lost.
+pub async fn send(inputs: InputSender, input: Input) {
+    let mut input = input;
+    loop {
+        match inputs.try_send(input) {
+            Err(TrySendError::Full(returned)) => {
+                input = returned;
+                tokio::time::sleep(INPUT_RETRY_DELAY).await;
+            }
+            // The driver has ended, and all calls with it.
+            Ok(()) | Err(TrySendError::Disconnected(_)) => return,
+        }
+    }
+}
+
 /// Creates the driver's channel with the given capacity, in messages.
 pub fn channel(capacity: usize) -> (InputSender, Receiver<Input>) {
     bounded(capacity)
--- a/crates/walnutmoor/src/worker/forward.rs
+++ b/crates/walnutmoor/src/worker/forward.rs
@@ -23,7 +23,7 @@
 use walnutmoor_core::call::{Envelope, Reply};
 
 use super::{
-    driver::{Input, InputSender, Payload},
+    driver::{self, Input, InputSender, Payload},
     listen::Tokens,
 };
 use crate::{
@@ -61,9 +61,6 @@
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// The delay before an answer is sent again to the driver's full channel.
-const INPUT_RETRY_DELAY: Duration = Duration::from_millis(1);
-
 /// The settings of the worker.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -161,7 +158,8 @@
                 None => (Reply::Unreachable, None),
             };
             in_flight.lock().expect("no holder panics").remove(&call);
-            send_input(inputs, Input::Replied { call, reply, answer }).await;
+            let input = Input::Replied { call, reply, answer };
+            driver::send(inputs, input).await;
         });
         // The runtime has one thread, so the task has not started yet.
         let mut in_flight = self.in_flight.lock().expect("no holder panics");
@@ -250,18 +248,3 @@
     let status = status.as_u16();
     (Reply::Complete { status, size, trailer }, Some(answer))
 }
-
-/// Sends an input to the driver and waits while the channel is full, so that
-/// no answer is lost.
-async fn send_input(inputs: InputSender, input: Input) {
-    let mut input = input;
-    loop {
-        match inputs.try_send(input) {
-            Err(crossbeam_channel::TrySendError::Full(returned)) => {
-                input = returned;
-                tokio::time::sleep(INPUT_RETRY_DELAY).await;
-            }
-            _ => return,
-        }
-    }
-}
--- a/crates/walnutmoor/src/worker/listen.rs
+++ b/crates/walnutmoor/src/worker/listen.rs
@@ -20,10 +20,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use schemars::JsonSchema;
 use serde::Deserialize;
-use tokio::sync::oneshot;
+use tokio::{runtime::Handle, sync::oneshot};
 use walnutmoor_core::{error::Kind, node::Event};
 
-use super::driver::{Completion, Input, InputSender, Payload};
+use super::driver::{self, Completion, Input, InputSender, Payload};
 use crate::{
     prelude::*,
     wire::{self, Answer, Head},
@@ -220,8 +220,11 @@
     fn drop(&mut self) {
         if let Some(call) = self.call {
             let event = Box::new(Event::Cancel { call });
-            // If the channel is full, the deadline ends the call.
-            let _ = self.inputs.try_send(Input::Event(event));
+            let sent = driver::send(self.inputs.clone(), Input::Event(event));
+            // There is no runtime any more when the process ends.
+            if let Ok(runtime) = Handle::try_current() {
+                runtime.spawn(sent);
+            }
         }
     }
 }
