test: a close behind an unread request is not seen by walnutmoor node

Cause: hyper, which dropshot serves the connections with, looks for the close of a connection only while it holds no unread bytes, and dropshot gives no access to the socket. A fix needs another listener for this way in.

--- a/crates/walnutmoor/tests/process/calls.rs
+++ b/crates/walnutmoor/tests/process/calls.rs
@@ -1,6 +1,6 @@
 //! Requests from end to end, and malformed input.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -200,6 +200,35 @@
     });
 }
 
+/// Guards against work for a caller whose close is not seen, as it is behind a
+/// request that was not read.
+#[test]
+fn a_caller_that_leaves_a_request_behind_frees_its_slots() {
+    run(async {
+        let deep = Plan {
+            service_time: Duration::from_secs(600),
+            ..plan("deep", "b")
+        };
+        let cluster = Cluster::start(&[plan("top", "a"), deep]).await;
+        let address = cluster.pairs[0].node.caller_address();
+
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = "GET /v1/call/deep/it HTTP/1.1\r\nhost: x\r\n\
+                    walnutmoor-class: browse\r\n\
+                    walnutmoor-deadline: 30000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let deep = &cluster.pairs[1].backend;
+        until("the call runs", || async { deep.running() == 1 }).await;
+        stream.write_all(head.as_bytes()).await.unwrap();
+        drop(stream);
+
+        let left_at = Instant::now();
+        until("the slot is free", || async { deep.running() == 0 }).await;
+
+        assert!(left_at.elapsed() < Duration::from_secs(15), "by deadline");
+    });
+}
+
 #[test]
 fn a_ticket_runs_once_and_its_answer_is_replayed() {
     run(async {
