survival: bins of 10 ms

Cause: with bins of 20 ms a run that ends in 25 ms has a chance of 0.84 to end within 20 ms, as ends are taken as spread over their bin.

Change: bins of 10 ms, 1 KB a route. The test is as it was.

--- a/crates/walnutmoor-core/src/survival.rs
+++ b/crates/walnutmoor-core/src/survival.rs
@@ -27,10 +27,10 @@
 use crate::{digest::Map, id::RouteKey, time::Millis};
 
 /// The width of a bin.
-const BIN: Millis = Millis(20);
+const BIN: Millis = Millis(10);
 
 /// The number of bins. Longer runs are counted in the last one.
-const BINS: usize = 64;
+const BINS: usize = 128;
 
 /// The number of runs at which all counts are halved, so that the curve follows
 /// changes of the run times.
