--- /dev/null
+++ b/review/standin/instance.rs
@@ -0,0 +1,222 @@
+//! An instance of a service, as a process of its own.
+//!
+//! It listens, prepares for `start_ms`, reports to its node, and then serves.
+//! A request that expects another instance gets 421. The line `lose SHARE MS`
+//! on standard input makes it lose the answers of this share of its runs for
+//! so long: it runs them, and the connection stays open without an answer.
+
+use std::{
+    collections::HashMap,
+    io::{BufRead, Read},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process,
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::http::{self, Message};
+
+/// Idle connections are closed after this time.
+const IDLE_CLOSE: Duration = Duration::from_secs(10);
+
+struct Instance {
+    id: String,
+    service: String,
+    zone: String,
+    address: SocketAddr,
+    control: SocketAddr,
+    slots: u32,
+    work: Duration,
+    sequence: AtomicU64,
+    running: Mutex<u32>,
+    freed: Condvar,
+    /// The share of answers that is lost, and until when.
+    loses: Mutex<Option<(f64, Instant)>>,
+    draws: AtomicU64,
+}
+
+fn log(text: &str) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    println!("{} {text}", now.map_or(0, |t| t.as_millis()));
+}
+
+pub fn main(args: &[String]) {
+    let options: HashMap<&str, &str> =
+        args.iter().filter_map(|a| a.split_once('=')).collect();
+    let number = |name: &str| options[name].parse::<u64>().expect("a number");
+    let instance = Arc::new(Instance {
+        id: options["id"].to_string(),
+        service: options["service"].to_string(),
+        zone: options["zone"].to_string(),
+        address: options["address"].parse().expect("an address"),
+        control: options["control"].parse().expect("an address"),
+        slots: number("slots") as u32,
+        work: Duration::from_millis(number("work_ms")),
+        sequence: AtomicU64::new(1),
+        running: Mutex::new(0),
+        freed: Condvar::new(),
+        loses: Mutex::new(None),
+        draws: AtomicU64::new(0),
+    });
+    let commands = instance.clone();
+    thread::spawn(move || obey(&commands));
+    let listener = listen(instance.address);
+    log(&format!("listens {}", instance.id));
+    thread::sleep(Duration::from_millis(number("start_ms")));
+    instance.report();
+    let beats = instance.clone();
+    let interval = Duration::from_millis(number("beat_ms"));
+    thread::spawn(move || {
+        loop {
+            thread::sleep(interval);
+            beats.report();
+        }
+    });
+    for stream in listener.incoming().flatten() {
+        let instance = instance.clone();
+        thread::spawn(move || instance.serve(stream));
+    }
+}
+
+/// Listens; the address may be in use for a moment after a crash.
+fn listen(address: SocketAddr) -> TcpListener {
+    for _ in 0..200 {
+        match TcpListener::bind(address) {
+            Ok(listener) => return listener,
+            Err(_) => thread::sleep(Duration::from_millis(10)),
+        }
+    }
+    log("the address stays in use");
+    process::exit(2);
+}
+
+/// Follows the commands on standard input, and exits at its end: the process
+/// that started this one is gone.
+fn obey(instance: &Instance) {
+    for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+        let words: Vec<&str> = line.split(' ').collect();
+        if let ["lose", share, ms] = words.as_slice() {
+            let share: f64 = share.parse().unwrap_or(0.0);
+            let ms = Duration::from_millis(ms.parse().unwrap_or(0));
+            let until = Instant::now() + ms;
+            *instance.loses.lock().unwrap() = Some((share, until));
+        }
+    }
+    process::exit(0);
+}
+
+impl Instance {
+    fn report(&self) {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let body = format!(
+            "{{\"address\":\"{}\",\"info\":{{\"service\":\"{}\",\
+             \"version\":\"v1\",\"zone\":\"{}\",\"slots\":{}}},\
+             \"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\
+             \"coldLeft\":\"0ms\"}}}}",
+            self.address, self.service, self.zone, self.slots
+        );
+        let request = format!(
+            "PUT /instances/{} HTTP/1.1\r\nHost: {}\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\
+             Connection: close\r\n\r\n{body}",
+            self.id,
+            self.control,
+            body.len()
+        );
+        let patience = Duration::from_secs(1);
+        let answer = http::send(self.control, &request, patience);
+        let status = answer.map_or(0, |answer| answer.status());
+        log(&format!("report {sequence} of {}: {status}", self.id));
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(IDLE_CLOSE));
+        let mut buffer = Vec::new();
+        while let Some(request) = http::read(&mut stream, &mut buffer) {
+            if !self.answer(&mut stream, &request) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request. False if the connection ends.
+    fn answer(&self, stream: &mut TcpStream, request: &Message) -> bool {
+        let name = format!("Walnutmoor-Instance-Id: {}\r\n", self.id);
+        let running = *self.running.lock().unwrap();
+        let load = format!(
+            "Walnutmoor-Server-Load: {running},0,{}\r\n",
+            self.slots
+        );
+        if request.first.starts_with("GET /health ") {
+            let headers = format!("{name}{load}");
+            return http::respond(stream, "200 OK", &headers, "");
+        }
+        let id = request.header("Walnutmoor-Attempt-Id").unwrap_or("");
+        let expected = request.header("Walnutmoor-Expect-Instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            let expected = expected.unwrap_or_default();
+            log(&format!("421 {id}: {} isn't {expected}", self.id));
+            let status = "421 Misdirected Request";
+            return http::respond(stream, status, &name, "");
+        }
+        let left = request.header("Walnutmoor-Deadline-Ms");
+        let left = left.and_then(|l| l.parse().ok()).unwrap_or(30_000);
+        let deadline = Instant::now() + Duration::from_millis(left);
+        if !self.take_slot(deadline) {
+            let headers = "Walnutmoor-Not-Executed: 1\r\n";
+            let status = "503 Service Unavailable";
+            return http::respond(stream, status, headers, "");
+        }
+        log(&format!("runs {id} at {}", self.id));
+        let left = deadline.saturating_duration_since(Instant::now());
+        thread::sleep(self.work.min(left));
+        *self.running.lock().unwrap() -= 1;
+        self.freed.notify_one();
+        if self.loses_answer() {
+            log(&format!("lost the answer of {id} at {}", self.id));
+            let _ = stream.set_read_timeout(None);
+            // Silent until the other side closes.
+            while matches!(stream.read(&mut [0; 1024]), Ok(n) if n > 0) {}
+            return false;
+        }
+        let headers = format!(
+            "Walnutmoor-Attempt-Id: {id}\r\n\
+             Walnutmoor-Server-Stamp: stamp.{id}\r\n{load}\
+             Keep-Alive: timeout=10\r\n"
+        );
+        let (status, body) = match self.work <= left {
+            true => ("200 OK", format!("{id} ran at {}", self.id)),
+            false => ("504 Gateway Timeout", "deadline".to_string()),
+        };
+        http::respond(stream, status, &headers, &body)
+    }
+
+    /// Waits for a slot until the deadline.
+    fn take_slot(&self, deadline: Instant) -> bool {
+        let mut running = self.running.lock().unwrap();
+        while *running >= self.slots {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            running = self.freed.wait_timeout(running, left).unwrap().0;
+        }
+        *running += 1;
+        true
+    }
+
+    fn loses_answer(&self) -> bool {
+        let Some((share, until)) = *self.loses.lock().unwrap() else {
+            return false;
+        };
+        let draw = self.draws.fetch_add(1, Ordering::Relaxed) + 1;
+        // A fixed sequence that is spread evenly.
+        let before = ((draw - 1) as f64 * share) as u64;
+        Instant::now() < until && (draw as f64 * share) as u64 > before
+    }
+}
