review: a case of requests that another service runs (ROUTE)

Cause: a node that was restarted once trusts health checks for all of its life. When its instance is gone and the address goes to an instance of another service, a 421 makes the node forget its instance, and the health check then adopts the other service's instance, whose own reports the node refuses for their service. The others send it work.

Added: the case as a script, with planned work (one restart of a node) and the reuse of one address. The stand-ins take ports below the range of outgoing connections: a run of another case could not start, as a port was in use.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod slots;
 mod restart;
+mod reuse;
 
 use crate::world::World;
 
@@ -12,6 +13,7 @@
     let result = match case {
         "answers" => answers::run(record, trouble),
         "slots" => slots::run(record, trouble),
+        "reuse" => reuse::run(record, trouble),
         "restart" => restart::run(record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/cases/answers.rs
+++ b/review/standin/cases/answers.rs
@@ -33,7 +33,7 @@
 pub fn run(record: &str, trouble: bool) -> Result<bool, String> {
     let mut world = World::new(record, STALE_BY)?;
     let cut = Cut::default();
-    let desired = world::desired(7, "desk", PATIENCE_MS);
+    let desired = world::desired(7, &[("orders", "desk")], PATIENCE_MS);
     world.store.write("config", "main", &desired);
     let zones = ["ist-a", "ist-b", "ist-c"];
     let mut fronts = Vec::new();
--- a/review/standin/cases/slots.rs
+++ b/review/standin/cases/slots.rs
@@ -39,7 +39,7 @@
 /// True if the rule held.
 pub fn run(record: &str, trouble: bool) -> Result<bool, String> {
     let mut world = World::new(record, Duration::from_secs(3))?;
-    let desired = world::desired(7, "gate", PATIENCE_MS);
+    let desired = world::desired(7, &[("orders", "gate")], PATIENCE_MS);
     world.store.write("config", "main", &desired);
     let mut places = Vec::new();
     let mut instances = Vec::new();
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -85,22 +85,34 @@
 
 impl Place {
     pub fn new(name: &str, service: &str, zone: &str) -> Place {
-        // Held together, so that all ports differ.
-        let held: Vec<TcpListener> = (0..6)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let address = |at: usize| held[at].local_addr().expect("a bound port");
         Place {
             name: name.to_string(),
             service: service.to_string(),
             zone: zone.to_string(),
-            peers: address(0),
+            peers: free_address(),
             advertise: None,
-            callers: address(1),
-            ready: address(2),
-            control: address(3),
-            metrics: address(4),
-            server: address(5),
+            callers: free_address(),
+            ready: free_address(),
+            control: free_address(),
+            metrics: free_address(),
+            server: free_address(),
+        }
+    }
+}
+
+/// A free address below the ports that outgoing connections take. Each is
+/// handed out once.
+fn free_address() -> SocketAddr {
+    const FIRST: u64 = 12_000;
+    const COUNT: u64 = 20_000;
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let start = u64::from(std::process::id()) * 397;
+    loop {
+        let step = LAST.fetch_add(1, Ordering::Relaxed);
+        let port = (FIRST + (start + step) % COUNT) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
         }
     }
 }
@@ -125,6 +137,14 @@
         let _ = child.wait();
     }
 
+    /// Sends SIGTERM, and waits until it has ended.
+    pub fn terminate(&self) {
+        let mut child = self.0.lock().unwrap();
+        let id = child.id().to_string();
+        let _ = Command::new("kill").args(["-s", "TERM", &id]).status();
+        let _ = child.wait();
+    }
+
     /// Writes a line to its standard input.
     pub fn tell(&self, line: &str) {
         if let Some(input) = &mut self.0.lock().unwrap().stdin {
@@ -168,8 +188,8 @@
         Process(child)
     }
 
-    /// Starts the node of a place with settings like `deploy/node.yaml`.
-    pub fn start_node(&mut self, place: &Place) -> Process {
+    /// Writes the settings of a node, in the form of `deploy/node.yaml`.
+    pub fn write_settings(&self, place: &Place) -> PathBuf {
         let store = self.store.address;
         let advertise = match place.advertise {
             Some(address) => format!("advertise: \"{address}\"\n"),
@@ -202,7 +222,14 @@
         );
         let path = self.dir.join(format!("{}.yaml", place.name));
         fs::write(&path, settings).expect("a settings file");
-        let log = self.dir.join(format!("{}.log", place.name));
+        path
+    }
+
+    /// Starts the node of a place.
+    pub fn start_node(&mut self, place: &Place) -> Process {
+        let path = self.write_settings(place);
+        let life = self.node_logs.len();
+        let log = self.dir.join(format!("{}.{life}.log", place.name));
         let out = File::create(&log).expect("a log file");
         self.node_logs.push(log);
         let mut command = Command::new(NODE);
@@ -294,11 +321,18 @@
 
     /// The runs at all instances so far, by the id of the attempt.
     pub fn runs(&self) -> Vec<String> {
+        self.runs_at("")
+    }
+
+    /// The runs at this instance so far; at all for an empty id.
+    pub fn runs_at(&self, instance: &str) -> Vec<String> {
         let mut runs = Vec::new();
         for log in &self.instance_logs {
             for line in fs::read_to_string(log).unwrap_or_default().lines() {
                 let words: Vec<&str> = line.split(' ').collect();
-                if let [_, "runs", id, ..] = words.as_slice() {
+                if let [_, "runs", id, _, at] = words.as_slice()
+                    && (instance.is_empty() || *at == instance)
+                {
                     runs.push(id.to_string());
                 }
             }
@@ -385,17 +419,24 @@
     Ended { attempt, answer }
 }
 
-/// The desired state with one route that may not be repeated.
-pub fn desired(version: u64, service: &str, timeout_ms: u64) -> String {
+/// The desired state. Each route has a name, and a service that runs its
+/// requests, which may not be repeated.
+pub fn desired(version: u64, routes: &[(&str, &str)], timeout_ms: u64) -> String {
+    let route = |(name, service): &(&str, &str)| {
+        format!(
+            "{{\"typeUrl\":\"routes\",\"metadata\":{{\"name\":\"r-{name}\"}},\
+             \"spec\":{{\"host\":\"{name}.example\",\
+             \"pathPrefix\":\"/{name}/\",\"kind\":\"non_idempotent\",\
+             \"timeout\":\"{timeout_ms}ms\",\"targetLatency\":\"1500ms\",\
+             \"priority\":0,\"service\":\"{service}\",\"maxAttempts\":2}}}},\
+             {{\"typeUrl\":\"services\",\
+             \"metadata\":{{\"name\":\"{service}\"}},\
+             \"spec\":{{\"healthPath\":\"/health\",\"maxConns\":1228}}}},"
+        )
+    };
+    let routes: String = routes.iter().map(route).collect();
     format!(
-        "{{\"version\":{version},\"resources\":[\
-         {{\"typeUrl\":\"routes\",\"metadata\":{{\"name\":\"r-orders\"}},\
-         \"spec\":{{\"host\":\"orders.example\",\
-         \"pathPrefix\":\"/orders/\",\"kind\":\"non_idempotent\",\
-         \"timeout\":\"{timeout_ms}ms\",\"targetLatency\":\"1500ms\",\
-         \"priority\":0,\"service\":\"{service}\",\"maxAttempts\":2}}}},\
-         {{\"typeUrl\":\"services\",\"metadata\":{{\"name\":\"{service}\"}},\
-         \"spec\":{{\"healthPath\":\"/health\",\"maxConns\":1228}}}},\
+        "{{\"version\":{version},\"resources\":[{routes}\
          {{\"typeUrl\":\"limits\",\"metadata\":{{}},\
          \"spec\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\
          \"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}}}]}}"
