--- a/review/standin/cases/slots.rs
+++ b/review/standin/cases/slots.rs
@@ -28,10 +28,10 @@
 
 /// When answers are lost, in seconds, and at which instances.
 const LOSSES: [(f64, [usize; 2]); 4] =
-    [(4.0, [0, 1]), (8.0, [1, 2]), (12.0, [0, 2]), (16.0, [0, 1])];
+    [(4.0, [0, 1]), (10.0, [1, 2]), (16.0, [0, 2]), (22.0, [0, 1])];
 
 /// The share of answers that is lost, and for how long.
-const LOSS: &str = "lose 0.4 4000";
+const LOSS: &str = "lose 0.3 6000";
 
 /// The end of the run, in seconds.
 const END: f64 = 80.0;
