--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,9 +2,11 @@
 //! users' pages name, and checks one rule from what clients have seen.
 
 mod answers;
-mod slots;
+mod late;
+mod leave;
 mod restart;
 mod reuse;
+mod slots;
 
 use crate::world::World;
 
@@ -14,6 +16,8 @@
         "answers" => answers::run(record, trouble),
         "slots" => slots::run(record, trouble),
         "reuse" => reuse::run(record, trouble),
+        "late" => late::run(record, trouble),
+        "leave" => leave::run(record, trouble),
         "restart" => restart::run(record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -109,27 +109,57 @@
     process::exit(0);
 }
 
+/// Sends a report of an instance of this service and zone, with these slots and
+/// this sequence number, to its node. Returns the status, or 0 without an answer
+/// within a second.
+pub fn send_report(
+    control: SocketAddr,
+    id: &str,
+    (service, zone): (&str, &str),
+    address: SocketAddr,
+    (slots, sequence): (u32, u64),
+) -> u16 {
+    let body = format!(
+        "{{\"address\":\"{address}\",\"info\":{{\"service\":\"{service}\",\
+         \"version\":\"v1\",\"zone\":\"{zone}\",\"slots\":{slots}}},\
+         \"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\
+         \"coldLeft\":\"0ms\"}}}}"
+    );
+    let request = format!(
+        "PUT /instances/{id} HTTP/1.1\r\nHost: {control}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let answer = http::send(control, &request, Duration::from_secs(1));
+    answer.map_or(0, |answer| answer.status())
+}
+
+/// Works for this time. False if the connection closes meanwhile: the request
+/// is dropped then.
+fn works(stream: &TcpStream, time: Duration) -> bool {
+    const STEP: Duration = Duration::from_millis(5);
+    let end = Instant::now() + time;
+    let _ = stream.set_nonblocking(true);
+    let mut is_open = true;
+    while is_open && Instant::now() < end {
+        thread::sleep(STEP.min(end.saturating_duration_since(Instant::now())));
+        is_open = !matches!(stream.peek(&mut [0]), Ok(0));
+    }
+    let _ = stream.set_nonblocking(false);
+    is_open
+}
+
 impl Instance {
     fn report(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        let body = format!(
-            "{{\"address\":\"{}\",\"info\":{{\"service\":\"{}\",\
-             \"version\":\"v1\",\"zone\":\"{}\",\"slots\":{}}},\
-             \"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\
-             \"coldLeft\":\"0ms\"}}}}",
-            self.address, self.service, self.zone, self.slots
-        );
-        let request = format!(
-            "PUT /instances/{} HTTP/1.1\r\nHost: {}\r\n\
-             Content-Type: application/json\r\nContent-Length: {}\r\n\
-             Connection: close\r\n\r\n{body}",
-            self.id,
+        let status = send_report(
             self.control,
-            body.len()
+            &self.id,
+            (&self.service, &self.zone),
+            self.address,
+            (self.slots, sequence),
         );
-        let patience = Duration::from_secs(1);
-        let answer = http::send(self.control, &request, patience);
-        let status = answer.map_or(0, |answer| answer.status());
         log(&format!("report {sequence} of {}: {status}", self.id));
     }
 
@@ -174,9 +204,14 @@
         }
         log(&format!("runs {id} at {}", self.id));
         let left = deadline.saturating_duration_since(Instant::now());
-        thread::sleep(self.work.min(left));
+        let has_left = !works(stream, self.work.min(left));
         *self.running.lock().unwrap() -= 1;
         self.freed.notify_one();
+        let end = if has_left { "drops" } else { "ends" };
+        log(&format!("{end} {id} at {}", self.id));
+        if has_left {
+            return false;
+        }
         if self.loses_answer() {
             log(&format!("lost the answer of {id} at {}", self.id));
             let _ = stream.set_read_timeout(None);
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -319,6 +319,25 @@
         }
     }
 
+    /// When an instance wrote a line with this word about an attempt, in
+    /// seconds since the start.
+    pub fn at(&self, word: &str, attempt: &str) -> Option<f64> {
+        for log in &self.instance_logs {
+            for line in fs::read_to_string(log).unwrap_or_default().lines() {
+                let words: Vec<&str> = line.split(' ').collect();
+                if let [at, found, id, ..] = words.as_slice()
+                    && *found == word
+                    && *id == attempt
+                {
+                    let at: u128 = at.parse().ok()?;
+                    let at = at.saturating_sub(self.started_at_ms);
+                    return Some(at as f64 / 1e3);
+                }
+            }
+        }
+        None
+    }
+
     /// The runs at all instances so far, by the id of the attempt.
     pub fn runs(&self) -> Vec<String> {
         self.runs_at("")
@@ -392,13 +411,25 @@
     host: &str,
     path: &str,
     patience_ms: u64,
+) -> Ended {
+    request_and_leave(record, place, host, path, patience_ms, patience_ms)
+}
+
+/// The same for a client that leaves before its time budget.
+pub fn request_and_leave(
+    record: &Record,
+    place: &Place,
+    host: &str,
+    path: &str,
+    budget_ms: u64,
+    patience_ms: u64,
 ) -> Ended {
     let attempt = new_attempt();
     let body = format!("order {attempt}");
     let text = format!(
         "POST {path} HTTP/1.1\r\nHost: {host}\r\n\
          Walnutmoor-Attempt-Id: {attempt}\r\n\
-         Walnutmoor-Deadline-Ms: {patience_ms}\r\nConnection: close\r\n\
+         Walnutmoor-Deadline-Ms: {budget_ms}\r\nConnection: close\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
@@ -421,7 +452,11 @@
 
 /// The desired state. Each route has a name, and a service that runs its
 /// requests, which may not be repeated.
-pub fn desired(version: u64, routes: &[(&str, &str)], timeout_ms: u64) -> String {
+pub fn desired(
+    version: u64,
+    routes: &[(&str, &str)],
+    timeout_ms: u64,
+) -> String {
     let route = |(name, service): &(&str, &str)| {
         format!(
             "{{\"typeUrl\":\"routes\",\"metadata\":{{\"name\":\"r-{name}\"}},\
