review: a case of an order that runs twice

Cause: an extra answer bears the id of its attempt, and an attempt that was turned away may be sent again on the same connection. There the late copy of the refusal counts as the answer to the second send, which runs, and the order is sent once more.

Stand-in instances can turn requests away, send answers once more and read slowly.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod late;
 mod leave;
+mod repeat;
 mod restart;
 mod reuse;
 mod slots;
@@ -18,6 +19,7 @@
         "reuse" => reuse::run(record, trouble),
         "late" => late::run(record, trouble),
         "leave" => leave::run(record, trouble),
+        "repeat" => repeat::run(record, trouble),
         "restart" => restart::run(record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/cases/late.rs
+++ b/review/standin/cases/late.rs
@@ -40,7 +40,7 @@
     let mut world = World::new(record, Duration::from_secs(3))?;
     let desired = world::desired(7, &[("orders", "desk")], PATIENCE_MS);
     world.store.write("config", "main", &desired);
-    let work = Work { slots: 65, work_ms: 60, start_ms: 0 };
+    let work = Work { slots: 65, work_ms: 60, start_ms: 0, reads_per_s: 0 };
     let mut places = Vec::new();
     let mut processes = Vec::new();
     for at in 0..INSTANCES {
--- a/review/standin/cases/restart.rs
+++ b/review/standin/cases/restart.rs
@@ -37,7 +37,7 @@
     world.store.write("config", "main", &desired);
     let mut places = Vec::new();
     let mut instances = Vec::new();
-    let work = Work { slots: 65, work_ms: 60, start_ms: 400 };
+    let work = Work { slots: 65, work_ms: 60, start_ms: 400, reads_per_s: 0 };
     for at in 0..INSTANCES {
         let name = format!("desk-{at}");
         let place = Place::new(&name, "desk", &format!("zone-{at}"));
--- a/review/standin/cases/reuse.rs
+++ b/review/standin/cases/reuse.rs
@@ -38,7 +38,7 @@
     let routes = [("orders", "desk"), ("parts", "parts")];
     let desired = world::desired(7, &routes, PATIENCE_MS);
     world.store.write("config", "main", &desired);
-    let work = Work { slots: 65, work_ms: 60, start_ms: 0 };
+    let work = Work { slots: 65, work_ms: 60, start_ms: 0, reads_per_s: 0 };
     let mut places = Vec::new();
     let mut nodes = Vec::new();
     let mut instances = Vec::new();
--- a/review/standin/cases/slots.rs
+++ b/review/standin/cases/slots.rs
@@ -43,7 +43,7 @@
     world.store.write("config", "main", &desired);
     let mut places = Vec::new();
     let mut instances = Vec::new();
-    let work = Work { slots: SLOTS, work_ms: WORK_MS, start_ms: 0 };
+    let work = Work { slots: SLOTS, work_ms: WORK_MS, start_ms: 0, reads_per_s: 0 };
     for at in 0..INSTANCES {
         let name = format!("gate-{at}");
         let zone = format!("zone-{at}");
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,8 +1,10 @@
 //! HTTP/1.1 messages over blocking sockets.
 
 use std::{
+    cell::Cell,
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -105,11 +107,26 @@
     Some(buffer.drain(..length).collect())
 }
 
+thread_local! {
+    /// How many bytes this thread reads a second; 0 without a limit.
+    static READS_PER_S: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Lets this thread read so many bytes a second, or any number for 0.
+pub fn read_slowly(bytes_per_s: u64) {
+    READS_PER_S.set(bytes_per_s);
+}
+
 fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
     let mut part = [0; 16 << 10];
     match stream.read(&mut part) {
         Ok(count) if count > 0 => {
             buffer.extend_from_slice(&part[..count]);
+            let rate = READS_PER_S.get();
+            if rate > 0 {
+                let span = count as f64 / rate as f64;
+                thread::sleep(Duration::from_secs_f64(span));
+            }
             Some(())
         }
         _ => None,
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -1,9 +1,14 @@
 //! An instance of a service, as a process of its own.
 //!
 //! It listens, prepares for `start_ms`, reports to its node, and then serves.
-//! A request that expects another instance gets 421. The line `lose SHARE MS`
-//! on standard input makes it lose the answers of this share of its runs for
-//! so long: it runs them, and the connection stays open without an answer.
+//! A request that expects another instance gets 421. Lines on standard input
+//! make it misbehave for a share of what comes, for so many milliseconds:
+//!
+//! - `lose SHARE MS`: it runs requests, and the connection stays open without
+//!   an answer;
+//! - `shed SHARE MS`: it turns requests away;
+//! - `repeat SHARE MS`: it sends an answer once more, where the next one on its
+//!   connection is expected.
 
 use std::{
     collections::HashMap,
@@ -20,9 +25,49 @@
 
 use crate::http::{self, Message};
 
+/// How long it takes to turn a request away.
+const TURN_AWAY_TIME: Duration = Duration::from_millis(30);
+
 /// Idle connections are closed after this time.
 const IDLE_CLOSE: Duration = Duration::from_secs(10);
 
+/// A time in which a share of what comes is affected.
+#[derive(Default)]
+struct Spell {
+    share_until: Mutex<Option<(f64, Instant)>>,
+    draws: AtomicU64,
+}
+
+impl Spell {
+    fn begin(&self, share: f64, time: Duration) {
+        let until = Instant::now() + time;
+        *self.share_until.lock().unwrap() = Some((share, until));
+    }
+
+    /// True if the next one is affected, by a fixed sequence of draws.
+    fn draw(&self) -> bool {
+        let Some((share, until)) = *self.share_until.lock().unwrap() else {
+            return false;
+        };
+        if Instant::now() >= until {
+            return false;
+        }
+        let draw = self.draws.fetch_add(1, Ordering::Relaxed) + 1;
+        let mut mixed = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        (mixed as f64 / u64::MAX as f64) < share
+    }
+}
+
+/// An answer that is sent once more, later.
+struct Extra {
+    status: String,
+    headers: String,
+    body: String,
+}
+
 struct Instance {
     id: String,
     service: String,
@@ -31,12 +76,16 @@
     control: SocketAddr,
     slots: u32,
     work: Duration,
+    reads_per_s: u64,
     sequence: AtomicU64,
     running: Mutex<u32>,
     freed: Condvar,
-    /// The share of answers that is lost, and until when.
-    loses: Mutex<Option<(f64, Instant)>>,
-    draws: AtomicU64,
+    /// The answers that are lost.
+    loses: Spell,
+    /// The requests that are turned away.
+    sheds: Spell,
+    /// The answers that are sent once more.
+    repeats: Spell,
 }
 
 fn log(text: &str) {
@@ -56,11 +105,13 @@
         control: options["control"].parse().expect("an address"),
         slots: number("slots") as u32,
         work: Duration::from_millis(number("work_ms")),
+        reads_per_s: number("reads_per_s"),
         sequence: AtomicU64::new(1),
         running: Mutex::new(0),
         freed: Condvar::new(),
-        loses: Mutex::new(None),
-        draws: AtomicU64::new(0),
+        loses: Spell::default(),
+        sheds: Spell::default(),
+        repeats: Spell::default(),
     });
     let commands = instance.clone();
     thread::spawn(move || obey(&commands));
@@ -99,11 +150,16 @@
 fn obey(instance: &Instance) {
     for line in std::io::stdin().lock().lines().map_while(Result::ok) {
         let words: Vec<&str> = line.split(' ').collect();
-        if let ["lose", share, ms] = words.as_slice() {
-            let share: f64 = share.parse().unwrap_or(0.0);
-            let ms = Duration::from_millis(ms.parse().unwrap_or(0));
-            let until = Instant::now() + ms;
-            *instance.loses.lock().unwrap() = Some((share, until));
+        let [what, share, ms] = words.as_slice() else {
+            continue;
+        };
+        let share = share.parse().unwrap_or(0.0);
+        let time = Duration::from_millis(ms.parse().unwrap_or(0));
+        match *what {
+            "lose" => instance.loses.begin(share, time),
+            "shed" => instance.sheds.begin(share, time),
+            "repeat" => instance.repeats.begin(share, time),
+            _ => {}
         }
     }
     process::exit(0);
@@ -166,16 +222,36 @@
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(IDLE_CLOSE));
+        http::read_slowly(self.reads_per_s);
         let mut buffer = Vec::new();
+        let mut extra = None;
         while let Some(request) = http::read(&mut stream, &mut buffer) {
-            if !self.answer(&mut stream, &request) {
+            // An extra answer arrives where the next one is expected.
+            if let Some(Extra { status, headers, body }) = extra.take() {
+                let id = request.header("Walnutmoor-Attempt-Id");
+                log(&format!(
+                    "extra {} before the answer to {} at {}: {status}",
+                    body,
+                    id.unwrap_or("none"),
+                    self.id
+                ));
+                if !http::respond(&mut stream, &status, &headers, &body) {
+                    return;
+                }
+            }
+            if !self.answer(&mut stream, &request, &mut extra) {
                 return;
             }
         }
     }
 
     /// Answers a request. False if the connection ends.
-    fn answer(&self, stream: &mut TcpStream, request: &Message) -> bool {
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        request: &Message,
+        extra: &mut Option<Extra>,
+    ) -> bool {
         let name = format!("Walnutmoor-Instance-Id: {}\r\n", self.id);
         let running = *self.running.lock().unwrap();
         let load = format!(
@@ -194,6 +270,16 @@
             let status = "421 Misdirected Request";
             return http::respond(stream, status, &name, "");
         }
+        if self.sheds.draw() {
+            thread::sleep(TURN_AWAY_TIME);
+            log(&format!("turns away {id} at {}", self.id));
+            let headers = format!(
+                "Walnutmoor-Attempt-Id: {id}\r\n{load}\
+                 Walnutmoor-Not-Executed: 1\r\nKeep-Alive: timeout=10\r\n"
+            );
+            let status = "503 Service Unavailable";
+            return self.respond(stream, status, &headers, "turned away", extra);
+        }
         let left = request.header("Walnutmoor-Deadline-Ms");
         let left = left.and_then(|l| l.parse().ok()).unwrap_or(30_000);
         let deadline = Instant::now() + Duration::from_millis(left);
@@ -212,7 +298,7 @@
         if has_left {
             return false;
         }
-        if self.loses_answer() {
+        if self.loses.draw() {
             log(&format!("lost the answer of {id} at {}", self.id));
             let _ = stream.set_read_timeout(None);
             // Silent until the other side closes.
@@ -228,7 +314,26 @@
             true => ("200 OK", format!("{id} ran at {}", self.id)),
             false => ("504 Gateway Timeout", "deadline".to_string()),
         };
-        http::respond(stream, status, &headers, &body)
+        self.respond(stream, status, &headers, &body, extra)
+    }
+
+    /// Answers, and perhaps keeps the answer to send it once more.
+    fn respond(
+        &self,
+        stream: &mut TcpStream,
+        status: &str,
+        headers: &str,
+        body: &str,
+        extra: &mut Option<Extra>,
+    ) -> bool {
+        if self.repeats.draw() {
+            *extra = Some(Extra {
+                status: status.to_string(),
+                headers: headers.to_string(),
+                body: body.to_string(),
+            });
+        }
+        http::respond(stream, status, headers, body)
     }
 
     /// Waits for a slot until the deadline.
@@ -244,14 +349,4 @@
         *running += 1;
         true
     }
-
-    fn loses_answer(&self) -> bool {
-        let Some((share, until)) = *self.loses.lock().unwrap() else {
-            return false;
-        };
-        let draw = self.draws.fetch_add(1, Ordering::Relaxed) + 1;
-        // A fixed sequence that is spread evenly.
-        let before = ((draw - 1) as f64 * share) as u64;
-        Instant::now() < until && (draw as f64 * share) as u64 > before
-    }
 }
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -124,6 +124,8 @@
     pub work_ms: u64,
     /// From listening to the first report.
     pub start_ms: u64,
+    /// How many bytes it reads a second on a connection; 0 without a limit.
+    pub reads_per_s: u64,
 }
 
 /// A process that was started.
@@ -131,6 +133,17 @@
 pub struct Process(Arc<Mutex<Child>>);
 
 impl Process {
+    /// The memory that it holds, in bytes; 0 if it has ended.
+    pub fn memory(&self) -> u64 {
+        let id = self.0.lock().unwrap().id();
+        let status = fs::read_to_string(format!("/proc/{id}/status"));
+        let status = status.unwrap_or_default();
+        let mut lines = status.lines();
+        let line = lines.find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kb.and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) << 10
+    }
+
     pub fn kill(&self) {
         let mut child = self.0.lock().unwrap();
         let _ = child.kill();
@@ -268,6 +281,7 @@
             .arg(format!("slots={}", work.slots))
             .arg(format!("work_ms={}", work.work_ms))
             .arg(format!("start_ms={}", work.start_ms))
+            .arg(format!("reads_per_s={}", work.reads_per_s))
             .arg("beat_ms=1500")
             .stdin(Stdio::piped())
             .stdout(out);
