review: a case of nodes that exceed their memory under uploads

Cause: an ingress bounds the request bodies that it holds, but the node of an instance takes the calls of all other nodes, whatever their bodies take together.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -8,6 +8,7 @@
 mod restart;
 mod reuse;
 mod slots;
+mod uploads;
 
 use crate::world::World;
 
@@ -19,6 +20,7 @@
         "reuse" => reuse::run(record, trouble),
         "late" => late::run(record, trouble),
         "leave" => leave::run(record, trouble),
+        "uploads" => uploads::run(record, trouble),
         "repeat" => repeat::run(record, trouble),
         "restart" => restart::run(record, trouble),
         _ => Err(format!("no case {case}")),
