review: wider times in the case of orders that run twice, uploads in sequence

Cause: the first version of case 1 hung on one time for turning requests away, and case 2 sent all uploads of a wave at the same moment.

Added: case 1 plays all 12 nodes, and instances take 25 to 55 ms to turn a request away. The uploads of a machine in case 2 come 0.35 s apart. Instances name the attempt in every answer.

--- a/review/standin/cases/repeat.rs
+++ b/review/standin/cases/repeat.rs
@@ -10,11 +10,9 @@
 use super::check_time;
 use crate::world::{self, Ended, Place, Process, Work, World};
 
-const HOST: &str = "orders.example";
-const PATH: &str = "/orders/new/";
-
-/// Nodes and instances of the service, one in each zone.
-const INSTANCES: usize = 3;
+/// Services with three instances each, one in each zone, as on the sheet.
+const SERVICES: [&str; 4] = ["desk", "board", "parts", "packs"];
+const ZONES: usize = 3;
 
 /// How long a client waits.
 const PATIENCE_MS: u64 = 6_000;
@@ -22,13 +20,17 @@
 /// The pause between two requests.
 const PAUSE: Duration = Duration::from_micros(3_300);
 
-/// When the instances misbehave: so many times, this long, with pauses.
-const SPELLS: usize = 13;
+/// When the instances misbehave: so many times, this long, without a pause.
+const SPELLS: usize = 18;
 const SPELL_MS: u64 = 5_000;
-const PERIOD: f64 = 7.0;
 
-/// The instances that send answers once more.
-const REPEATING: [usize; 2] = [0, 1];
+/// The share of requests that an instance turns away, and that of answers that
+/// it sends once more.
+const SHED: f64 = 0.15;
+const REPEATED: f64 = 0.03;
+
+/// The zones whose instances send answers once more: two of three.
+const REPEATING: usize = 2;
 
 /// The end of the run, in seconds.
 const END: f64 = 93.0;
@@ -36,19 +38,21 @@
 /// True if the rule held.
 pub fn run(record: &str, trouble: bool) -> Result<bool, String> {
     let mut world = World::new(record, Duration::from_secs(3))?;
-    let desired = world::desired(7, &[("orders", "desk")], PATIENCE_MS);
+    let routes = SERVICES.map(|service| (service, service));
+    let desired = world::desired(7, &routes, PATIENCE_MS);
     world.store.write("config", "main", &desired);
     let mut places = Vec::new();
     let mut instances: Vec<Process> = Vec::new();
-    let work =
-        Work { slots: 188, work_ms: 60, start_ms: 0, reads_per_s: 0 };
-    for at in 0..INSTANCES {
-        let name = format!("desk-{at}");
-        let place = Place::new(&name, "desk", &format!("zone-{at}"));
-        world.start_node(&place);
-        let id = format!("i-{name}");
-        instances.push(world.start_instance(&place, &id, work));
-        places.push(place);
+    let work = Work { slots: 188, work_ms: 60, start_ms: 0, reads_per_s: 0 };
+    for service in SERVICES {
+        for zone in 0..ZONES {
+            let name = format!("{service}-{zone}");
+            let place = Place::new(&name, service, &format!("zone-{zone}"));
+            world.start_node(&place);
+            let id = format!("i-{name}");
+            instances.push(world.start_instance(&place, &id, work));
+            places.push(place);
+        }
     }
     world.await_ready(&places)?;
     thread::sleep(Duration::from_secs(3));
@@ -59,20 +63,23 @@
     let mut at = 0;
     while since.elapsed().as_secs_f64() < END {
         check_time(&world)?;
-        let next = spells as f64 * PERIOD + 1.0;
+        let next = 1.0 + (spells as u64 * SPELL_MS) as f64 / 1e3;
         if trouble && spells < SPELLS && since.elapsed().as_secs_f64() > next {
             spells += 1;
             for (at, instance) in instances.iter().enumerate() {
-                instance.tell(&format!("shed 0.15 {SPELL_MS}"));
-                if REPEATING.contains(&at) {
-                    instance.tell(&format!("repeat 0.03 {SPELL_MS}"));
+                instance.tell(&format!("shed {SHED} {SPELL_MS}"));
+                if at % ZONES < REPEATING {
+                    instance.tell(&format!("repeat {REPEATED} {SPELL_MS}"));
                 }
             }
         }
-        let (to, place) = (record.clone(), places[at % INSTANCES].clone());
+        let (to, place) = (record.clone(), places[at % places.len()].clone());
+        let service = place.service.clone();
         at += 1;
         requests.push(thread::spawn(move || {
-            world::request(&to, &place, HOST, PATH, PATIENCE_MS)
+            let (host, path) =
+                (format!("{service}.example"), format!("/{service}/new/"));
+            world::request(&to, &place, &host, &path, PATIENCE_MS)
         }));
         thread::sleep(PAUSE);
     }
--- a/review/standin/cases/uploads.rs
+++ b/review/standin/cases/uploads.rs
@@ -25,8 +25,9 @@
 /// The length of an upload; the limit `maxBodyBytes` is 64 MiB.
 const UPLOAD_BYTES: usize = 12 << 20;
 
-/// Uploads that clients of one machine send at once.
+/// Uploads that clients of one machine send, and the pause between two.
 const UPLOADS: usize = 6;
+const PAUSE: f64 = 0.35;
 
 /// When they come, in seconds.
 const WAVES: [f64; 3] = [4.0, 16.0, 28.0];
@@ -224,10 +225,11 @@
     let send = |at: usize| {
         let (record, body) = (record.clone(), body.clone());
         let place = places[at % places.len()].clone();
+        let after = (at / places.len()) as f64 * PAUSE;
         thread::spawn(move || {
             let mut served = 0;
             for wave in WAVES {
-                let begin = start + Duration::from_secs_f64(wave);
+                let begin = start + Duration::from_secs_f64(wave + after);
                 let left = begin.saturating_duration_since(Instant::now());
                 thread::sleep(left);
                 served += usize::from(upload(&record, &place, &body));
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -25,8 +25,8 @@
 
 use crate::http::{self, Message};
 
-/// How long it takes to turn a request away.
-const TURN_AWAY_TIME: Duration = Duration::from_millis(30);
+/// How long it takes to turn a request away: between these, by the draw.
+const TURN_AWAY_MS: (f64, f64) = (25.0, 55.0);
 
 /// Idle connections are closed after this time.
 const IDLE_CLOSE: Duration = Duration::from_secs(10);
@@ -35,7 +35,22 @@
 #[derive(Default)]
 struct Spell {
     share_until: Mutex<Option<(f64, Instant)>>,
-    draws: AtomicU64,
+    draws: Draws,
+}
+
+/// A fixed sequence of numbers that are spread over 0 to 1.
+#[derive(Default)]
+struct Draws(AtomicU64);
+
+impl Draws {
+    fn next(&self) -> f64 {
+        let draw = self.0.fetch_add(1, Ordering::Relaxed) + 1;
+        let mut mixed = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        mixed as f64 / u64::MAX as f64
+    }
 }
 
 impl Spell {
@@ -52,12 +67,7 @@
         if Instant::now() >= until {
             return false;
         }
-        let draw = self.draws.fetch_add(1, Ordering::Relaxed) + 1;
-        let mut mixed = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^= mixed >> 31;
-        (mixed as f64 / u64::MAX as f64) < share
+        self.draws.next() < share
     }
 }
 
@@ -84,6 +94,8 @@
     loses: Spell,
     /// The requests that are turned away.
     sheds: Spell,
+    /// How long it takes to turn them away.
+    delays: Draws,
     /// The answers that are sent once more.
     repeats: Spell,
 }
@@ -111,6 +123,7 @@
         freed: Condvar::new(),
         loses: Spell::default(),
         sheds: Spell::default(),
+        delays: Draws::default(),
         repeats: Spell::default(),
     });
     let commands = instance.clone();
@@ -268,10 +281,13 @@
             let expected = expected.unwrap_or_default();
             log(&format!("421 {id}: {} isn't {expected}", self.id));
             let status = "421 Misdirected Request";
-            return http::respond(stream, status, &name, "");
+            let headers = format!("Walnutmoor-Attempt-Id: {id}\r\n{name}");
+            return http::respond(stream, status, &headers, "");
         }
         if self.sheds.draw() {
-            thread::sleep(TURN_AWAY_TIME);
+            let (least, most) = TURN_AWAY_MS;
+            let time = least + (most - least) * self.delays.next();
+            thread::sleep(Duration::from_secs_f64(time / 1e3));
             log(&format!("turns away {id} at {}", self.id));
             let headers = format!(
                 "Walnutmoor-Attempt-Id: {id}\r\n{load}\
@@ -284,9 +300,12 @@
         let left = left.and_then(|l| l.parse().ok()).unwrap_or(30_000);
         let deadline = Instant::now() + Duration::from_millis(left);
         if !self.take_slot(deadline) {
-            let headers = "Walnutmoor-Not-Executed: 1\r\n";
+            let headers = format!(
+                "Walnutmoor-Attempt-Id: {id}\r\n\
+                 Walnutmoor-Not-Executed: 1\r\n"
+            );
             let status = "503 Service Unavailable";
-            return http::respond(stream, status, headers, "");
+            return http::respond(stream, status, &headers, "");
         }
         log(&format!("runs {id} at {}", self.id));
         let left = deadline.saturating_duration_since(Instant::now());
