--- a/review/rig/src/client.rs
+++ b/review/rig/src/client.rs
@@ -34,24 +34,40 @@
     }
 
     fn connect(&self) -> std::io::Result<BufReader<TcpStream>> {
-        let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
+        let stream =
+            TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
         Ok(BufReader::new(stream))
     }
 
     /// Sends a request and returns its response; `None` without one.
-    pub fn send(&mut self, record: &Record, request: &Request<'_>) -> Option<Message> {
-        record.line(&format!("sent {} {} {}", request.attempt, request.method, request.path));
+    pub fn send(
+        &mut self,
+        record: &Record,
+        request: &Request<'_>,
+    ) -> Option<Message> {
+        record.line(&format!(
+            "sent {} {} {}",
+            request.attempt, request.method, request.path
+        ));
         let answer = self.exchange(request);
         match &answer {
             Ok(answer) => {
-                record.line(&format!("answered {} {}", request.attempt, answer.status()));
-                if answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+                record.line(&format!(
+                    "answered {} {}",
+                    request.attempt,
+                    answer.status()
+                ));
+                if answer
+                    .header("connection")
+                    .is_some_and(|c| c.eq_ignore_ascii_case("close"))
+                {
                     self.stream = None;
                 }
             }
             Err(error) => {
-                record.line(&format!("unanswered {} {error}", request.attempt));
+                record
+                    .line(&format!("unanswered {} {error}", request.attempt));
                 self.stream = None;
             }
         }
--- a/review/rig/src/config.rs
+++ b/review/rig/src/config.rs
@@ -26,7 +26,12 @@
     )
 }
 
-fn ask(world: &World, clients: &mut [Client], number: &mut u64, path: &str) -> Vec<u16> {
+fn ask(
+    world: &World,
+    clients: &mut [Client],
+    number: &mut u64,
+    path: &str,
+) -> Vec<u16> {
     let mut statuses = Vec::new();
     for client in clients {
         *number += 1;
@@ -58,8 +63,11 @@
         return None;
     }
     pause(5_000);
-    let mut clients: Vec<Client> =
-        world.nodes.iter().map(|node| Client::new(node.setup.callers)).collect();
+    let mut clients: Vec<Client> = world
+        .nodes
+        .iter()
+        .map(|node| Client::new(node.setup.callers))
+        .collect();
     let mut number = 0;
     let before = ask(world, &mut clients, &mut number, "/kept/1");
     if before.iter().any(|status| *status != 200) {
@@ -72,7 +80,9 @@
     }
     pause(CALM_MS);
     world.store.write("config", "main", &config(9, &["kept", "new"]));
-    world.record.say("the store confirms version 9, which adds a route and drops one");
+    world
+        .record
+        .say("the store confirms version 9, which adds a route and drops one");
     pause(CONFIG_MS + 200);
     let since = world.record.now();
     let (mut asked, mut refused, mut ran) = (0, 0, 0);
--- a/review/rig/src/drain.rs
+++ b/review/rig/src/drain.rs
@@ -68,7 +68,8 @@
     }
     pause(3_000);
     let cut_at = world.record.now();
-    let ports: Vec<u16> = world.peers.iter().map(|p| p.address.port()).collect();
+    let ports: Vec<u16> =
+        world.peers.iter().map(|p| p.address.port()).collect();
     if trouble {
         world.record.say("node-1 is cut off from all machines and the store");
         world.peers[0].lose(&ports);
@@ -85,7 +86,9 @@
     let line = format!("DELETE /instances/{} HTTP/1.1", leaving.id);
     let status = call(leaving.control, &line, "");
     let acknowledged = world.record.now();
-    world.record.say(&format!("the goodbye of {} is answered {status}", leaving.id));
+    world
+        .record
+        .say(&format!("the goodbye of {} is answered {status}", leaving.id));
     if status != 200 {
         return None;
     }
@@ -96,7 +99,10 @@
     world.record.say("node-1 is started");
     pause(600);
     let status = leaving.put(sequence, &late);
-    world.record.say(&format!("the late report of {} is answered {status}", leaving.id));
+    world.record.say(&format!(
+        "the late report of {} is answered {status}",
+        leaving.id
+    ));
     let left = cut_at + CUT_MS - world.record.now();
     pause(left.max(0.0) as u64);
     if trouble {
@@ -115,15 +121,22 @@
     }
     let runs = world.record.runs.lock().unwrap();
     let reached = |from: f64| {
-        runs.iter().filter(|run| run.instance == leaving.id && run.at > from).count()
+        runs.iter()
+            .filter(|run| run.instance == leaving.id && run.at > from)
+            .count()
     };
-    let before = runs.iter().filter(|run| run.instance == leaving.id && run.at < cut_at).count();
+    let before = runs
+        .iter()
+        .filter(|run| run.instance == leaving.id && run.at < cut_at)
+        .count();
     let late = reached(acknowledged + DRAIN_MS);
     let in_touch = reached((acknowledged + DRAIN_MS).max(calm));
     let failed = failed.lock().unwrap();
     let lost = runs
         .iter()
-        .filter(|run| run.instance == leaving.id && run.at > acknowledged + DRAIN_MS)
+        .filter(|run| {
+            run.instance == leaving.id && run.at > acknowledged + DRAIN_MS
+        })
         .filter(|run| failed.contains(&run.attempt))
         .count();
     world.record.say(&format!("{lost} of the requests that reached it so late began to run and were not answered with success"));
--- a/review/rig/src/http.rs
+++ b/review/rig/src/http.rs
@@ -14,7 +14,8 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found =
+            self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -43,7 +44,8 @@
 
 /// Reads one message; an error at the end of the connection.
 pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Message> {
-    let mut message = Message { line: read_line(reader)?, ..Message::default() };
+    let mut message =
+        Message { line: read_line(reader)?, ..Message::default() };
     loop {
         let line = read_line(reader)?;
         if line.is_empty() {
@@ -56,7 +58,8 @@
     if message.header("transfer-encoding").is_some() {
         loop {
             let size = usize::from_str_radix(read_line(reader)?.trim(), 16);
-            let size = size.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            let size =
+                size.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
             let mut part = vec![0; size];
             reader.read_exact(&mut part)?;
             message.body.extend(part);
--- a/review/rig/src/instance.rs
+++ b/review/rig/src/instance.rs
@@ -40,7 +40,8 @@
         control: SocketAddr,
         record: &Arc<Record>,
     ) -> Arc<Instance> {
-        let listener = TcpListener::bind(address).expect("the instance's port is free");
+        let listener =
+            TcpListener::bind(address).expect("the instance's port is free");
         let instance = Arc::new(Instance {
             id: id.into(),
             service: service.into(),
@@ -95,7 +96,8 @@
     pub fn put(&self, sequence: u64, body: &str) -> u16 {
         let line = format!("PUT /instances/{} HTTP/1.1", self.id);
         let status = call(self.control, &line, body);
-        self.record.line(&format!("report {} {sequence} answered {status}", self.id));
+        self.record
+            .line(&format!("report {} {sequence} answered {status}", self.id));
         status
     }
 
@@ -120,23 +122,46 @@
         }
     }
 
-    fn answer(&self, stream: &mut TcpStream, request: &http::Message) -> std::io::Result<()> {
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        request: &http::Message,
+    ) -> std::io::Result<()> {
         let running = self.running.load(Ordering::SeqCst);
         let load = format!("{running},0,{}", self.slots);
         let load = ("Walnutmoor-Server-Load", load.as_str());
         let id = ("Walnutmoor-Instance-Id", self.id.as_str());
         let keep = ("Keep-Alive", "timeout=10");
         if request.word(1) == "/health" {
-            return http::write(stream, "HTTP/1.1 200 OK", &[load, id, keep], b"");
+            return http::write(
+                stream,
+                "HTTP/1.1 200 OK",
+                &[load, id, keep],
+                b"",
+            );
         }
-        let attempt = request.header("Walnutmoor-Attempt-Id").unwrap_or("").to_string();
+        let attempt =
+            request.header("Walnutmoor-Attempt-Id").unwrap_or("").to_string();
         let echo = ("Walnutmoor-Attempt-Id", attempt.as_str());
-        if request.header("Walnutmoor-Expect-Instance").is_some_and(|e| e != self.id) {
-            return http::write(stream, "HTTP/1.1 421 Misdirected Request", &[id, echo], b"");
+        if request
+            .header("Walnutmoor-Expect-Instance")
+            .is_some_and(|e| e != self.id)
+        {
+            return http::write(
+                stream,
+                "HTTP/1.1 421 Misdirected Request",
+                &[id, echo],
+                b"",
+            );
         }
         if running >= self.slots as u64 {
             let not = ("Walnutmoor-Not-Executed", "1");
-            return http::write(stream, "HTTP/1.1 503 Service Unavailable", &[not, load, echo], b"");
+            return http::write(
+                stream,
+                "HTTP/1.1 503 Service Unavailable",
+                &[not, load, echo],
+                b"",
+            );
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         let tenant = request.header("Walnutmoor-Tenant").unwrap_or("-");
@@ -145,21 +170,38 @@
         self.running.fetch_sub(1, Ordering::SeqCst);
         let stamp = format!("{}.{attempt}", self.id);
         let stamp = ("Walnutmoor-Server-Stamp", stamp.as_str());
-        let mut body = format!("{} ran {attempt} {} ", self.id, request.word(1));
-        body.push_str(&"x".repeat(self.answer_bytes.saturating_sub(body.len())));
-        http::write(stream, "HTTP/1.1 200 OK", &[echo, stamp, load, keep], body.as_bytes())
+        let mut body =
+            format!("{} ran {attempt} {} ", self.id, request.word(1));
+        body.push_str(
+            &"x".repeat(self.answer_bytes.saturating_sub(body.len())),
+        );
+        http::write(
+            stream,
+            "HTTP/1.1 200 OK",
+            &[echo, stamp, load, keep],
+            body.as_bytes(),
+        )
     }
 }
 
 /// Sends one call on a connection of its own; returns the status, or 0.
 pub fn call(address: SocketAddr, line: &str, body: &str) -> u16 {
-    let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return 0 };
+    let Ok(stream) =
+        TcpStream::connect_timeout(&address, Duration::from_secs(1))
+    else {
+        return 0;
+    };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
     let Ok(reading) = stream.try_clone() else { return 0 };
     let mut stream = stream;
-    let headers = [("Host", "node"), ("Content-Type", "application/json"), ("Connection", "close")];
+    let headers = [
+        ("Host", "node"),
+        ("Content-Type", "application/json"),
+        ("Connection", "close"),
+    ];
     if http::write(&mut stream, line, &headers, body.as_bytes()).is_err() {
         return 0;
     }
-    http::read(&mut BufReader::new(reading)).map_or(0, |answer| answer.status())
+    http::read(&mut BufReader::new(reading))
+        .map_or(0, |answer| answer.status())
 }
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -12,6 +12,7 @@
 mod proxy;
 mod quota;
 mod record;
+mod sessions;
 mod store;
 mod world;
 
@@ -29,13 +30,15 @@
     let root = std::env::current_dir().expect("a working directory");
     let record = PathBuf::from(folder).join("record.txt");
     let record = Arc::new(record::Record::create(&record));
-    let scratch = std::env::temp_dir().join(format!("rig-{}", std::process::id()));
+    let scratch =
+        std::env::temp_dir().join(format!("rig-{}", std::process::id()));
     std::fs::create_dir_all(&scratch).expect("a temporary folder");
     let mut world = world::World::new(&root, &scratch, &record);
     // A stand-in that can't go on is no finding.
     let play = || match case.as_str() {
         "quota" => quota::play(&mut world, trouble),
         "memory" => memory::play(&mut world, trouble),
+        "sessions" => sessions::play(&mut world, trouble),
         "config" => config::play(&mut world, trouble),
         "drain" => drain::play(&mut world, trouble),
         _ => None,
--- a/review/rig/src/memory.rs
+++ b/review/rig/src/memory.rs
@@ -41,9 +41,14 @@
 
 /// The memory of a process that is not shared or swapped out, in MB.
 fn memory_mb(process: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = text.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("");
-    let kb = line.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok());
+    let text = std::fs::read_to_string(format!("/proc/{process}/status"))
+        .unwrap_or_default();
+    let line =
+        text.lines().find(|line| line.starts_with("VmRSS")).unwrap_or("");
+    let kb = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|text| text.parse::<u64>().ok());
     kb.unwrap_or(0) / 1_024
 }
 
@@ -70,7 +75,8 @@
         };
         for client in 0..count {
             let address = world.nodes[node].setup.callers;
-            let (stop, open, record) = (stop.clone(), open[node].clone(), world.record.clone());
+            let (stop, open, record) =
+                (stop.clone(), open[node].clone(), world.record.clone());
             clients.push(thread::spawn(move || {
                 let mut connection = Client::new(address);
                 let mut lost = Vec::new();
@@ -99,7 +105,9 @@
                         pause(100);
                     }
                     if node > 0 {
-                        thread::sleep(Duration::from_secs_f64(1.0 / RATE - 0.016));
+                        thread::sleep(Duration::from_secs_f64(
+                            1.0 / RATE - 0.016,
+                        ));
                     }
                 }
                 lost
@@ -111,10 +119,13 @@
     stop.store(true, Ordering::SeqCst);
     let own = clients.drain(..OWN_CLIENTS).collect::<Vec<_>>();
     clients.into_iter().for_each(|client| drop(client.join()));
-    let lost: Vec<String> =
-        own.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+    let lost: Vec<String> = own
+        .into_iter()
+        .flat_map(|client| client.join().unwrap_or_default())
+        .collect();
     let runs = world.record.runs.lock().unwrap();
-    let passed_on = |attempt: &&String| runs.iter().any(|run| run.attempt == **attempt);
+    let passed_on =
+        |attempt: &&String| runs.iter().any(|run| run.attempt == **attempt);
     let count = lost.iter().filter(passed_on).count();
     world.record.say(&format!(
         "LOST: {count} requests of kept connections at node-1 reached its sound instance and got no answer, 3 allowed; node-1 was killed by the platform: {killed}"
--- a/review/rig/src/node.rs
+++ b/review/rig/src/node.rs
@@ -45,7 +45,12 @@
 }
 
 impl Setup {
-    pub fn new(name: &str, zone: &str, service: &str, store: SocketAddr) -> Setup {
+    pub fn new(
+        name: &str,
+        zone: &str,
+        service: &str,
+        store: SocketAddr,
+    ) -> Setup {
         Setup {
             name: name.into(),
             zone: zone.into(),
@@ -63,7 +68,10 @@
     }
 
     fn text(&self) -> String {
-        let advertise = self.advertise.map(|a| format!("advertise: \"{a}\"\n")).unwrap_or_default();
+        let advertise = self
+            .advertise
+            .map(|a| format!("advertise: \"{a}\"\n"))
+            .unwrap_or_default();
         format!(
             "name: \"{}\"\npeers: \"{}\"\n{advertise}zone: \"{}\"\nservice: \"{}\"\nserver: \"{}\"\ncallers: \"{}\"\nready: \"{}\"\ncontrol: \"{}\"\nmetrics: \"{}\"\nstore: \"{}\"\ndescriptors: 4100\nmemory: 260\nbounds: {}\noverload:\n  reservations: true\n  ingress_wait: true\n  feasibility: true\n  zone_spill: true\n  keep_connections: true\n  handover: true\n",
             self.name, self.peers, self.zone, self.service, self.server, self.callers, self.ready,
@@ -122,9 +130,13 @@
         self.child = spawn(&self.root, &self.file, &self.log);
     }
 
+    pub fn log_path(&self) -> PathBuf {
+        self.log.clone()
+    }
 
     pub fn is_ready(&self) -> bool {
-        crate::instance::call(self.setup.ready, "GET /ready HTTP/1.1", "") == 200
+        crate::instance::call(self.setup.ready, "GET /ready HTTP/1.1", "")
+            == 200
     }
 }
 
--- a/review/rig/src/proxy.rs
+++ b/review/rig/src/proxy.rs
@@ -18,15 +18,14 @@
     lost: Mutex<Vec<u16>>,
     /// True while all bytes are lost.
     cut: AtomicBool,
+    /// The open connections, with the port of their sender once known.
+    open: Mutex<Vec<(Arc<AtomicU64>, TcpStream, TcpStream)>>,
 }
 
 impl Proxy {
     pub fn start(target: SocketAddr) -> Arc<Proxy> {
-        let listener = TcpListener::bind(crate::node::free()).expect("a free port");
-        Proxy::start_at(listener, target)
-    }
-
-    pub fn start_at(listener: TcpListener, target: SocketAddr) -> Arc<Proxy> {
+        let listener =
+            TcpListener::bind(crate::node::free()).expect("a free port");
         let address = listener.local_addr().expect("a bound port");
         let proxy = Arc::new(Proxy {
             address,
@@ -34,11 +33,13 @@
             count: AtomicU64::new(0),
             lost: Mutex::default(),
             cut: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let accepting = proxy.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let number = accepting.count.fetch_add(1, Ordering::SeqCst) + 1;
+                let number =
+                    accepting.count.fetch_add(1, Ordering::SeqCst) + 1;
                 let proxy = accepting.clone();
                 thread::spawn(move || proxy.forward(stream, target, number));
             }
@@ -48,7 +49,8 @@
 
     /// Makes all open connections silent for good.
     pub fn silence(&self) {
-        self.silent_up_to.store(self.count.load(Ordering::SeqCst), Ordering::SeqCst);
+        self.silent_up_to
+            .store(self.count.load(Ordering::SeqCst), Ordering::SeqCst);
     }
 
     /// Sets the senders whose path is lost.
@@ -56,20 +58,51 @@
         *self.lost.lock().unwrap() = ports.to_vec();
     }
 
+    /// Closes the open connections of a sender.
+    pub fn reset(&self, port: u16) {
+        let mut open = self.open.lock().unwrap();
+        open.retain(|(sender, client, server)| {
+            if sender.load(Ordering::SeqCst) != u64::from(port) {
+                return true;
+            }
+            let _ = client.shutdown(Shutdown::Both);
+            let _ = server.shutdown(Shutdown::Both);
+            false
+        });
+    }
+
     /// Begins or ends the loss of all bytes.
     pub fn cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
     }
 
-    fn forward(self: Arc<Proxy>, client: TcpStream, target: SocketAddr, number: u64) {
+    fn forward(
+        self: Arc<Proxy>,
+        client: TcpStream,
+        target: SocketAddr,
+        number: u64,
+    ) {
         let Ok(server) = TcpStream::connect(target) else { return };
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let sender = Arc::new(AtomicU64::new(0));
+        if let (Ok(client), Ok(server)) =
+            (client.try_clone(), server.try_clone())
+        {
+            let kept = (sender.clone(), client, server);
+            let mut open = self.open.lock().unwrap();
+            // Those that have ended are held by nobody else.
+            open.retain(|(sender, ..)| Arc::strong_count(sender) > 1);
+            open.push(kept);
+        }
         let pairs = [(&client, &server, true), (&server, &client, false)];
         for (from, to, from_client) in pairs {
-            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
+            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
+                return;
+            };
             let (proxy, sender) = (self.clone(), sender.clone());
-            thread::spawn(move || proxy.copy(from, to, number, from_client, &sender));
+            thread::spawn(move || {
+                proxy.copy(from, to, number, from_client, &sender)
+            });
         }
     }
 
@@ -93,7 +126,10 @@
         let mut lost = false;
         loop {
             let count = from.read(&mut bytes).unwrap_or(0);
-            if from_client && sender.load(Ordering::SeqCst) == 0 && first.len() < 256 {
+            if from_client
+                && sender.load(Ordering::SeqCst) == 0
+                && first.len() < 256
+            {
                 first.extend_from_slice(&bytes[..count]);
                 if let Some(port) = sender_port(&first) {
                     sender.store(u64::from(port), Ordering::SeqCst);
--- a/review/rig/src/quota.rs
+++ b/review/rig/src/quota.rs
@@ -56,7 +56,8 @@
     for node in 0..NODES {
         for tenant in 0..TENANTS {
             let address = world.nodes[node].setup.callers;
-            let (stop, sent, record) = (stop.clone(), sent.clone(), world.record.clone());
+            let (stop, sent, record) =
+                (stop.clone(), sent.clone(), world.record.clone());
             let offered = if tenant < HOT { HOT_OFFERED } else { OFFERED };
             let every = Duration::from_secs_f64(1.0 / offered);
             clients.push(thread::spawn(move || {
@@ -96,7 +97,11 @@
     let pairs = (1..NODES).flat_map(|b| (0..b).map(move |a| (a, b)));
     for (a, b) in pairs {
         if trouble {
-            let text = format!("node-{} and node-{} lose the path to each other", a + 1, b + 1);
+            let text = format!(
+                "node-{} and node-{} lose the path to each other",
+                a + 1,
+                b + 1
+            );
             world.record.say(&text);
             world.peers[a].lose(&[world.peers[b].address.port()]);
             world.peers[b].lose(&[world.peers[a].address.port()]);
@@ -122,7 +127,8 @@
 
 /// Counts the requests of each tenant that were sent and arrived in a window.
 fn judge(world: &World, sent: &HashMap<String, f64>) -> Option<bool> {
-    let allowed = (RATE * WINDOW_MS / 1_000.0 + BURST) * (1.0 + OVERAGE) + SLACK;
+    let allowed =
+        (RATE * WINDOW_MS / 1_000.0 + BURST) * (1.0 + OVERAGE) + SLACK;
     let mut by_tenant: HashMap<String, Vec<(f64, f64)>> = HashMap::new();
     let mut counted = HashSet::new();
     for run in world.record.runs.lock().unwrap().iter() {
@@ -138,17 +144,27 @@
     let (mut over, mut most_of_all) = (0, 0);
     for (tenant, runs) in &tenants {
         let within = |from: f64| {
-            runs.iter().filter(|(s, at)| *s >= from && *at <= from + WINDOW_MS).count()
+            runs.iter()
+                .filter(|(s, at)| *s >= from && *at <= from + WINDOW_MS)
+                .count()
         };
-        let most = runs.iter().map(|(s, _)| (within(*s), *s)).max_by_key(|(count, _)| *count);
+        let most = runs
+            .iter()
+            .map(|(s, _)| (within(*s), *s))
+            .max_by_key(|(count, _)| *count);
         let (most, from) = most.unwrap_or((0, 0.0));
         most_of_all = most_of_all.max(most);
-        world.record.line(&format!("tenant {tenant}: at most {most} in a window, from {from:.0} ms"));
+        world.record.line(&format!(
+            "tenant {tenant}: at most {most} in a window, from {from:.0} ms"
+        ));
         if most as f64 > allowed {
             over += 1;
             world.record.say(&format!("QUOTA: {tenant}: {most} in 5 s from {:.1} s, {allowed:.0} allowed", from / 1_000.0));
         }
     }
-    world.record.say(&format!("{over} of {} tenants over; most {most_of_all}, {allowed:.0} allowed", tenants.len()));
+    world.record.say(&format!(
+        "{over} of {} tenants over; most {most_of_all}, {allowed:.0} allowed",
+        tenants.len()
+    ));
     (tenants.len() == TENANTS).then_some(over > 0)
 }
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -83,16 +83,23 @@
 
 fn query(target: &str, name: &str) -> Option<String> {
     let (_, query) = target.split_once('?')?;
-    let pair = query.split('&').find_map(|part| part.split_once('=').filter(|(n, _)| *n == name));
+    let pair = query
+        .split('&')
+        .find_map(|part| part.split_once('=').filter(|(n, _)| *n == name));
     pair.map(|(_, value)| value.to_string())
 }
 
 impl Store {
     pub fn start() -> Arc<Store> {
-        let listener = TcpListener::bind(crate::node::free()).expect("a free port");
+        let listener =
+            TcpListener::bind(crate::node::free()).expect("a free port");
         let address = listener.local_addr().expect("a bound port");
         let data = Data { revision: 100, ..Data::default() };
-        let store = Arc::new(Store { address, data: Mutex::new(data), changed: Condvar::new() });
+        let store = Arc::new(Store {
+            address,
+            data: Mutex::new(data),
+            changed: Condvar::new(),
+        });
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -114,7 +121,9 @@
             let (status, body) = self.handle(&request);
             let line = format!("HTTP/1.1 {status} X");
             let headers = [("Content-Type", "application/json")];
-            if http::write(&mut stream, &line, &headers, body.as_bytes()).is_err() {
+            if http::write(&mut stream, &line, &headers, body.as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
@@ -140,7 +149,10 @@
                 }
             }
             ("POST", None) => {
-                let name = field(&body, "name").unwrap_or("\"\"").trim_matches('"').to_string();
+                let name = field(&body, "name")
+                    .unwrap_or("\"\"")
+                    .trim_matches('"')
+                    .to_string();
                 let spec = field(&body, "spec").unwrap_or("null").to_string();
                 let found = {
                     let data = self.data.lock().unwrap();
@@ -153,17 +165,22 @@
             }
             ("PUT", Some(name)) => {
                 let spec = field(&body, "spec").unwrap_or("null").to_string();
-                let expected = query(&target, "revision").and_then(|text| text.parse::<u64>().ok());
+                let expected = query(&target, "revision")
+                    .and_then(|text| text.parse::<u64>().ok());
                 let found = {
                     let data = self.data.lock().unwrap();
                     data.objects.get(&(kind.clone(), name.clone())).cloned()
                 };
                 match found {
                     None => (404, "{}".into()),
-                    Some(object) if expected.is_some_and(|e| e != object.revision) => {
+                    Some(object)
+                        if expected.is_some_and(|e| e != object.revision) =>
+                    {
                         (409, render(&name, &object))
                     }
-                    Some(object) if object.spec == spec => (200, render(&name, &object)),
+                    Some(object) if object.spec == spec => {
+                        (200, render(&name, &object))
+                    }
                     Some(_) => (200, self.write(&kind, &name, &spec)),
                 }
             }
@@ -174,9 +191,15 @@
                     Some(object) => {
                         data.revision += 1;
                         let revision = data.revision;
-                        let text = render(&name, &Object { revision, ..object });
-                        let event = format!("{{\"removed\":true,\"object\":{text}}}");
-                        data.history.push(Event { revision, kind, text: event });
+                        let text =
+                            render(&name, &Object { revision, ..object });
+                        let event =
+                            format!("{{\"removed\":true,\"object\":{text}}}");
+                        data.history.push(Event {
+                            revision,
+                            kind,
+                            text: event,
+                        });
                         self.changed.notify_all();
                         (200, text)
                     }
@@ -208,14 +231,19 @@
             .filter(|((k, _), _)| k == kind)
             .map(|((_, name), object)| render(name, object))
             .collect();
-        let text =
-            format!("{{\"items\":[{}],\"hasMore\":false,\"asOf\":{}}}", items.join(","), data.revision);
+        let text = format!(
+            "{{\"items\":[{}],\"hasMore\":false,\"asOf\":{}}}",
+            items.join(","),
+            data.revision
+        );
         (200, text)
     }
 
     fn watch(&self, kind: &str, since: &str, target: &str) -> (u16, String) {
         let since: u64 = since.parse().unwrap_or(0);
-        let wait = query(target, "waitMs").and_then(|t| t.parse().ok()).unwrap_or(1_000u64);
+        let wait = query(target, "waitMs")
+            .and_then(|t| t.parse().ok())
+            .unwrap_or(1_000u64);
         let end = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut data = self.data.lock().unwrap();
         loop {
@@ -227,7 +255,11 @@
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let text = format!("{{\"events\":[{}],\"asOf\":{}}}", events.join(","), data.revision);
+                let text = format!(
+                    "{{\"events\":[{}],\"asOf\":{}}}",
+                    events.join(","),
+                    data.revision
+                );
                 return (200, text);
             }
             data = self.changed.wait_timeout(data, left).unwrap().0;
--- a/review/rig/src/world.rs
+++ b/review/rig/src/world.rs
@@ -1,5 +1,6 @@
 //! A small deployment: a store, and nodes with an instance each.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
@@ -43,21 +44,51 @@
     }
 
     /// Starts an instance and the node beside it, behind two proxies.
-    pub fn add(&mut self, service: &str, zone: &str, slots: usize, work_ms: u64) {
-        let number = self.nodes.len() + 1;
+    pub fn add(
+        &mut self,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        work_ms: u64,
+    ) {
         let store = Proxy::start(self.store.address);
-        let mut setup = Setup::new(&format!("node-{number}"), zone, service, store.address);
+        let mut setup = self.setup(service, zone, store.address);
         let peers = Proxy::start(setup.peers);
         setup.advertise = Some(peers.address);
-        let id = format!("i-{number:02}a");
+        self.start(setup, slots, work_ms);
+        self.peers.push(peers);
+        self.stores.push(store);
+    }
+
+    /// Starts an instance and the node beside it, without proxies. No node
+    /// with proxies is added after it.
+    pub fn add_plain(
+        &mut self,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        work_ms: u64,
+    ) {
+        let setup = self.setup(service, zone, self.store.address);
+        self.start(setup, slots, work_ms);
+    }
+
+    fn setup(&self, service: &str, zone: &str, store: SocketAddr) -> Setup {
+        let name = format!("node-{}", self.nodes.len() + 1);
+        Setup::new(&name, zone, service, store)
+    }
+
+    fn start(&mut self, setup: Setup, slots: usize, work_ms: u64) {
+        let id = format!("i-{:02}a", self.nodes.len() + 1);
         let work = Duration::from_millis(work_ms);
+        let (service, zone) = (setup.service.clone(), setup.zone.clone());
         let (server, control) = (setup.server, setup.control);
         self.nodes.push(Node::start(&self.root, &self.folder, setup));
-        let instance =
-            Instance::start(&id, service, zone, slots, work, server, control, &self.record);
+        let record = &self.record;
+        let instance = Instance::start(
+            &id, &service, &zone, slots, work, server, control, record,
+        );
         self.instances.push(instance);
-        self.peers.push(peers);
-        self.stores.push(store);
     }
 
     /// Waits until all nodes are ready; false if they don't get so.
