Log and count the evidence for each call reported as not run

A reply that a call has not run carried no reason that a log could show: it was one flag, whether the instance had received it. It now names its evidence (declined, unsent, rejected, never received). A not_run line tells, for all but the first, which connection to the instance carried the call and how many requests before it, whether the response named an id, or which numbers the session of the other node had seen; refused lines name the evidence of every reply; counters sum them by kind. No decision changes. The frames do: protocol version 8.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod platform;
 pub mod poison;
 pub mod profile;
+pub mod proof;
 pub mod queue;
 pub mod quota;
 pub mod rate_limit;
--- a/crates/walnutmoor/src/command/explain.rs
+++ b/crates/walnutmoor/src/command/explain.rs
@@ -109,6 +109,7 @@
                  route calls rejects"
             }
             "refused" => "it was refused and has not run",
+            "not_run" => "its call was reported as not run",
             "unknown" => "it failed, and may have run",
             "retry" => "it is retried on another instance",
             "shares" => "the instance is short and its accounts have shares",
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -19,6 +19,7 @@
     footprint::Footprint,
     id::{Account, CallId, NodeId, RouteKey, Service},
     poison::{self, Fingerprint, Placement, Standing},
+    proof::Proof,
     rate_limit::Limited,
     retry_state::{self, Decision, Outcome},
     share::Root,
@@ -93,6 +94,8 @@
     /// The last node whose instance did not get it for its rate limit, and
     /// that limit.
     pub limited: Option<(NodeId, Limited)>,
+    /// The evidence of each reply that it had not run, in order.
+    pub proofs: Vec<Proof>,
 }
 
 /// The result of a dispatched request.
@@ -115,6 +118,16 @@
     Failed(Kind),
 }
 
+impl End {
+    /// The status with which an instance answered.
+    pub(super) fn status(&self) -> Option<u16> {
+        match self {
+            End::Answered { status, .. } => Some(*status),
+            End::Refused(..) | End::Failed(_) => None,
+        }
+    }
+}
+
 /// A request sent to one node. It is canceled there if dropped before the
 /// reply.
 struct Attempt<'a> {
@@ -174,7 +187,8 @@
     let end = send_with_retries(state, request, &mut progress).await;
     let runs = progress.retry_state.runs();
     let tried = progress.retry_state.tried().to_vec();
-    Finished { end, tried, runs, limited: progress.limited }
+    let Progress { limited, proofs, .. } = progress;
+    Finished { end, tried, runs, limited, proofs }
 }
 
 async fn send_with_retries(
@@ -307,6 +321,8 @@
     /// The last node whose instance did not get the request for its rate
     /// limit, and that limit.
     limited: Option<(NodeId, Limited)>,
+    /// The evidence of each reply that it had not run, in order.
+    proofs: Vec<Proof>,
 }
 
 impl Progress {
@@ -319,6 +335,7 @@
             failed_reply: None,
             rejection: None,
             limited: None,
+            proofs: Vec::new(),
         }
     }
 
@@ -334,8 +351,9 @@
         let outcome = classify_reply(state, node, &reply);
         let (why, kind) = match &reply {
             Reply::Answered { .. } => ("the instance failed", Kind::Broken),
-            Reply::NotRun { kind, retry, .. } => {
+            Reply::NotRun { kind, retry, proof } => {
                 self.rejection = Some((*kind, *retry));
+                self.proofs.push(*proof);
                 match kind {
                     Kind::Limited => {
                         self.record_limit(state, node);
@@ -460,7 +478,7 @@
             // instance.
             (outcome, (!call_refused).then_some(outcome == Outcome::Failed))
         }
-        Reply::NotRun { reached: true, .. } => {
+        Reply::NotRun { proof: Proof::Rejected, .. } => {
             (Outcome::InstanceRejected, Some(true))
         }
         Reply::NotRun { kind: Kind::Budget, .. } => {
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -42,6 +42,7 @@
     lifetime::Lifetime,
     poison::{Crash, Evidence, Fingerprint},
     profile::Profile,
+    proof::Proof,
     quota::{self, Request},
     rate_limit::Rate,
     share::{Report, Root},
@@ -117,7 +118,7 @@
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 7;
+pub const PROTOCOL_VERSION: u32 = 8;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -228,8 +229,8 @@
         kind: Kind,
         /// When a retry may be accepted.
         retry: Millis,
-        /// True if the instance received and rejected it.
-        reached: bool,
+        /// The evidence for that.
+        proof: Proof,
     },
     /// It may have run.
     Unknown(Kind),
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -16,6 +16,7 @@
     error::{Kind, Ran, Refusal},
     feasibility::Need,
     poison,
+    proof::Proof,
     reservation::{Flow, Told},
     table::{Effect, Route},
     time::Millis,
@@ -516,6 +517,11 @@
     poison::Hasher::new([method, host, path, account])
 }
 
+/// The names of evidence in logs.
+fn names(proofs: &[Proof]) -> Vec<&'static str> {
+    proofs.iter().map(|proof| proof.as_str()).collect()
+}
+
 /// The number of bytes of request bodies that the node may hold.
 fn max_held_bytes(state: &State) -> usize {
     let memory = (state.settings.memory << 20) as f64;
@@ -621,7 +627,7 @@
     request: &dispatch::Request,
     finished: Finished,
 ) -> Answer {
-    let Finished { end, tried, limited, .. } = finished;
+    let Finished { end, tried, limited, proofs, .. } = finished;
     let now = state.now();
     let after = now.since(in_flight.received_at);
     let waited = in_flight.waited;
@@ -647,6 +653,8 @@
         let nodes = tried.iter().map(ToString::to_string);
         let mut fields = vec![
             ("why", why.into()),
+            ("status", end.status().into()),
+            ("evidence", names(&proofs).into()),
             ("fingerprint", request.fingerprint.to_string().into()),
             ("tried", nodes.collect::<Vec<_>>().into()),
             ("rank", request.urgency.into()),
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -45,11 +45,35 @@
 /// is reused, so that the instance does not close it during a request.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
+/// The connection that a request was sent on, as named in logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Carrier {
+    /// Its number, in the order of opening.
+    pub number: u64,
+    /// The number of requests that it has carried, with this one.
+    pub sends: u64,
+}
+
+/// A complete response.
+#[derive(Debug)]
+pub struct Response {
+    /// Whether it is genuine.
+    pub verdict: Verdict,
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The complete body.
+    pub body: Bytes,
+    /// The connection that it arrived on.
+    pub carrier: Carrier,
+}
+
 /// The outcome of a request.
 #[derive(Debug)]
 pub enum Outcome {
-    /// A complete response, and whether it is genuine.
-    Response(Verdict, StatusCode, HeaderMap, Bytes),
+    /// A complete response.
+    Response(Response),
     /// The instance is unreachable; nothing was sent.
     Unreachable,
     /// The connection broke before the response was complete.
@@ -62,6 +86,7 @@
     task: AbortHandle,
     idle_since: Millis,
     idle_timeout: Millis,
+    carrier: Carrier,
 }
 
 impl Drop for Connection {
@@ -141,6 +166,8 @@
                     }
                 }
             };
+            connection.carrier.sends += 1;
+            let carrier = connection.carrier;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
@@ -160,7 +187,13 @@
                         }
                         _ => self.put_idle(now(), connection, &headers),
                     }
-                    return Outcome::Response(verdict, status, headers, body);
+                    return Outcome::Response(Response {
+                        verdict,
+                        status,
+                        headers,
+                        body,
+                        carrier,
+                    });
                 }
                 Err(mut error) => match error.take_message() {
                     // The connection was closed while it was idle.
@@ -263,7 +296,9 @@
             let _ = driver.await;
         });
         increment(&self.opened[reason as usize]);
+        let carrier = Carrier { number: self.opened(), sends: 0 };
         Some(Connection {
+            carrier,
             sender,
             task: task.abort_handle(),
             idle_since: now,
--- a/crates/walnutmoor/src/mesh/journal.rs
+++ b/crates/walnutmoor/src/mesh/journal.rs
@@ -83,6 +83,9 @@
     Answered,
     /// A request was rejected and did not run.
     Refused,
+    /// A call was reported to its sender as not run, by other evidence than
+    /// that it was not sent to the instance.
+    NotRun,
     /// A request failed and may have run.
     Unknown,
     /// A request is retried on another instance.
@@ -126,6 +129,7 @@
         Event::Suspicion,
         Event::Answered,
         Event::Refused,
+        Event::NotRun,
         Event::Unknown,
         Event::Retry,
         Event::Canceled,
@@ -159,6 +163,7 @@
             Event::Suspicion => "suspicion",
             Event::Answered => "answered",
             Event::Refused => "refused",
+            Event::NotRun => "not_run",
             Event::Unknown => "unknown",
             Event::Retry => "retry",
             Event::Canceled => "canceled",
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -19,7 +19,7 @@
 use super::{
     control::{self, Endpoint},
     departure, ingress,
-    instance::Outcome,
+    instance::{Outcome, Response},
     journal::{Event, Journal},
     link::{self, CHECK_INTERVAL},
     peer,
@@ -239,6 +239,7 @@
             ("connections_opened", opened(serve)),
             ("connections_closed", closed(serve)),
             ("canceled_runs", canceled(serve)),
+            ("not_run", not_run(serve)),
         ];
         let mut fields = fields.to_vec();
         if state.turns.is_enabled() {
@@ -266,6 +267,12 @@
     Value::Object(counts.collect())
 }
 
+fn not_run(serve: &Serve) -> Value {
+    let counts = serve.not_run.list().into_iter();
+    let counts = counts.map(|(proof, n)| (proof.as_str().into(), n.into()));
+    Value::Object(counts.collect())
+}
+
 /// Removes expired suspicions periodically.
 async fn expire_suspicions(state: Rc<State>) {
     let mut timer = interval(Duration::from_millis(SWEEP_INTERVAL.0));
@@ -314,7 +321,7 @@
     let clock = || state.now();
     let pool = &state.serve.pool;
     let answer = pool.send(clock, request, "", Effect::Idempotent).await;
-    let Outcome::Response(_, status, headers, _) = answer else {
+    let Outcome::Response(Response { status, headers, .. }) = answer else {
         return;
     };
     if let (Some(id), Some(load)) =
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -19,7 +19,12 @@
     header::{self, Verdict},
 };
 
-use super::{instance::Outcome, journal::Event, serve::Serve, state::State};
+use super::{
+    instance::{Outcome, Response},
+    journal::Event,
+    serve::Serve,
+    state::State,
+};
 
 impl Serve {
     /// The rate limit that the instance names, if any.
@@ -39,22 +44,39 @@
     ) {
         match outcome {
             Outcome::Broken(why) => log_broken(state, attempt, why),
-            Outcome::Response(Verdict::Untrusted, status, ..) => {
-                let why = format!("untrusted response with status {status}");
-                log_broken(state, attempt, &why);
-            }
-            Outcome::Response(Verdict::Misdirected, ..) => {}
-            Outcome::Response(verdict, _, headers, _) => {
-                if self.is_current(lifetime) {
-                    self.observe_speed(state, headers);
-                    self.observe_limit(state, sent_at, *verdict, headers);
-                    self.observe_leaving(state, lifetime, headers);
+            Outcome::Response(response) => match response.verdict {
+                Verdict::Untrusted => {
+                    let status = response.status;
+                    let why =
+                        format!("untrusted response with status {status}");
+                    log_broken(state, attempt, &why);
                 }
-            }
+                Verdict::Misdirected => {}
+                Verdict::Trusted | Verdict::NotRun => {
+                    self.observe_headers(state, sent_at, lifetime, response);
+                }
+            },
             Outcome::Unreachable => {}
         }
     }
 
+    /// Observes what a response says, unless it is of a former lifetime.
+    fn observe_headers(
+        &self,
+        state: &Rc<State>,
+        sent_at: Millis,
+        lifetime: &Lifetime,
+        response: &Response,
+    ) {
+        if !self.is_current(lifetime) {
+            return;
+        }
+        let headers = &response.headers;
+        self.observe_speed(state, headers);
+        self.observe_limit(state, sent_at, response.verdict, headers);
+        self.observe_leaving(state, lifetime, headers);
+    }
+
     /// Observes the speed that a response states.
     fn observe_speed(&self, state: &State, headers: &HeaderMap) {
         let (now, journal) = (state.now(), &state.journal);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -29,6 +29,7 @@
     digest::{Map, Set},
     error::Kind,
     id::{CallId, NodeId},
+    proof::Proof,
     table::Effect,
     time::Millis,
 };
@@ -184,18 +185,35 @@
         self.cancel_all(state, Reason::Unwanted, is_unwanted);
         for id in wanted {
             if let Some(reply) = self.find_reply(id) {
+                self.record_never_received(state, id, &reply);
                 let load = state.serve.load(state.now());
                 self.send(Frame::Answer(id, reply, load));
             }
         }
     }
 
+    /// Logs and counts a call that is reported as never received.
+    fn record_never_received(&self, state: &State, id: CallId, reply: &Reply) {
+        let Reply::NotRun { proof: Proof::NeverReceived, .. } = reply else {
+            return;
+        };
+        state.serve.not_run.record(Proof::NeverReceived);
+        let fields = [
+            ("evidence", Proof::NeverReceived.as_str().into()),
+            ("call", id.0.into()),
+            ("last_call", self.last_call_id.get().into()),
+            ("from", self.node.to_string().into()),
+        ];
+        state.journal.log_event(state.now(), Event::NotRun, &fields);
+    }
+
     /// The reply to a call; `None` if it is still running.
     fn find_reply(&self, id: CallId) -> Option<Reply> {
         if id.0 > self.last_call_id.get() {
             let retry = Millis(0);
             let kind = Kind::Unreachable;
-            return Some(Reply::NotRun { kind, retry, reached: false });
+            let proof = Proof::NeverReceived;
+            return Some(Reply::NotRun { kind, retry, proof });
         }
         if self.running.borrow().contains_key(&id) {
             return None;
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -12,6 +12,7 @@
     footprint::{Footprint, Key},
     id::{Account, CallId},
     lifetime::Lifetime,
+    proof::Proof,
     table::Effect,
     time::Millis,
 };
@@ -19,7 +20,8 @@
 
 use super::{
     frame::{Call, Reply},
-    instance::Outcome,
+    instance::{Outcome, Response},
+    journal::Event,
     serve::{MIN_RETRY_AFTER, Parent, Run},
     state::State,
     wire,
@@ -38,7 +40,7 @@
     };
     let now = state.now();
     if deadline <= now {
-        finish(&state, id, not_run(Kind::Deadline, false), false);
+        finish(&state, id, not_run(Kind::Deadline, Proof::Declined), false);
         return;
     }
     if call.is_retry || call.parent_is_retry {
@@ -67,7 +69,7 @@
     let fingerprint = call.fingerprint;
     let Some(request) = request(call, deadline.since(now), &lifetime.id)
     else {
-        finish(&state, id, not_run(Kind::Malformed, false), false);
+        finish(&state, id, not_run(Kind::Malformed, Proof::Declined), false);
         return;
     };
     let clock = || state.now();
@@ -91,8 +93,12 @@
         }
         Outcome::Response(..) => {}
     }
+    log_not_run(&state, id, &attempt, &outcome);
     let answered = matches!(outcome, Outcome::Response(..));
-    let rejected = matches!(outcome, Outcome::Response(Verdict::NotRun, ..));
+    let rejected = matches!(
+        &outcome,
+        Outcome::Response(Response { verdict: Verdict::NotRun, .. })
+    );
     serve.retry_budget.borrow_mut().record_arrival(rejected);
     let mut footprint = serve.take_footprint(&attempt);
     let service = &state.settings.service;
@@ -127,8 +133,39 @@
     }
 }
 
-fn not_run(kind: Kind, reached: bool) -> Reply {
-    Reply::NotRun { kind, retry: MIN_RETRY_AFTER, reached }
+fn not_run(kind: Kind, proof: Proof) -> Reply {
+    Reply::NotRun { kind, retry: MIN_RETRY_AFTER, proof }
+}
+
+/// Logs that a call has not run although it was to be sent to the instance.
+fn log_not_run(state: &State, id: CallId, attempt: &str, outcome: &Outcome) {
+    let (proof, response) = match outcome {
+        Outcome::Unreachable => (Proof::Unsent, None),
+        Outcome::Response(response) => match response.verdict {
+            Verdict::NotRun | Verdict::Misdirected => {
+                (Proof::Rejected, Some(response))
+            }
+            Verdict::Trusted | Verdict::Untrusted => return,
+        },
+        Outcome::Broken(_) => return,
+    };
+    let now = state.now();
+    if !state.journal.has_room(now, Event::NotRun) {
+        return;
+    }
+    let from = state.serve.origin(state, id);
+    let has_id =
+        |response: &Response| header::attempt(&response.headers).is_some();
+    let carrier = response.map(|response| response.carrier);
+    let fields = [
+        ("evidence", proof.as_str().into()),
+        ("status", response.map(|r| r.status.as_u16()).into()),
+        ("connection", carrier.map(|carrier| carrier.number).into()),
+        ("sends", carrier.map(|carrier| carrier.sends).into()),
+        ("has_id", response.map(has_id).into()),
+        ("from", from.map(|node| node.to_string()).into()),
+    ];
+    state.journal.log_request(now, Event::NotRun, attempt, &fields);
 }
 
 fn request(
@@ -154,16 +191,15 @@
 }
 
 fn reply(state: &Rc<State>, outcome: Outcome, footprint: Footprint) -> Reply {
-    let (verdict, status, headers, body) = match outcome {
-        Outcome::Response(verdict, status, headers, body) => {
-            (verdict, status, headers, body)
-        }
+    let response = match outcome {
+        Outcome::Response(response) => response,
         Outcome::Unreachable => {
             state.serve.suspend(state);
-            return not_run(Kind::Unreachable, false);
+            return not_run(Kind::Unreachable, Proof::Unsent);
         }
         Outcome::Broken(_) => return Reply::Unknown(Kind::Broken),
     };
+    let Response { verdict, status, headers, body, .. } = response;
     match verdict {
         Verdict::Trusted => {
             let departed = state.serve.departed();
@@ -171,10 +207,10 @@
         }
         // Not a sign of overload: the instance never gets more calls than it
         // has slots, so it would reject this one at any load.
-        Verdict::NotRun => not_run(Kind::Overloaded, true),
+        Verdict::NotRun => not_run(Kind::Overloaded, Proof::Rejected),
         Verdict::Misdirected => {
             state.serve.handle_replacement(state);
-            not_run(Kind::Unreachable, true)
+            not_run(Kind::Unreachable, Proof::Rejected)
         }
         Verdict::Untrusted => Reply::Unknown(Kind::Broken),
     }
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -24,11 +24,12 @@
     error::Kind,
     feasibility::{Need, Order},
     footprint::Footprint,
-    id::{CallId, RouteKey},
+    id::{CallId, NodeId, RouteKey},
     lifetime::Tracker,
     poison::{
         Admission, Fingerprint, Isolation, SUSPECT_RETRY_AFTER, Standing,
     },
+    proof::{self, Proof},
     rate_limit::NamedLimit,
     retry_budget::{self, Priority, RetryBudget, SampleKey},
     share::{Report, Root},
@@ -96,6 +97,9 @@
 
 impl Sink {
     pub(super) fn reply(self, state: &State, reply: Reply) {
+        if let Reply::NotRun { proof, .. } = &reply {
+            state.serve.not_run.record(*proof);
+        }
         match self {
             // The receiver is gone if the caller has disconnected.
             Sink::Local(sender) => drop(sender.send(reply)),
@@ -221,6 +225,8 @@
     pub over_budget: Cell<u64>,
     /// Calls that were rejected because their account was above its share.
     pub over_share: Cell<u64>,
+    /// Calls that were reported as not run, by evidence.
+    pub not_run: proof::Counters,
 }
 
 impl Serve {
@@ -266,6 +272,7 @@
             retries: Cell::new(0),
             over_budget: Cell::new(0),
             over_share: Cell::new(0),
+            not_run: proof::Counters::default(),
         }
     }
 
@@ -715,6 +722,12 @@
         }
     }
 
+    /// The node that a call came from, while it is linked.
+    pub(super) fn origin(&self, state: &State, id: CallId) -> Option<NodeId> {
+        let jobs = self.jobs.borrow();
+        origin(state, jobs.get(&id)?.sink.as_ref()?)
+    }
+
     fn start(&self, state: &Rc<State>, id: CallId) {
         let task = run::run(state.clone(), id);
         let task = tokio::task::spawn_local(task);
@@ -744,6 +757,14 @@
     }
 }
 
+/// The node that a sink replies to.
+fn origin(state: &State, sink: &Sink) -> Option<NodeId> {
+    match sink {
+        Sink::Remote(session, _) => session.connected_node(),
+        Sink::Local(_) => Some(state.me),
+    }
+}
+
 /// Logs what was done with a canceled call.
 fn log_cancel(
     state: &State,
@@ -757,11 +778,7 @@
     if !state.journal.has_room(now, Event::Canceled) {
         return;
     }
-    let from = match sink {
-        Some(Sink::Remote(session, _)) => session.connected_node(),
-        Some(Sink::Local(_)) => Some(state.me),
-        None => None,
-    };
+    let from = sink.and_then(|sink| origin(state, sink));
     let fields = [
         ("hop", "serving".into()),
         ("why", reason.as_str().into()),
@@ -788,5 +805,6 @@
 
 fn reject(state: &State, sink: Sink, kind: Kind, retry_after: Millis) {
     let retry = Millis(retry_after.0.max(MIN_RETRY_AFTER.0));
-    sink.reply(state, Reply::NotRun { kind, retry, reached: false });
+    let proof = Proof::Declined;
+    sink.reply(state, Reply::NotRun { kind, retry, proof });
 }
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -230,6 +230,11 @@
         counter!("walnutmoor_connections_closed_total", "reason" => reason)
             .absolute(count);
     }
+    for (proof, count) in serve.not_run.list() {
+        let proof = proof.as_str();
+        counter!("walnutmoor_not_run_total", "evidence" => proof)
+            .absolute(count);
+    }
     for (outcome, count) in serve.cancellations.counters.list() {
         counter!("walnutmoor_canceled_runs_total", "outcome" => outcome)
             .absolute(count);
--- a/crates/walnutmoor/tests/mesh/faults.rs
+++ b/crates/walnutmoor/tests/mesh/faults.rs
@@ -197,3 +197,36 @@
         }
     });
 }
+
+/// Guards against a refusal whose reason cannot be read from the logs.
+#[test]
+fn a_rejection_by_an_instance_is_logged_with_its_connection() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        world.pairs[1].instance.set_behavior(Behavior::Sheds);
+
+        let answer = world.send(0, "order", "shed-1").await.unwrap();
+
+        assert!(guarantees_not_run(&answer), "{}", answer.status);
+        until("both nodes have logged it", || async {
+            let [front, desk] = &world.pairs[..] else { panic!() };
+            let has_line = |log: String, event: &str, field: &str| {
+                log.lines().any(|line| {
+                    line.contains(event)
+                        && line.contains("\"request\":\"shed-1\"")
+                        && line.contains(field)
+                })
+            };
+            has_line(
+                front.node.log(),
+                "\"event\":\"refused\"",
+                "\"evidence\":[\"rejected\"",
+            ) && has_line(
+                desk.node.log(),
+                "\"event\":\"not_run\"",
+                "\"sends\":1",
+            )
+        })
+        .await;
+    });
+}
