Do not take a late copy of a rejection for that of a later send

What callers saw: a request that may run once ran twice, or was refused with a status that promises that it has not run and had run.

Cause: a response was matched by the id of its attempt. An instance may repeat a response late. If it had rejected an attempt and the attempt was sent again on the same connection, the copy answered the second send while the instance ran it. A rejection without an id was believed for whatever attempt waited on the connection, so its copy also answered other attempts; health checks, which name no attempt, went over the same connections.

Change: an attempt that was rejected is not sent again on that connection; a connection whose last response named no attempt is closed; a health check uses a connection of its own, as before in effect, since responses without a signature closed theirs. A rejection without an id is still believed, as the platform's examples have it: every earlier response on its connection named its attempt.

--- a/crates/walnutmoor-core/src/connection.rs
+++ b/crates/walnutmoor-core/src/connection.rs
@@ -81,15 +81,18 @@
     IdleTooLong,
     /// The instance had closed the idle connection that was chosen.
     Closed,
+    /// A health check uses a connection of its own.
+    HealthCheck,
 }
 
 impl Reason {
     /// All reasons, in order of declaration.
-    pub const ALL: [Reason; 4] = [
+    pub const ALL: [Reason; 5] = [
         Reason::NoneIdle,
         Reason::RecentlyUsed,
         Reason::IdleTooLong,
         Reason::Closed,
+        Reason::HealthCheck,
     ];
 
     /// The name in logs and metrics.
@@ -99,6 +102,7 @@
             Reason::RecentlyUsed => "recently_used",
             Reason::IdleTooLong => "idle_too_long",
             Reason::Closed => "closed",
+            Reason::HealthCheck => "health_check",
         }
     }
 }
@@ -116,16 +120,25 @@
     ByInstance,
     /// It was idle for too long.
     Expired,
+    /// Its last response named no attempt.
+    Unnamed,
+    /// Too many attempts were rejected on it.
+    Rejections,
+    /// It was opened for one health check.
+    HealthCheck,
 }
 
 impl Closing {
     /// All causes, in order of declaration.
-    pub const ALL: [Closing; 5] = [
+    pub const ALL: [Closing; 8] = [
         Closing::Canceled,
         Closing::Untrusted,
         Closing::Broken,
         Closing::ByInstance,
         Closing::Expired,
+        Closing::Unnamed,
+        Closing::Rejections,
+        Closing::HealthCheck,
     ];
 
     /// The name in logs and metrics.
@@ -136,6 +149,9 @@
             Closing::Broken => "broken",
             Closing::ByInstance => "by_instance",
             Closing::Expired => "expired",
+            Closing::Unnamed => "unnamed",
+            Closing::Rejections => "rejections",
+            Closing::HealthCheck => "health_check",
         }
     }
 }
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -5,7 +5,12 @@
 connections, and may send a second response late, where the response of the
 next request is expected. The connection that has been idle longest is used
 first, so that a late response arrives on an idle connection, which is then
-closed, and is not taken for the response of another request.
+closed.
+
+A late response is told by the id of its attempt, but an id does not tell two
+sends of one attempt apart. So an attempt that was rejected is not sent again on
+the same connection, and a connection whose last response named no attempt is
+closed.
 */
 
 use std::{
@@ -18,11 +23,15 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 use walnutmoor_core::{
     connection::{Choice, Closing, Idle, Policy, Reason},
+    digest,
     table::Effect,
     time::Millis,
 };
@@ -69,6 +78,10 @@
     pub carrier: Carrier,
 }
 
+/// The number of rejected attempts that a connection remembers. A connection
+/// with more rejections is closed.
+const MAX_REJECTED: usize = 32;
+
 /// The outcome of a request.
 #[derive(Debug)]
 pub enum Outcome {
@@ -87,6 +100,8 @@
     idle_since: Millis,
     idle_timeout: Millis,
     carrier: Carrier,
+    /// The digests of the attempts that were rejected on it.
+    rejected: Vec<u64>,
 }
 
 impl Drop for Connection {
@@ -151,9 +166,10 @@
     ) -> Outcome {
         let mut request = request;
         let mut was_closed = false;
+        let key = digest::of(attempt);
         loop {
-            let (mut connection, is_new) = match self.take_idle(now(), effect)
-            {
+            let idle = self.take_idle(now(), key, effect);
+            let (mut connection, is_new) = match idle {
                 Ok(connection) => (connection, false),
                 Err(reason) => {
                     let reason = match was_closed {
@@ -170,30 +186,14 @@
             let carrier = connection.carrier;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let (head, body) = response.into_parts();
-                    let body = match body.collect().await {
-                        Ok(body) => body.to_bytes(),
-                        Err(e) => {
-                            self.record_closing(Closing::Broken);
-                            return Outcome::Broken(e.to_string());
+                    let outcome = read(response, attempt, carrier).await;
+                    match &outcome {
+                        Outcome::Response(response) => {
+                            self.reuse(now(), connection, key, response);
                         }
-                    };
-                    let (status, headers) = (head.status, head.headers);
-                    let verdict =
-                        header::classify(status.as_u16(), &headers, attempt);
-                    match verdict {
-                        Verdict::Untrusted => {
-                            self.record_closing(Closing::Untrusted);
-                        }
-                        _ => self.put_idle(now(), connection, &headers),
+                        _ => self.record_closing(Closing::Broken),
                     }
-                    return Outcome::Response(Response {
-                        verdict,
-                        status,
-                        headers,
-                        body,
-                        carrier,
-                    });
+                    return outcome;
                 }
                 Err(mut error) => match error.take_message() {
                     // The connection was closed while it was idle.
@@ -213,6 +213,27 @@
         }
     }
 
+    /// Sends a health check and reads its response. Returns `None` if there is
+    /// none.
+    ///
+    /// Neither names an attempt, so a late copy of the response could not be
+    /// told from the response to a request. It uses a connection of its own.
+    pub async fn check_health(
+        &self,
+        now: Millis,
+        request: Request<Full<Bytes>>,
+    ) -> Option<Response> {
+        let mut connection = self.connect(now, Reason::HealthCheck).await?;
+        connection.carrier.sends += 1;
+        let carrier = connection.carrier;
+        let response = connection.sender.send_request(request).await.ok()?;
+        self.record_closing(Closing::HealthCheck);
+        match read(response, "", carrier).await {
+            Outcome::Response(response) => Some(response),
+            Outcome::Unreachable | Outcome::Broken(_) => None,
+        }
+    }
+
     /// True if the instance's address refuses connections: its process has
     /// exited. One that is overloaded delays or resets them instead.
     pub async fn refuses_connections(&self) -> bool {
@@ -246,6 +267,7 @@
     fn take_idle(
         &self,
         now: Millis,
+        key: u64,
         effect: Effect,
     ) -> Result<Connection, Reason> {
         let mut idle = self.idle.borrow_mut();
@@ -256,13 +278,37 @@
             self.record_closing(first.closing());
             idle.pop_front();
         }
-        let connections = idle.iter().map(|connection| connection.idle(now));
+        let connections = idle.iter().map(|c| c.idle_for(now, key));
         match self.policy.choose(connections, effect) {
             Choice::Reuse(at) => idle.remove(at).ok_or(Reason::NoneIdle),
             Choice::Open(reason) => Err(reason),
         }
     }
 
+    /// Keeps a connection after a response, unless a copy of the response
+    /// could be taken for the response to a later request on it.
+    fn reuse(
+        &self,
+        now: Millis,
+        mut connection: Connection,
+        key: u64,
+        response: &Response,
+    ) {
+        if response.verdict == Verdict::Untrusted {
+            return self.record_closing(Closing::Untrusted);
+        }
+        if header::attempt(&response.headers).is_none() {
+            return self.record_closing(Closing::Unnamed);
+        }
+        if response.verdict != Verdict::Trusted {
+            if connection.rejected.len() == MAX_REJECTED {
+                return self.record_closing(Closing::Rejections);
+            }
+            connection.rejected.push(key);
+        }
+        self.put_idle(now, connection, &response.headers);
+    }
+
     fn put_idle(
         &self,
         now: Millis,
@@ -303,14 +349,17 @@
             task: task.abort_handle(),
             idle_since: now,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            rejected: Vec::new(),
         })
     }
 }
 
 impl Connection {
-    fn idle(&self, now: Millis) -> Idle {
+    /// Its state for the attempt with this digest.
+    fn idle_for(&self, now: Millis, key: u64) -> Idle {
         let idle_time = now.since(self.idle_since);
-        Idle { idle_time, is_usable: self.is_usable(now) }
+        let is_usable = self.is_usable(now) && !self.rejected.contains(&key);
+        Idle { idle_time, is_usable }
     }
 
     /// Why a connection that is not usable is closed.
@@ -327,6 +376,22 @@
     }
 }
 
+/// Reads the complete response to an attempt.
+async fn read(
+    response: http::Response<Incoming>,
+    attempt: &str,
+    carrier: Carrier,
+) -> Outcome {
+    let (head, body) = response.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Outcome::Broken(error.to_string()),
+    };
+    let (status, headers) = (head.status, head.headers);
+    let verdict = header::classify(status.as_u16(), &headers, attempt);
+    Outcome::Response(Response { verdict, status, headers, body, carrier })
+}
+
 fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(http::header::CONNECTION);
     values.iter().any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -13,13 +13,13 @@
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
-use walnutmoor_core::{table::Effect, time::Millis};
+use walnutmoor_core::time::Millis;
 use walnutmoor_platform::header;
 
 use super::{
     control::{self, Endpoint},
     departure, ingress,
-    instance::{Outcome, Response},
+    instance::Response,
     journal::{Event, Journal},
     link::{self, CHECK_INTERVAL},
     peer,
@@ -318,10 +318,8 @@
     if let Ok(host) = host.parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
-    let clock = || state.now();
-    let pool = &state.serve.pool;
-    let answer = pool.send(clock, request, "", Effect::Idempotent).await;
-    let Outcome::Response(Response { status, headers, .. }) = answer else {
+    let sent = state.serve.pool.check_health(state.now(), request);
+    let Some(Response { status, headers, .. }) = sent.await else {
         return;
     };
     if let (Some(id), Some(load)) =
