Number calls to other nodes once in the life of a process

Cause: each link numbered its calls from 1, but the other node knows a session by the incarnation of this process. After a link was removed and made anew, a call that was lost had the number of an older one, and the reply to that was still retained.

Change: one counter for all links of a process.

--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -551,7 +551,7 @@
         (Handle::Local(id), receiver)
     } else {
         let link = state.link(node)?;
-        let (id, receiver) = link.call(call)?;
+        let (id, receiver) = link.call(state, call)?;
         (Handle::Remote(link, id), receiver)
     };
     state.balancer.borrow_mut().sent(node);
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -152,7 +152,8 @@
 /// A request sent to the node of an instance.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Call {
-    /// Its number on this link; incremented with each call.
+    /// Its number, which no other call of the sending process has; incremented
+    /// with each call.
     pub id: CallId,
     /// The service that is to run it.
     pub service: Service,
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -85,7 +85,6 @@
     pub node: NodeId,
     outgoing: RefCell<Option<UnboundedSender<Frame>>>,
     pending: RefCell<Map<CallId, Pending>>,
-    last_call_id: Cell<u64>,
     /// The incarnation of the peer at the last handshake.
     incarnation: Cell<Option<Incarnation>>,
     last_received: Cell<Millis>,
@@ -118,7 +117,6 @@
             node,
             outgoing: RefCell::new(None),
             pending: RefCell::new(Map::default()),
-            last_call_id: Cell::new(0),
             incarnation: Cell::new(None),
             last_received: Cell::new(Millis(0)),
             breaks: Cell::new(0),
@@ -180,13 +178,13 @@
     /// Returns `None` if the link is down, in which case nothing was sent.
     pub fn call(
         &self,
+        state: &State,
         mut call: Call,
     ) -> Option<(CallId, oneshot::Receiver<Reply>)> {
         if !self.is_up() {
             return None;
         }
-        let id = CallId(self.last_call_id.get() + 1);
-        self.last_call_id.set(id.0);
+        let id = state.allocate_call_id();
         call.id = id;
         let (reply, receiver) = oneshot::channel();
         let pending = Pending { reply, effect: call.effect };
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -14,7 +14,7 @@
     balance::Balancer,
     bulkhead::Load,
     digest::Map,
-    id::{Incarnation, NodeId},
+    id::{CallId, Incarnation, NodeId},
     profile::Profile,
     rate_limit::Rate,
     share::Report,
@@ -109,6 +109,8 @@
     /// The longest timeout that a caller of each route has sent.
     longest_timeouts: RefCell<Map<String, Millis>>,
     rng: RefCell<SmallRng>,
+    /// The number of the last call that was sent to another node.
+    last_call: Cell<CallId>,
     /// When the periodic checks last ran.
     last_check: Cell<Millis>,
     started_at: Instant,
@@ -162,6 +164,7 @@
             handover: Handover::new(settings.overload.handover),
             longest_timeouts: RefCell::new(Map::default()),
             rng: RefCell::new(rng),
+            last_call: Cell::new(CallId(0)),
             last_check: Cell::new(Millis(0)),
             started_at: Instant::now(),
             settings,
@@ -269,6 +272,13 @@
         }
     }
 
+    /// Numbers a call to another node.
+    pub(super) fn allocate_call_id(&self) -> CallId {
+        let id = CallId(self.last_call.get().0 + 1);
+        self.last_call.set(id);
+        id
+    }
+
     /// The hello that this node sends on a new link.
     pub fn hello(&self) -> Hello {
         Hello {
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -15,11 +15,13 @@
 use walnutmoor_core::{
     bulkhead::Load,
     edition::Edition,
+    error::Kind,
     feasibility::Need,
     footprint::Footprint,
     id::{CallId, Era, Incarnation, NodeId, RouteKey},
     lifetime::{Lifetime, StartTime},
     poison::Fingerprint,
+    proof::Proof,
     rate_limit::{Limited, Rate},
     table::Effect,
     time::Millis,
@@ -278,6 +280,36 @@
     });
 }
 
+/// Guards against the reply to a call of a former link being taken for that of
+/// a call with the same number on its successor.
+#[test]
+fn no_two_calls_of_a_node_have_the_same_number() {
+    run(async {
+        let world = World::start(&["front"]).await;
+        let mut numbers = Vec::new();
+        for name in ["first", "second"] {
+            let (listener, opener) = listen(&world).await;
+            let mut peer = Peer::accept(&listener, 9, accepting()).await;
+            let call = async {
+                world.send(0, "order", &format!("{name}-1")).await;
+            };
+            let answer = async {
+                let call = peer.call().await;
+                let proof = Proof::Declined;
+                let (kind, retry) = (Kind::Leaving, Millis(0));
+                let reply = Reply::NotRun { kind, retry, proof };
+                let load = Load::default();
+                peer.send(&Frame::Answer(call.id, reply, load)).await;
+                call.id
+            };
+            numbers.push(tokio::join!(call, answer).1);
+            drop((listener, opener, peer));
+        }
+
+        assert_ne!(numbers[0], numbers[1]);
+    });
+}
+
 #[test]
 fn a_call_for_another_service_is_rejected() {
     run(async {
