Do not report a call as never received by a session that is new

Cause: a node that had forgotten the session of another one, whose link was down for a moment, began a new one that had received nothing, and reported every running call as never received. Not knowing a call was taken for evidence that it has not run. Sessions were forgotten by number: above 4,096, all that were not connected at that moment, of live nodes too, while those of ended processes stayed until then, each with up to 256 replies.

Change: the handshake carries the number of the last call that the process has sent, and a new session takes all up to it for calls that it may have received: their outcome is unknown. The decisions are in walnutmoor_core::session, without IO.

Evidence: core tests/session.rs draws 3,000 histories of calls, replies, breaks, links that are removed and made anew, restarts of either process, forgotten sessions and frames of older connections, and asks that each reply is true of its call.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod retry_budget;
 pub mod retry_state;
 pub mod server;
+pub mod session;
 pub mod share;
 pub mod shutdown;
 pub mod speed;
--- /dev/null
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -0,0 +1,338 @@
+//! The calls between two nodes while links break and are removed, sessions are
+//! forgotten and either process restarts: drawn histories against an oracle.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use walnutmoor_core::{
+    id::CallId,
+    session::{Found, RETENTION, Session},
+    time::Millis,
+};
+
+/// Identifies a request, unlike the number of its call.
+type Attempt = u64;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reply {
+    Ran(Attempt),
+    NotRun,
+    Unknown,
+}
+
+/// A frame from the calling node.
+#[derive(Clone, Debug)]
+enum Frame {
+    Resume(Vec<CallId>),
+    Call(CallId, Attempt),
+}
+
+/// The rules of the two nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Rules {
+    Current,
+    /// Each link numbers its calls from 1.
+    NumbersPerLink,
+    /// A new session assumes that no call was received before.
+    NothingReceived,
+}
+
+/// A process that sends calls over one link.
+#[derive(Debug, Default)]
+struct Caller {
+    incarnation: u64,
+    last: u64,
+    pending: BTreeMap<CallId, Attempt>,
+    /// The incarnation of the other process at the last handshake.
+    peer: Option<u64>,
+}
+
+/// A call at the node that runs it.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    attempt: Attempt,
+    has_started: bool,
+}
+
+/// A process that runs calls.
+#[derive(Debug, Default)]
+struct Runner {
+    incarnation: u64,
+    sessions: BTreeMap<u64, Session<Call, Reply>>,
+}
+
+/// Two nodes, the frames between them, and what really happened.
+struct Model {
+    rules: Rules,
+    rng: ChaCha8Rng,
+    now: Millis,
+    caller: Caller,
+    runner: Runner,
+    /// The frames on their way, or `None` while the link is down.
+    forward: Option<VecDeque<Frame>>,
+    /// Frames of the last connection that broke. The runner may still read
+    /// them until the next handshake.
+    late: VecDeque<Frame>,
+    back: VecDeque<(CallId, Reply)>,
+    attempts: Attempt,
+    ran: BTreeSet<Attempt>,
+    promised: BTreeSet<Attempt>,
+    lies: usize,
+}
+
+impl Model {
+    fn new(rules: Rules, seed: u64) -> Model {
+        Model {
+            rules,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Millis(0),
+            caller: Caller::default(),
+            runner: Runner::default(),
+            forward: None,
+            late: VecDeque::new(),
+            back: VecDeque::new(),
+            attempts: 0,
+            ran: BTreeSet::new(),
+            promised: BTreeSet::new(),
+            lies: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Millis(self.rng.random_range(0..40));
+        match self.rng.random_range(0..100) {
+            0..30 => self.send(),
+            30..55 => self.deliver(),
+            55..70 => self.deliver_back(),
+            70..85 => self.progress(),
+            85..89 => self.break_link(),
+            89..96 => self.connect(),
+            96 => self.remove_link(),
+            97 => self.forget(),
+            98 => self.restart_runner(),
+            _ => self.restart_caller(),
+        }
+    }
+
+    fn send(&mut self) {
+        let Some(forward) = &mut self.forward else {
+            return;
+        };
+        self.attempts += 1;
+        self.caller.last += 1;
+        let id = CallId(self.caller.last);
+        self.caller.pending.insert(id, self.attempts);
+        forward.push_back(Frame::Call(id, self.attempts));
+    }
+
+    fn connect(&mut self) {
+        if self.forward.is_some() {
+            return;
+        }
+        self.late.clear();
+        self.back.clear();
+        if self.caller.peer.replace(self.runner.incarnation)
+            != Some(self.runner.incarnation)
+        {
+            self.caller.pending.clear();
+        }
+        let last = match self.rules {
+            Rules::NothingReceived => CallId(0),
+            _ => CallId(self.caller.last),
+        };
+        let sessions = &mut self.runner.sessions;
+        let session = sessions.entry(self.caller.incarnation);
+        session.or_insert_with(|| Session::new(last)).link();
+        let wanted = self.caller.pending.keys().copied().collect();
+        self.forward = Some([Frame::Resume(wanted)].into());
+    }
+
+    fn break_link(&mut self) {
+        let Some(frames) = self.forward.take() else {
+            return;
+        };
+        self.late = frames;
+        self.back.clear();
+        let sessions = &mut self.runner.sessions;
+        if let Some(session) = sessions.get_mut(&self.caller.incarnation) {
+            session.unlink(self.now);
+        }
+    }
+
+    fn remove_link(&mut self) {
+        self.break_link();
+        self.caller.pending.clear();
+        self.caller.peer = None;
+        if self.rules == Rules::NumbersPerLink {
+            self.caller.last = 0;
+        }
+    }
+
+    fn forget(&mut self) {
+        if self.forward.is_none() {
+            self.late.clear();
+            self.runner.sessions.remove(&self.caller.incarnation);
+        }
+    }
+
+    fn restart_runner(&mut self) {
+        self.break_link();
+        self.late.clear();
+        let incarnation = self.runner.incarnation + 1;
+        self.runner = Runner { incarnation, ..Runner::default() };
+    }
+
+    fn restart_caller(&mut self) {
+        self.break_link();
+        let incarnation = self.caller.incarnation + 1;
+        self.caller = Caller { incarnation, ..Caller::default() };
+        self.late.clear();
+    }
+
+    /// The runner reads a frame, perhaps of a connection that has broken.
+    fn deliver(&mut self) {
+        let frames = self.forward.as_mut().unwrap_or(&mut self.late);
+        let Some(frame) = frames.pop_front() else {
+            return;
+        };
+        let is_linked = self.forward.is_some();
+        let Some(session) =
+            self.runner.sessions.get_mut(&self.caller.incarnation)
+        else {
+            return;
+        };
+        match frame {
+            Frame::Call(id, attempt) => {
+                session.receive(id, Call { attempt, has_started: false });
+            }
+            Frame::Resume(wanted) if is_linked => {
+                for id in wanted {
+                    let reply = match session.find(id) {
+                        Found::Running => continue,
+                        Found::Ended(reply) => reply,
+                        Found::NeverReceived => Reply::NotRun,
+                        Found::Forgotten => Reply::Unknown,
+                    };
+                    self.back.push_back((id, reply));
+                }
+            }
+            Frame::Resume(_) => {}
+        }
+    }
+
+    /// The calls in progress, with the incarnations of their callers.
+    fn in_progress(&self) -> Vec<(u64, CallId, Call)> {
+        let sessions = self.runner.sessions.iter();
+        let calls = sessions.flat_map(|(incarnation, session)| {
+            let calls = session.running();
+            calls.map(|(id, call)| (*incarnation, id, *call))
+        });
+        let mut calls: Vec<(u64, CallId, Call)> = calls.collect();
+        calls.sort_by_key(|(incarnation, id, _)| (*incarnation, *id));
+        calls
+    }
+
+    /// A call in progress starts, ends, or is declined before its start.
+    fn progress(&mut self) {
+        let calls = self.in_progress();
+        if calls.is_empty() {
+            return;
+        }
+        let at = self.rng.random_range(0..calls.len());
+        let declines = self.rng.random_range(0..3) == 0;
+        let (incarnation, id, call) = calls[at];
+        match (call.has_started, declines) {
+            (true, _) => self.end(incarnation, id, Reply::Ran(call.attempt)),
+            (false, true) => self.end(incarnation, id, Reply::NotRun),
+            (false, false) => {
+                let call = Call { has_started: true, ..call };
+                let sessions = &mut self.runner.sessions;
+                let session = sessions.get_mut(&incarnation).unwrap();
+                session.receive(id, call);
+                self.ran.insert(call.attempt);
+                let is_promised = self.promised.contains(&call.attempt);
+                self.lies += usize::from(is_promised);
+            }
+        }
+    }
+
+    fn end(&mut self, incarnation: u64, id: CallId, reply: Reply) {
+        let session = self.runner.sessions.get_mut(&incarnation).unwrap();
+        session.end(self.now, id, reply);
+        let is_linked = self.forward.is_some();
+        if is_linked && incarnation == self.caller.incarnation {
+            self.back.push_back((id, reply));
+        }
+    }
+
+    /// The caller reads a reply, which must be true of its attempt.
+    fn deliver_back(&mut self) {
+        let Some((id, reply)) = self.back.pop_front() else {
+            return;
+        };
+        let Some(attempt) = self.caller.pending.remove(&id) else {
+            return;
+        };
+        let is_lie = match reply {
+            Reply::Ran(other) => other != attempt,
+            Reply::NotRun => {
+                self.promised.insert(attempt);
+                self.ran.contains(&attempt)
+            }
+            Reply::Unknown => false,
+        };
+        self.lies += usize::from(is_lie);
+    }
+}
+
+/// The number of untrue replies in the history of this seed.
+fn lies(rules: Rules, seed: u64) -> usize {
+    let mut model = Model::new(rules, seed);
+    for _ in 0..600 {
+        model.step();
+    }
+    model.lies
+}
+
+/// Guards against a call that ran, or runs later, and was reported as not run,
+/// and against the reply to another call.
+#[test]
+fn every_reply_is_true_of_its_call() {
+    for seed in 0..3_000 {
+        assert_eq!(lies(Rules::Current, seed), 0, "seed {seed}");
+    }
+}
+
+/// Shows that the histories tell the rules apart.
+#[test]
+fn other_rules_give_untrue_replies() {
+    for rules in [Rules::NumbersPerLink, Rules::NothingReceived] {
+        let total: usize = (0..3_000).map(|seed| lies(rules, seed)).sum();
+        assert!(total > 0, "{rules:?}");
+    }
+}
+
+#[test]
+fn a_call_that_a_forgotten_session_may_have_received_is_not_denied() {
+    let successor: Session<(), ()> = Session::new(CallId(7));
+
+    assert_eq!(successor.find(CallId(7)), Found::Forgotten);
+    assert_eq!(successor.find(CallId(8)), Found::NeverReceived);
+}
+
+/// Guards against memory that grows with each process that ever connected.
+#[test]
+fn a_session_without_calls_expires_after_its_connection_broke() {
+    let mut session: Session<(), ()> = Session::new(CallId(0));
+    session.receive(CallId(1), ());
+    session.unlink(Millis(100));
+    let late = Millis(100) + RETENTION + Millis(1);
+
+    assert!(!session.is_expired(late), "a call is in progress");
+    session.end(late, CallId(1), ());
+    assert!(!session.is_expired(Millis(100) + RETENTION));
+    assert!(session.is_expired(late));
+    session.link();
+    assert!(!session.is_expired(late));
+}
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -130,6 +130,8 @@
     /// Its incarnation.
     #[serde(rename = "life")]
     pub incarnation: Incarnation,
+    /// The number of the last call that the sender has sent to any node.
+    pub last_call: CallId,
     /// Its availability zone.
     pub zone: Zone,
     /// The service of its instance.
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -4,12 +4,11 @@
 Replies are retained for a while. If the link breaks before the other node has
 read them, it asks for them after reconnecting. The calls that it does not name
 then are canceled. If it does not reconnect, its idempotent calls are canceled
-after a while, as nobody waits for them any more.
+after a while, as nobody waits for them any more, and the session is forgotten.
 */
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
     io,
     rc::Rc,
     time::Duration,
@@ -26,10 +25,11 @@
     time::{sleep, timeout},
 };
 use walnutmoor_core::{
-    digest::{Map, Set},
+    digest::Set,
     error::Kind,
-    id::{CallId, NodeId},
+    id::{CallId, Incarnation, NodeId},
     proof::Proof,
+    session::{self, Found},
     table::Effect,
     time::Millis,
 };
@@ -57,11 +57,9 @@
 /// has left.
 const UNLINKED_TIMEOUT: Millis = Millis(400);
 
-/// How long a reply is retained. Exceeds the time in which a link reconnects.
-const REPLY_RETENTION: Millis = Millis(3_000);
-
-/// The number of replies retained per session at most.
-const MAX_RETAINED_REPLIES: usize = 256;
+/// The interval at which a session without a connection is checked for being
+/// expired.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The calls of one incarnation of another node.
 #[derive(Debug)]
@@ -72,15 +70,7 @@
     /// The number of frames of this connection that are not written yet.
     unwritten: Cell<usize>,
     task: RefCell<Option<AbortHandle>>,
-    /// The greatest call number received. Calls are numbered in the order of
-    /// sending, and an older connection is closed before a newer one is read,
-    /// so a queried call with a greater number was lost for good.
-    last_call_id: Cell<u64>,
-    /// The calls in progress.
-    running: RefCell<Map<CallId, Running>>,
-    /// When the link broke; `None` while it is connected.
-    unlinked_at: Cell<Option<Millis>>,
-    retained: RefCell<VecDeque<(Millis, CallId, Reply)>>,
+    calls: RefCell<session::Session<Running, Reply>>,
 }
 
 /// A call in progress.
@@ -92,16 +82,13 @@
 }
 
 impl Session {
-    fn new(node: NodeId) -> Rc<Session> {
+    fn new(hello: &Hello) -> Rc<Session> {
         Rc::new(Session {
-            node,
+            node: hello.node,
             outgoing: RefCell::new(None),
             unwritten: Cell::new(0),
             task: RefCell::new(None),
-            last_call_id: Cell::new(0),
-            running: RefCell::new(Map::default()),
-            unlinked_at: Cell::new(None),
-            retained: RefCell::new(VecDeque::new()),
+            calls: RefCell::new(session::Session::new(hello.last_call)),
         })
     }
 
@@ -134,29 +121,18 @@
     /// Sends and retains the reply to a call, unless it was canceled.
     pub fn reply(&self, state: &State, id: CallId, reply: Reply) {
         let now = state.now();
-        if self.running.borrow_mut().remove(&id).is_none() {
+        if !self.calls.borrow_mut().end(now, id, reply.clone()) {
             return;
         }
-        let mut retained = self.retained.borrow_mut();
-        while let Some((at, _, _)) = retained.front() {
-            if now.since(*at) <= REPLY_RETENTION
-                && retained.len() < MAX_RETAINED_REPLIES
-            {
-                break;
-            }
-            retained.pop_front();
-        }
-        retained.push_back((now, id, reply.clone()));
-        drop(retained);
         self.send(Frame::Answer(id, reply, state.serve.load(state.now())));
     }
 
     /// Cancels a call in progress.
     fn cancel(&self, state: &Rc<State>, id: CallId, reason: Reason) {
-        let running = self.running.borrow().get(&id).copied();
+        let running = self.calls.borrow().get(id).copied();
         if let Some(running) = running {
             state.serve.cancel(state, running.local_id, reason);
-            self.running.borrow_mut().remove(&id);
+            self.calls.borrow_mut().remove(id);
         }
     }
 
@@ -167,11 +143,11 @@
         reason: Reason,
         matches: impl Fn(CallId, Effect) -> bool,
     ) {
-        let running = self.running.borrow();
+        let calls = self.calls.borrow();
         let matching =
-            running.iter().filter(|(id, r)| matches(**id, r.effect));
-        let matching: Vec<CallId> = matching.map(|(id, _)| *id).collect();
-        drop(running);
+            calls.running().filter(|(id, r)| matches(*id, r.effect));
+        let matching: Vec<CallId> = matching.map(|(id, _)| id).collect();
+        drop(calls);
         for id in matching {
             self.cancel(state, id, reason);
         }
@@ -201,7 +177,7 @@
         let fields = [
             ("evidence", Proof::NeverReceived.as_str().into()),
             ("call", id.0.into()),
-            ("last_call", self.last_call_id.get().into()),
+            ("last_call", self.calls.borrow().last().0.into()),
             ("from", self.node.to_string().into()),
         ];
         state.journal.log_event(state.now(), Event::NotRun, &fields);
@@ -209,25 +185,19 @@
 
     /// The reply to a call; `None` if it is still running.
     fn find_reply(&self, id: CallId) -> Option<Reply> {
-        if id.0 > self.last_call_id.get() {
-            let retry = Millis(0);
-            let kind = Kind::Unreachable;
-            let proof = Proof::NeverReceived;
-            return Some(Reply::NotRun { kind, retry, proof });
-        }
-        if self.running.borrow().contains_key(&id) {
-            return None;
+        match self.calls.borrow().find(id) {
+            Found::Running => None,
+            Found::Ended(reply) => Some(reply),
+            Found::NeverReceived => Some(Reply::NotRun {
+                kind: Kind::Unreachable,
+                retry: Millis(0),
+                proof: Proof::NeverReceived,
+            }),
+            Found::Forgotten => Some(Reply::Unknown(Kind::AnswerGone)),
         }
-        let retained = self.retained.borrow();
-        let found = retained.iter().find(|(_, other, _)| *other == id);
-        let unknown = Reply::Unknown(Kind::AnswerGone);
-        Some(found.map_or(unknown, |(_, _, reply)| reply.clone()))
     }
 }
 
-/// The number of sessions above which disconnected ones are removed.
-const MAX_SESSIONS: usize = 4_096;
-
 /// Accepts links until the process ends.
 pub async fn listen(state: Rc<State>, listener: TcpListener) {
     loop {
@@ -262,7 +232,7 @@
     }
     let (outgoing, frames) = unbounded_channel();
     *session.outgoing.borrow_mut() = Some(outgoing);
-    session.unlinked_at.set(None);
+    session.calls.borrow_mut().link();
     session.unwritten.set(0);
     session.send(Frame::Hello(state.hello_reply()));
     if let Some(evidence) = state.evidence_frame() {
@@ -288,32 +258,48 @@
 ) {
     tokio::select! {
         // Errors are ignored: the other node reopens the link.
-        _ = receive(&state, &session, read, bytes, hello) => {}
+        _ = receive(&state, &session, read, bytes, &hello) => {}
         _ = transmit(write, frames, |count| session.record_written(count)) => {}
     }
     // The session is still this task's: a newer connection aborts the task
     // before it takes the session over.
     session.outgoing.borrow_mut().take();
     session.unwritten.set(0);
-    let unlinked_at = state.now();
-    session.unlinked_at.set(Some(unlinked_at));
-    tokio::task::spawn_local(async move {
-        sleep(Duration::from_millis(UNLINKED_TIMEOUT.0)).await;
-        if session.unlinked_at.get() == Some(unlinked_at) {
-            let is_idempotent = |_, effect| effect == Effect::Idempotent;
-            session.cancel_all(&state, Reason::Unlinked, is_idempotent);
+    session.calls.borrow_mut().unlink(state.now());
+    tokio::task::spawn_local(expire(state, session, hello.incarnation));
+}
+
+/// Cancels the idempotent calls of a session that stays without a connection,
+/// and forgets it once it is expired.
+async fn expire(
+    state: Rc<State>,
+    session: Rc<Session>,
+    incarnation: Incarnation,
+) {
+    let unlinked_at = session.calls.borrow().unlinked_at();
+    let is_unlinked = || {
+        let current = session.calls.borrow().unlinked_at();
+        current.is_some() && current == unlinked_at
+    };
+    sleep(Duration::from_millis(UNLINKED_TIMEOUT.0)).await;
+    if is_unlinked() {
+        let is_idempotent = |_, effect| effect == Effect::Idempotent;
+        session.cancel_all(&state, Reason::Unlinked, is_idempotent);
+    }
+    while is_unlinked() {
+        if session.calls.borrow().is_expired(state.now()) {
+            state.sessions.borrow_mut().remove(&incarnation);
+            return;
         }
-    });
+        sleep(EXPIRY_CHECK_INTERVAL).await;
+    }
 }
 
 /// The session of an incarnation, created if needed.
 fn session(state: &State, hello: &Hello) -> Rc<Session> {
     let mut sessions = state.sessions.borrow_mut();
-    if sessions.len() >= MAX_SESSIONS {
-        sessions.retain(|_, session| session.outgoing.borrow().is_some());
-    }
     let session = sessions.entry(hello.incarnation);
-    session.or_insert_with(|| Session::new(hello.node)).clone()
+    session.or_insert_with(|| Session::new(hello)).clone()
 }
 
 async fn read_hello(
@@ -341,13 +327,13 @@
     session: &Rc<Session>,
     mut read: OwnedReadHalf,
     mut bytes: BytesMut,
-    hello: Hello,
+    hello: &Hello,
 ) -> io::Result<()> {
     loop {
         while let Some(frame) =
             frame::decode(&mut bytes).map_err(io::Error::other)?
         {
-            handle_frame(state, session, frame, &hello);
+            handle_frame(state, session, frame, hello);
         }
         match timeout(IDLE_TIMEOUT, frame::fill(&mut read, &mut bytes)).await {
             Ok(Ok(0)) => return Ok(()),
@@ -367,10 +353,9 @@
     match frame {
         Frame::Call(call) => {
             let id = call.id;
-            session.last_call_id.set(session.last_call_id.get().max(id.0));
             let local_id = state.serve.allocate_call_id();
             let running = Running { local_id, effect: call.effect };
-            session.running.borrow_mut().insert(id, running);
+            session.calls.borrow_mut().receive(id, running);
             let sink = Sink::Remote(session.clone(), id);
             state.serve.submit(state, local_id, *call, sink);
         }
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -285,6 +285,7 @@
             protocol: PROTOCOL_VERSION,
             node: self.me,
             incarnation: self.incarnation,
+            last_call: self.last_call.get(),
             zone: self.settings.zone.clone(),
             service: self.settings.service.clone(),
             edition: self.edition(),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -173,6 +173,7 @@
         ("walnutmoor_under_way", state.requests.len()),
         ("walnutmoor_held_bytes", state.buffered_bytes.get()),
         ("walnutmoor_links", state.links().len()),
+        ("walnutmoor_sessions", state.sessions.borrow().len()),
         ("walnutmoor_suspects", state.suspects()),
         ("walnutmoor_quotas_dealt", granted),
         ("walnutmoor_quotas_asked", held),
--- a/crates/walnutmoor/tests/mesh/handover.rs
+++ b/crates/walnutmoor/tests/mesh/handover.rs
@@ -12,7 +12,7 @@
     bulkhead::Load,
     edition::Edition,
     footprint::Key,
-    id::{Era, Incarnation, NodeId, Service},
+    id::{CallId, Era, Incarnation, NodeId, Service},
     profile::{Profile, Usage},
     time::Millis,
 };
@@ -87,6 +87,7 @@
         let stream = TcpStream::connect(address).await.unwrap();
         let mut peer = Peer { stream, bytes: BytesMut::new() };
         let hello = Hello {
+            last_call: CallId(0),
             protocol: PROTOCOL_VERSION,
             // Nothing listens on this port.
             node: NodeId(([127, 0, 0, 1], 9).into()),
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -44,11 +44,12 @@
     incarnation: u64,
     service: &str,
     load: Load,
-) -> Frame {
-    Frame::Hello(Hello {
+) -> Hello {
+    Hello {
         protocol: PROTOCOL_VERSION,
         node: NodeId(node),
         incarnation: Incarnation(incarnation),
+        last_call: CallId(0),
         zone: "a".parse().unwrap(),
         service: service.parse().unwrap(),
         edition: Edition::default(),
@@ -57,7 +58,7 @@
         known: Vec::new(),
         fleet: 0,
         profiles: Vec::new(),
-    })
+    }
 }
 
 impl Peer {
@@ -78,9 +79,15 @@
         address: SocketAddr,
         incarnation: u64,
     ) -> Peer {
+        let hello = hello(node, incarnation, "front", Load::default());
+        Peer::open_with(hello, address).await
+    }
+
+    /// Opens a link with this handshake.
+    async fn open_with(hello: Hello, address: SocketAddr) -> Peer {
         let stream = TcpStream::connect(address).await.unwrap();
         let mut peer = Peer::new(stream);
-        peer.send(&hello(node, incarnation, "front", Load::default())).await;
+        peer.send(&Frame::Hello(hello)).await;
         assert!(matches!(peer.receive().await, Frame::Hello(_)));
         peer
     }
@@ -95,7 +102,8 @@
         let mut peer = Peer::new(stream);
         assert!(matches!(peer.receive().await, Frame::Hello(_)));
         let node = listener.local_addr().unwrap();
-        peer.send(&hello(node, incarnation, "desk", load)).await;
+        let hello = hello(node, incarnation, "desk", load);
+        peer.send(&Frame::Hello(hello)).await;
         let Frame::Resume(wanted) = peer.receive().await else {
             panic!("it precedes all other frames");
         };
@@ -280,6 +288,51 @@
     });
 }
 
+/// Guards against a call that runs and is reported as not run by a node that
+/// has forgotten the session in which it received the call.
+#[test]
+fn a_call_sent_before_a_session_was_forgotten_is_reported_as_unknown() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let address = world.pairs[0].node.addresses().peers;
+        let node = ([127, 0, 0, 1], 9).into();
+        let hello = hello(node, 7, "front", Load::default());
+
+        // This node has no session of incarnation 7.
+        let hello = Hello { last_call: CallId(1), ..hello };
+        let mut peer = Peer::open_with(hello, address).await;
+        peer.send(&Frame::Resume(vec![CallId(1)])).await;
+
+        let reply = peer.answer(1).await;
+        assert!(matches!(reply, Reply::Unknown(_)), "{reply:?}");
+    });
+}
+
+/// Guards against memory that grows with each process that ever linked to a
+/// node.
+#[test]
+fn a_session_is_forgotten_after_its_link_broke() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let addresses = world.pairs[0].node.addresses();
+        let sessions = |count: u32| async move {
+            let (path, body) = ("/metrics", String::new());
+            let sent =
+                caller::send(addresses.metrics, Method::GET, path, &[], body);
+            let line = format!("walnutmoor_sessions {count}\n");
+            sent.await.is_some_and(|answer| answer.body.contains(&line))
+        };
+        let mut peer = Peer::open(addresses.peers, 7).await;
+        peer.send(&order(1, "f1")).await;
+        peer.answer(1).await;
+        until("it has a session", || sessions(1)).await;
+
+        drop(peer);
+
+        until("the session is forgotten", || sessions(0)).await;
+    });
+}
+
 /// Guards against the reply to a call of a former link being taken for that of
 /// a call with the same number on its successor.
 #[test]
