--- a/crates/walnutmoor-core/tests/session.rs
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -100,7 +100,7 @@
     }
 
     fn step(&mut self) {
-        self.now = self.now + Millis(self.rng.random_range(0..40));
+        self.now += Millis(self.rng.random_range(0..40));
         match self.rng.random_range(0..100) {
             0..30 => self.send(),
             30..55 => self.deliver(),
