Pass on a status that promises not run only if the instance says so

What callers saw: an instance answered 503, 429 or 408 after it had run the request, without the header that says otherwise, and the caller got this status, by which the request has not run and never will.

Cause: a response that names its attempt was passed on whatever its status. The promise was made by nobody; the platform says that no other response than a marked one states that a request has not run.

Change: such a response means that the request may have run. Its caller gets 502, and an idempotent request may be retried.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -49,6 +49,9 @@
     Sheds,
     /// Runs requests and responds with 500.
     Fails,
+    /// Runs requests and responds with this status, which would mean that they
+    /// have not run, but is not marked so.
+    FailsWith(u16),
     /// Sends a second, unsolicited response shortly after the first.
     RespondsTwice,
     /// Sends half of the announced body and closes the connection.
@@ -608,6 +611,10 @@
             write_response(stream, "500 Internal Server Error", &signed, "no")
                 .await
         }
+        Behavior::FailsWith(status) => {
+            let status = format!("{status} Status");
+            write_response(stream, &status, &signed, "no").await
+        }
         Behavior::OmitsSignature => {
             write_response(stream, "200 OK", &headers, &body).await
         }
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -300,7 +300,7 @@
         if header::attempt(&response.headers).is_none() {
             return self.record_closing(Closing::Unnamed);
         }
-        if response.verdict != Verdict::Trusted {
+        if matches!(response.verdict, Verdict::NotRun | Verdict::Misdirected) {
             if connection.rejected.len() == MAX_REJECTED {
                 return self.record_closing(Closing::Rejections);
             }
--- a/crates/walnutmoor/src/mesh/notice.rs
+++ b/crates/walnutmoor/src/mesh/notice.rs
@@ -51,6 +51,11 @@
                         format!("untrusted response with status {status}");
                     log_broken(state, attempt, &why);
                 }
+                Verdict::Unproven => {
+                    let status = response.status;
+                    let why = format!("status {status} not marked as not run");
+                    log_broken(state, attempt, &why);
+                }
                 Verdict::Misdirected => {}
                 Verdict::Trusted | Verdict::NotRun => {
                     self.observe_headers(state, sent_at, lifetime, response);
@@ -100,7 +105,9 @@
         let may_observe = match verdict {
             Verdict::Trusted => true,
             Verdict::NotRun => named.is_some(),
-            Verdict::Misdirected | Verdict::Untrusted => false,
+            Verdict::Misdirected | Verdict::Unproven | Verdict::Untrusted => {
+                false
+            }
         };
         if !may_observe {
             return;
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -145,7 +145,9 @@
             Verdict::NotRun | Verdict::Misdirected => {
                 (Proof::Rejected, Some(response))
             }
-            Verdict::Trusted | Verdict::Untrusted => return,
+            Verdict::Trusted | Verdict::Unproven | Verdict::Untrusted => {
+                return;
+            }
         },
         Outcome::Broken(_) => return,
     };
@@ -212,7 +214,7 @@
             state.serve.handle_replacement(state);
             not_run(Kind::Unreachable, Proof::Rejected)
         }
-        Verdict::Untrusted => Reply::Unknown(Kind::Broken),
+        Verdict::Unproven | Verdict::Untrusted => Reply::Unknown(Kind::Broken),
     }
 }
 
--- a/crates/walnutmoor/tests/mesh/faults.rs
+++ b/crates/walnutmoor/tests/mesh/faults.rs
@@ -198,6 +198,27 @@
     });
 }
 
+/// Guards against a status that promises that a request has not run, passed on
+/// from an instance that ran it and did not say otherwise.
+#[test]
+fn a_status_that_promises_not_run_is_passed_on_only_if_marked_so() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        for route in ["order", "browse"] {
+            for status in [408, 421, 429, 503] {
+                let desk = &world.pairs[1].instance;
+                desk.set_behavior(Behavior::FailsWith(status));
+                let id = format!("{route}-{status}");
+
+                let answer = world.send(0, route, &id).await.unwrap();
+
+                assert_eq!(answer.status, 502, "{id}");
+                assert!(world.runs(&id) > 0, "{id} has run");
+            }
+        }
+    });
+}
+
 /// Guards against a refusal whose reason cannot be read from the logs.
 #[test]
 fn a_rejection_by_an_instance_is_logged_with_its_connection() {
