Give up a response for which the node has no room

What callers saw: an instance that sends a body without end took its node over its memory (414 MB of 260, measured from outside); the platform kills such a process, and every request in it is lost.

Cause: the body of a response was collected whatever its length, on each connection. Only bodies of callers were bounded.

One may exceed its even part while the others leave room; where there is none it is given up, its connection is closed, and its caller gets 502. Heads end at 64 KB a connection instead of hyper's 400 KB, which 343 slots would not bear. The accounting is walnutmoor_core::intake, without IO.

Bytes in a head and after a response were bounded before.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod gossip;
 pub mod id;
 pub mod ingress;
+pub mod intake;
 pub mod lifetime;
 pub mod limit;
 pub mod member;
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -20,7 +20,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -32,6 +32,7 @@
 use walnutmoor_core::{
     connection::{Choice, Closing, Idle, Policy, Reason},
     digest,
+    intake::Intake,
     table::Effect,
     time::Millis,
 };
@@ -78,6 +79,13 @@
     pub carrier: Carrier,
 }
 
+/// The longest head of a response, and the most bytes that are read ahead on
+/// a connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// The bytes of responses that are read at a time, unless set otherwise.
+const DEFAULT_MAX_INTAKE: usize = 16 << 20;
+
 /// The number of rejected attempts that a connection remembers. A connection
 /// with more rejections is closed.
 const MAX_REJECTED: usize = 32;
@@ -116,6 +124,7 @@
 pub struct Pool {
     address: SocketAddr,
     policy: Policy,
+    intake: Intake,
     idle: RefCell<VecDeque<Connection>>,
     opened: [Cell<u64>; Reason::ALL.len()],
     closings: [Cell<u64>; Closing::ALL.len()],
@@ -127,12 +136,20 @@
         Pool {
             address,
             policy: Policy::default(),
+            intake: Intake::new(DEFAULT_MAX_INTAKE),
             idle: RefCell::new(VecDeque::new()),
             opened: Default::default(),
             closings: Default::default(),
         }
     }
 
+    /// Sets how many bytes of responses are read at a time. A response for
+    /// which there is no room is given up.
+    pub fn max_intake(mut self, bytes: usize) -> Pool {
+        self.intake = Intake::new(bytes);
+        self
+    }
+
     /// The number of connections opened since the start.
     pub fn opened(&self) -> u64 {
         self.opened.iter().map(Cell::get).sum()
@@ -186,7 +203,7 @@
             let carrier = connection.carrier;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let outcome = read(response, attempt, carrier).await;
+                    let outcome = self.read(response, attempt, carrier).await;
                     match &outcome {
                         Outcome::Response(response) => {
                             self.reuse(now(), connection, key, response);
@@ -228,7 +245,7 @@
         let carrier = connection.carrier;
         let response = connection.sender.send_request(request).await.ok()?;
         self.record_closing(Closing::HealthCheck);
-        match read(response, "", carrier).await {
+        match self.read(response, "", carrier).await {
             Outcome::Response(response) => Some(response),
             Outcome::Unreachable | Outcome::Broken(_) => None,
         }
@@ -285,6 +302,44 @@
         }
     }
 
+    /// Reads the complete response to an attempt.
+    async fn read(
+        &self,
+        response: http::Response<Incoming>,
+        attempt: &str,
+        carrier: Carrier,
+    ) -> Outcome {
+        let (head, body) = response.into_parts();
+        let body = match self.read_body(body).await {
+            Ok(body) => body,
+            Err(why) => return Outcome::Broken(why),
+        };
+        let (status, headers) = (head.status, head.headers);
+        let verdict = header::classify(status.as_u16(), &headers, attempt);
+        Outcome::Response(Response { verdict, status, headers, body, carrier })
+    }
+
+    /// Reads a complete body.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks, or there is no room for the body.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, String> {
+        let mut share = self.intake.begin();
+        let mut parts = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| error.to_string())?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if !share.grow(data.len()) {
+                return Err("no room for the response".into());
+            }
+            parts.extend_from_slice(&data);
+        }
+        Ok(parts.freeze())
+    }
+
     /// Keeps a connection after a response, unless a copy of the response
     /// could be taken for the response to a later request on it.
     fn reuse(
@@ -336,7 +391,9 @@
         let stream = timeout(CONNECT_TIMEOUT, stream).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let io = TokioIo::new(stream);
-        let (sender, driver) = http1::handshake(io).await.ok()?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, driver) = builder.handshake(io).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             // Errors are returned by the request on this connection.
             let _ = driver.await;
@@ -376,22 +433,6 @@
     }
 }
 
-/// Reads the complete response to an attempt.
-async fn read(
-    response: http::Response<Incoming>,
-    attempt: &str,
-    carrier: Carrier,
-) -> Outcome {
-    let (head, body) = response.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Outcome::Broken(error.to_string()),
-    };
-    let (status, headers) = (head.status, head.headers);
-    let verdict = header::classify(status.as_u16(), &headers, attempt);
-    Outcome::Response(Response { verdict, status, headers, body, carrier })
-}
-
 fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(http::header::CONNECTION);
     values.iter().any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
