End a run that gets no complete response by its deadline

What callers saw: a request that may run once, and whose response was lost or never ended, kept its slot until the node restarted.

Cause: such a run is not interrupted when its caller leaves, and nothing else ended it. A response whose bytes come slowly and without end is the same.

Change: a run without a complete response 1 s after its deadline ends as unknown and its connection is closed. Instances stop work at the deadline, which they are sent, and respond then.

--- a/crates/walnutmoor-core/src/connection.rs
+++ b/crates/walnutmoor-core/src/connection.rs
@@ -126,11 +126,13 @@
     Rejections,
     /// It was opened for one health check.
     HealthCheck,
+    /// No complete response arrived in time.
+    Overdue,
 }
 
 impl Closing {
     /// All causes, in order of declaration.
-    pub const ALL: [Closing; 8] = [
+    pub const ALL: [Closing; 9] = [
         Closing::Canceled,
         Closing::Untrusted,
         Closing::Broken,
@@ -139,6 +141,7 @@
         Closing::Unnamed,
         Closing::Rejections,
         Closing::HealthCheck,
+        Closing::Overdue,
     ];
 
     /// The name in logs and metrics.
@@ -152,6 +155,7 @@
             Closing::Unnamed => "unnamed",
             Closing::Rejections => "rejections",
             Closing::HealthCheck => "health_check",
+            Closing::Overdue => "overdue",
         }
     }
 }
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -2,12 +2,14 @@
 Sends one call to the local instance, and classifies the response.
 */
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
+use tokio::time::timeout;
 use walnutmoor_core::{
+    connection::Closing,
     error::Kind,
     footprint::{Footprint, Key},
     id::{Account, CallId},
@@ -27,6 +29,10 @@
     wire,
 };
 
+/// How long after its deadline a run may still be answered. Instances stop work
+/// at the deadline, and respond.
+const RESPONSE_GRACE: Millis = Millis(1_000);
+
 /// Runs a queued call on the instance, and sends the reply to its sink.
 pub async fn run(state: Rc<State>, id: CallId) {
     let serve = &state.serve;
@@ -73,7 +79,13 @@
         return;
     };
     let clock = || state.now();
-    let outcome = serve.pool.send(clock, request, &attempt, effect).await;
+    let sent = serve.pool.send(clock, request, &attempt, effect);
+    let limit = deadline.since(now) + RESPONSE_GRACE;
+    let limit = Duration::from_millis(limit.0);
+    let outcome = timeout(limit, sent).await.unwrap_or_else(|_| {
+        serve.pool.record_closing(Closing::Overdue);
+        Outcome::Broken("no complete response by the deadline".into())
+    });
     serve.observe_response(&state, now, &lifetime, &attempt, &outcome);
     let mut crash = None;
     match outcome {
--- a/crates/walnutmoor/tests/mesh/faults.rs
+++ b/crates/walnutmoor/tests/mesh/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use walnutmoor_standin::mesh::instance::Behavior;
+use walnutmoor_standin::mesh::{caller, instance::Behavior};
 
 use crate::fixture::{World, guarantees_not_run, run, until};
 
@@ -219,6 +219,30 @@
     });
 }
 
+/// Guards against a slot that is taken until the node restarts by a request
+/// whose response never comes.
+#[test]
+fn a_run_without_a_response_frees_its_slot_after_its_deadline() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        let desk = &world.pairs[1];
+        desk.instance.set_behavior(Behavior::NeverResponds);
+
+        let answer = world.send(0, "order", "never").await.unwrap();
+
+        assert_eq!(answer.status, 504);
+        assert_eq!(world.runs("never"), 1);
+        let metrics = desk.node.addresses().metrics;
+        until("the slot is free", || async move {
+            let (method, path) = (http::Method::GET, "/metrics");
+            let sent = caller::send(metrics, method, path, &[], String::new());
+            let line = "walnutmoor_running 0\n";
+            sent.await.is_some_and(|answer| answer.body.contains(line))
+        })
+        .await;
+    });
+}
+
 /// Guards against a refusal whose reason cannot be read from the logs.
 #[test]
 fn a_rejection_by_an_instance_is_logged_with_its_connection() {
