A response promises that a request has not run only with evidence

No fault was found here; this closes the class. A refusal could be built from a kind alone, so each of its places had to be right. wire::refuse now takes a NeverRan, which only comes from a refusal that was decided before the request was sent, or from a retry state in which no attempt ran or may have run. wire::fail never has one of the statuses 408, 421, 429 and 503.

--- a/crates/walnutmoor-core/src/proof.rs
+++ b/crates/walnutmoor-core/src/proof.rs
@@ -21,6 +21,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::Ran;
+
 /// Why a call has certainly not run.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub enum Proof {
@@ -54,6 +56,21 @@
     }
 }
 
+/// The evidence that a request has run nowhere, which a response needs that
+/// promises so.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NeverRan(());
+
+impl NeverRan {
+    /// The evidence, if there is any.
+    pub fn of(ran: Ran) -> Option<NeverRan> {
+        match ran {
+            Ran::No => Some(NeverRan(())),
+            Ran::Yes | Ran::Unknown => None,
+        }
+    }
+}
+
 /// Counts the calls that were reported as not run, by evidence.
 #[derive(Debug, Default)]
 pub struct Counters([Cell<u64>; Proof::ALL.len()]);
--- a/crates/walnutmoor-core/src/retry_state.rs
+++ b/crates/walnutmoor-core/src/retry_state.rs
@@ -24,7 +24,7 @@
 ```
 */
 
-use crate::{id::NodeId, time::Millis};
+use crate::{error::Ran, id::NodeId, proof::NeverRan, time::Millis};
 
 /// The number of times that a request is sent at most. With half of all
 /// requests rejected, one in 4,096 is rejected that often.
@@ -159,6 +159,14 @@
         self.may_have_run
     }
 
+    /// The evidence that it has run nowhere, if all its replies say so.
+    pub fn never_ran(&self) -> Option<NeverRan> {
+        NeverRan::of(match self.may_have_run || self.runs > 0 {
+            true => Ran::Unknown,
+            false => Ran::No,
+        })
+    }
+
     /// Excludes a node to which the request could not be sent.
     pub fn exclude(&mut self, node: NodeId) {
         self.excluded.push(node);
--- a/crates/walnutmoor-core/tests/retry_state.rs
+++ b/crates/walnutmoor-core/tests/retry_state.rs
@@ -140,3 +140,33 @@
     assert_eq!(Outcome::from_response(500, false), Outcome::Failed);
     assert_eq!(Outcome::from_response(200, false), Outcome::Served);
 }
+
+/// Guards against a refusal with a promise after an attempt that may have run,
+/// whatever came before or after it.
+#[test]
+fn only_a_request_whose_attempts_all_have_not_run_never_ran() {
+    let outcomes = [
+        (Outcome::NodeRejected, true),
+        (Outcome::InstanceRejected, true),
+        (Outcome::BudgetExhausted, true),
+        (Outcome::Failed, false),
+        (Outcome::Unknown, false),
+        (Outcome::Served, false),
+    ];
+    for (first, first_clear) in outcomes {
+        for (second, second_clear) in outcomes {
+            let mut state = RetryState::new(3, true);
+            assert!(state.never_ran().is_some());
+
+            state.record(id(1), first);
+            state.record(id(2), second);
+
+            let expected = first_clear && second_clear;
+            let never_ran = state.never_ran().is_some();
+            assert_eq!(never_ran, expected, "{first:?}, {second:?}");
+        }
+    }
+    let mut state = RetryState::new(3, false);
+    state.record_timeout(id(1));
+    assert!(state.never_ran().is_none());
+}
--- a/crates/walnutmoor/src/mesh/dispatch.rs
+++ b/crates/walnutmoor/src/mesh/dispatch.rs
@@ -19,7 +19,7 @@
     footprint::Footprint,
     id::{Account, CallId, NodeId, RouteKey, Service},
     poison::{self, Fingerprint, Placement, Standing},
-    proof::Proof,
+    proof::{NeverRan, Proof},
     rate_limit::Limited,
     retry_state::{self, Decision, Outcome},
     share::Root,
@@ -113,7 +113,7 @@
         footprint: Footprint,
     },
     /// It did not run; retry after the given time.
-    Refused(Kind, Millis),
+    Refused(Kind, Millis, NeverRan),
     /// It may have run.
     Failed(Kind),
 }
@@ -452,17 +452,17 @@
         if let Some(reply) = self.failed_reply.take() {
             return answered(reply);
         }
-        if self.retry_state.may_have_run() {
+        let Some(proof) = self.retry_state.never_ran() else {
             let kind = match kind {
                 Kind::Timeout => Kind::Timeout,
                 _ => Kind::Broken,
             };
             return End::Failed(kind);
-        }
+        };
         let retry_after = self
             .rejection
             .map_or(NO_INSTANCE_RETRY_AFTER, |(_, retry_after)| retry_after);
-        End::Refused(kind, retry_after)
+        End::Refused(kind, retry_after, proof)
     }
 }
 
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -16,7 +16,7 @@
     error::{Kind, Ran, Refusal},
     feasibility::Need,
     poison,
-    proof::Proof,
+    proof::{NeverRan, Proof},
     reservation::{Flow, Told},
     table::{Effect, Route},
     time::Millis,
@@ -604,16 +604,15 @@
         state.journal.log_request(now, Event::Refused, id, &fields);
     }
     telemetry::count_account(in_flight.account(), kind.as_str());
-    if let Some(told) = in_flight.told {
-        return wire::refuse(kind, told.retry_after);
-    }
-    match refusal.retry_after {
-        Some(span) => {
-            let span = Millis(span.0.max(MIN_RETRY_AFTER.0));
-            wire::refuse(kind, state.jitter(span))
-        }
-        None => wire::fail(kind),
-    }
+    let Some(proof) = NeverRan::of(refusal.ran) else {
+        return wire::fail(kind);
+    };
+    let told = in_flight.told.map(|told| told.retry_after);
+    let retry_after = told.or_else(|| {
+        let span = refusal.retry_after?;
+        Some(state.jitter(Millis(span.0.max(MIN_RETRY_AFTER.0))))
+    });
+    wire::refuse(kind, retry_after, proof)
 }
 
 /// The shortest `Retry-After`: capacity that is exhausted is rarely available
@@ -638,7 +637,7 @@
             (Event::Answered, "answered", "")
         }
         End::Answered { .. } => (Event::Unknown, "failed", "instance"),
-        End::Refused(kind, _) => (Event::Refused, "refused", kind.as_str()),
+        End::Refused(kind, ..) => (Event::Refused, "refused", kind.as_str()),
         End::Failed(kind) => (Event::Unknown, "unknown", kind.as_str()),
     };
     admission::record_outcome(state, request, &end);
@@ -690,12 +689,13 @@
         End::Answered { status, headers, body, .. } => {
             wire::answer(status, headers, body)
         }
-        End::Refused(kind, retry_after) => {
-            if let Some(told) = in_flight.told {
-                return wire::refuse(kind, told.retry_after);
-            }
-            let retry_after = Millis(retry_after.0.max(MIN_RETRY_AFTER.0));
-            wire::refuse(kind, state.jitter(retry_after))
+        End::Refused(kind, retry_after, proof) => {
+            let told = in_flight.told.map(|told| told.retry_after);
+            let retry_after = told.unwrap_or_else(|| {
+                let span = Millis(retry_after.0.max(MIN_RETRY_AFTER.0));
+                state.jitter(span)
+            });
+            wire::refuse(kind, Some(retry_after), proof)
         }
         End::Failed(kind) => wire::fail(kind),
     }
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -325,7 +325,7 @@
 
 /// True if instances had no room for a request, which therefore ran nowhere.
 fn found_no_room(end: &End) -> bool {
-    matches!(end, End::Refused(Kind::Queued | Kind::Full | Kind::Limited, _))
+    matches!(end, End::Refused(Kind::Queued | Kind::Full | Kind::Limited, ..))
 }
 
 /// Waits until a request is admitted again that was admitted for a due
--- a/crates/walnutmoor/src/mesh/wire.rs
+++ b/crates/walnutmoor/src/mesh/wire.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
-use walnutmoor_core::{error::Kind, time::Millis};
+use walnutmoor_core::{error::Kind, proof::NeverRan, time::Millis};
 use walnutmoor_platform::header;
 
 use super::frame::Headers;
@@ -45,11 +45,15 @@
     answer
 }
 
-/// The response to a request that did not run, with a `Retry-After` header.
+/// The response to a request that did not run, with a `Retry-After` header if
+/// a retry may help.
 ///
 /// The statuses 429 and 503 guarantee that the request did not run and will
-/// not run later.
-pub fn refuse(kind: Kind, retry_after: Millis) -> Answer {
+/// not run later. No other function returns a response with such a status.
+pub fn refuse(kind: Kind, retry_after: Option<Millis>, _: NeverRan) -> Answer {
+    let Some(retry_after) = retry_after else {
+        return reject(kind);
+    };
     let status = match kind {
         Kind::Budget | Kind::OverQuota => 429,
         _ => 503,
@@ -60,9 +64,9 @@
     answer
 }
 
-/// The response to a request that may have run, or for which a retry would
+/// The response to a request that did not run, and for which a retry would
 /// give the same result.
-pub fn fail(kind: Kind) -> Answer {
+fn reject(kind: Kind) -> Answer {
     let mut answer = plain(kind.status(), kind);
     if kind == Kind::UnknownKey {
         let (name, value) = header::challenge();
@@ -71,6 +75,15 @@
     answer
 }
 
+/// The response to a request that may have run.
+pub fn fail(kind: Kind) -> Answer {
+    let status = match kind.status() {
+        status if header::promises_not_run(status) => 502,
+        status => status,
+    };
+    plain(status, kind)
+}
+
 /// A plain-text response with the name of the kind as its body.
 fn plain(status: u16, kind: Kind) -> Answer {
     let body = Bytes::from_static(kind.as_str().as_bytes());
