walnutmoor node: bound the heads of backend servers' responses

A body is bounded by the limit of bodies, per call, and a longer one ends as broken. Heads took hyper's 400 KB a connection; now 64 KB, as in the mesh. A response is refused as not run only by the trailer of its own HTTP/2 stream or if no connection was made, so nothing is matched by a number there. Backend servers' responses name no call: a second response that arrives while the next call runs would be taken for its answer. This was read, not brought about, and is left open.

--- a/crates/walnutmoor-standin/src/backend.rs
+++ b/crates/walnutmoor-standin/src/backend.rs
@@ -8,18 +8,25 @@
 */
 
 use std::{
+    convert::Infallible,
     net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::Semaphore};
 use walnutmoor::{prelude::*, wire};
@@ -56,6 +63,7 @@
     address: SocketAddr,
     slowdown_factor: AtomicU64,
     abort_responses: AtomicBool,
+    endless_responses: AtomicBool,
     next_nested_id: AtomicU64,
     running: AtomicU32,
     last_call_ms: AtomicU64,
@@ -78,6 +86,7 @@
             address: listener.local_addr().expect("a bound port"),
             slowdown_factor: AtomicU64::new(1),
             abort_responses: AtomicBool::new(false),
+            endless_responses: AtomicBool::new(false),
             next_nested_id: AtomicU64::new(0),
             running: AtomicU32::new(0),
             last_call_ms: AtomicU64::new(0),
@@ -108,6 +117,11 @@
         self.abort_responses.store(enabled, Ordering::Relaxed);
     }
 
+    /// Sets whether responses have a body without end.
+    pub fn set_endless_responses(&self, enabled: bool) {
+        self.endless_responses.store(enabled, Ordering::Relaxed);
+    }
+
     /// The number of calls that are running.
     pub fn running(&self) -> u32 {
         self.running.load(Ordering::Relaxed)
@@ -240,6 +254,37 @@
     }
 }
 
+/// The body of a response.
+enum ResponseBody {
+    Complete(Full<Bytes>),
+    Endless,
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            ResponseBody::Complete(body) => Pin::new(body).poll_frame(cx),
+            ResponseBody::Endless => {
+                let block = Bytes::from_static(&[b'x'; 16 << 10]);
+                Poll::Ready(Some(Ok(Frame::data(block))))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ResponseBody::Complete(body) => body.size_hint(),
+            ResponseBody::Endless => SizeHint::default(),
+        }
+    }
+}
+
 /// Makes hyper close the connection without a response.
 #[derive(Debug, thiserror::Error)]
 #[error("the response was aborted")]
@@ -248,7 +293,7 @@
 async fn handle(
     backend: &Backend,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, ResponseAborted> {
+) -> Result<Response<ResponseBody>, ResponseAborted> {
     let received_at = Instant::now();
     let (parts, body) = request.into_parts();
     body.collect().await.map_err(|_| ResponseAborted)?;
@@ -260,7 +305,11 @@
         Ok(text) => (StatusCode::OK, text),
         Err(text) => (StatusCode::BAD_GATEWAY, text),
     };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let body = match backend.endless_responses.load(Ordering::Relaxed) {
+        true => ResponseBody::Endless,
+        false => ResponseBody::Complete(Full::from(text)),
+    };
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     let us = received_at.elapsed().as_micros() as u64;
     response.headers_mut().insert(SERVED_US, us.into());
--- a/crates/walnutmoor/src/worker/forward.rs
+++ b/crates/walnutmoor/src/worker/forward.rs
@@ -61,6 +61,10 @@
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The longest head of a backend server's response, and the most bytes that are
+/// read ahead on a connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// The settings of the worker.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -125,6 +129,7 @@
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(Duration::from_secs(5))
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .retry_canceled_requests(false)
         .build(connector())
 }
--- a/crates/walnutmoor/tests/process/calls.rs
+++ b/crates/walnutmoor/tests/process/calls.rs
@@ -174,6 +174,31 @@
     });
 }
 
+/// Guards against a node that reads a response without end until it has no
+/// memory left.
+#[test]
+fn a_response_without_end_is_an_error_and_frees_its_slot() {
+    run(async {
+        let cluster = Cluster::start(&[plan("top", "a")]).await;
+        let backend = &cluster.pairs[0].backend;
+        backend.set_endless_responses(true);
+
+        for n in 0..10 {
+            let ticket = cluster.ticket(0).await;
+            let id = format!("endless-{n}");
+            let response = cluster.send(0, order("top", &id, &ticket)).await;
+
+            let expected = ("broken".to_string(), "unknown".to_string());
+            assert_eq!(refusal(&response), expected);
+        }
+
+        backend.set_endless_responses(false);
+        let ticket = cluster.ticket(0).await;
+        let next = cluster.send(0, order("top", "next", &ticket)).await;
+        assert!(next.is_success(), "{next:?}");
+    });
+}
+
 #[test]
 fn a_disconnected_caller_frees_its_slots() {
     run(async {
