--- a/crates/walnutmoor-standin/src/mesh/instance/quirk.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance/quirk.rs
@@ -176,18 +176,29 @@
     }
 }
 
+/// Sends chunks until the connection closes. Wherever they are cut off, the
+/// response is not complete.
 async fn send_without_end(stream: &mut TcpStream, headers: &str) {
-    let head = format!("HTTP/1.1 200 OK\r\n{headers}\r\n");
-    let block = vec![b'x'; 64 << 10];
-    let mut sent = stream.write(head.as_bytes()).await.unwrap_or(0);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{headers}transfer-encoding: chunked\r\n\r\n"
+    );
+    let mut chunk = format!("{CHUNK_BYTES:x}\r\n").into_bytes();
+    chunk.extend([b'x'; CHUNK_BYTES]);
+    chunk.extend(b"\r\n");
+    let mut sent = 0;
     let since = Instant::now();
+    let mut next = head.as_bytes();
     while sent < MAX_ENDLESS_BYTES && since.elapsed() < MAX_ENDLESS_TIME {
-        match stream.write(&block).await {
-            Ok(count) => sent += count,
-            Err(_) => return,
+        if stream.write_all(next).await.is_err() {
+            return;
         }
+        sent += next.len();
+        next = &chunk;
     }
 }
 
+/// The length of a chunk of a body without end.
+const CHUNK_BYTES: usize = 64 << 10;
+
 /// How long an instance sends a body without end.
 const MAX_ENDLESS_TIME: Duration = Duration::from_secs(10);
