Bound the responses of the store

What callers saw, if the store sent a body without end: the node takes more than its memory and is killed, with every request in it.

A response of the store was read whatever its length, for up to 30 s of a watch.

Change: 16 MB a response; a longer one counts as a closed connection.

--- a/crates/walnutmoor-standin/src/mesh/store.rs
+++ b/crates/walnutmoor-standin/src/mesh/store.rs
@@ -76,6 +76,8 @@
     changed: Notify,
     down: AtomicBool,
     drops_responses: AtomicBool,
+    /// The body of all responses, if it is not the usual one.
+    body: Mutex<Option<Bytes>>,
     calls: AtomicU64,
     /// How old lists are that may be.
     staleness: Mutex<Option<Duration>>,
@@ -105,6 +107,7 @@
             changed: Notify::new(),
             down: AtomicBool::new(false),
             drops_responses: AtomicBool::new(false),
+            body: Mutex::default(),
             calls: AtomicU64::new(0),
             staleness: Mutex::default(),
             past: Mutex::default(),
@@ -134,6 +137,13 @@
         self.drops_responses.store(drops, Ordering::Relaxed);
     }
 
+    /// Makes it respond with this body to every call, or with the usual ones
+    /// again.
+    pub fn set_body(&self, body: Option<Bytes>) {
+        *self.body.lock().expect("no holder panics") = body;
+        self.changed.notify_waiters();
+    }
+
     /// Discards the history, so that watches from older revisions get 410.
     pub fn compact(&self) {
         let mut data = self.lock();
@@ -405,6 +415,10 @@
         if self.drops_responses.load(Ordering::Relaxed) {
             return Err(ResponseDropped);
         }
+        let body = self.body.lock().expect("no holder panics").clone();
+        if let Some(body) = body {
+            *reply.body_mut() = Full::new(body);
+        }
         if let era @ 1.. = self.era() {
             reply.headers_mut().insert(header::ERA, era.into());
         }
--- a/crates/walnutmoor/src/mesh/store/client.rs
+++ b/crates/walnutmoor/src/mesh/store/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -21,6 +21,9 @@
 /// Timeout of a call, in addition to the time that the store may hold a watch.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The longest response. The store's lists have some megabytes at most.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Idle time before a TCP keep-alive probe, and between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -114,7 +117,8 @@
         let response = response.await.map_err(|_| Error::Closed)?;
         let era = era::observe_response(&self.state, response.headers());
         let status = response.status();
-        let body = response.into_body().collect().await;
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let body = body.collect().await;
         let body = body.map_err(|_| Error::Closed)?.to_bytes();
         Ok(Response { status, era, body })
     }
--- a/crates/walnutmoor/tests/explain.rs
+++ b/crates/walnutmoor/tests/explain.rs
@@ -174,11 +174,14 @@
 /// Guards against a refusal whose evidence the timeline does not show.
 #[test]
 fn a_refused_request_names_the_evidence_that_it_has_not_run() {
-    check("7e0a", expect![[r#"
+    check(
+        "7e0a",
+        expect![[r#"
         in force at 53000 ms on a: desired; era 2; revision 8; routes 3; source "store"; version 9
         context at 79000 ms on a: requests may leave the local zone, which is full; preference "0.35"; service "parts"; used "0.93"; zone "east"
         context at 79900 ms on a: requests stay in the local zone again; preference "1.00"; service "parts"; used "0.71"; zone "east"
         at 80200 ms on a: it was refused and has not run; after_ms 130; evidence ["rejected","declined"]; tried ["10.0.0.2:7500","10.0.0.3:7500"]; why "budget"
         at 80110 ms on b: its call was reported as not run; connection 17; evidence "rejected"; from "10.0.0.1:7500"; has_id true; sends 4; status 503
-    "#]]);
+    "#]],
+    );
 }
--- a/crates/walnutmoor/tests/mesh/desired.rs
+++ b/crates/walnutmoor/tests/mesh/desired.rs
@@ -148,3 +148,29 @@
         assert!(world.store.calls() <= 16, "{}", world.store.calls());
     });
 }
+
+/// Guards against a node that reads a response of the store until it has no
+/// memory left.
+#[test]
+fn a_response_of_the_store_without_end_does_not_take_the_memory() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        let before = world.store.calls();
+        world.store.set_body(Some(vec![b' '; 128 << 20].into()));
+        // Wakes the watches.
+        world.store.write_desired(&desired(2, &routes()));
+
+        until("the nodes have read such responses", || async {
+            world.store.calls() > before + 10
+        })
+        .await;
+        world.store.set_body(None);
+        world.store.write_desired(&desired(3, &routes()));
+
+        world.send_until_ok(0, "order", "after").await;
+        for pair in &world.pairs {
+            let peak = pair.node.peak_memory_mb().unwrap();
+            assert!(peak < 64, "a node has held {peak} MiB");
+        }
+    });
+}
