Gauges of what a node holds for other nodes

walnutmoor_retained_replies, walnutmoor_retained_bytes and walnutmoor_unwritten_frames, which tell apart the hypotheses of docs/incidents/replies-retained.md. A session counts the bytes of its replies; no decision uses them.

--- a/crates/walnutmoor-core/src/session.rs
+++ b/crates/walnutmoor-core/src/session.rs
@@ -19,7 +19,7 @@
 
 let mut session = Session::new(CallId(0));
 session.receive(CallId(1), "a call");
-session.end(Millis(5), CallId(1), "a reply");
+session.end(Millis(5), CallId(1), "a reply", 7);
 assert_eq!(session.find(CallId(1)), Found::Ended("a reply"));
 assert_eq!(session.find(CallId(2)), Found::NeverReceived);
 
@@ -59,11 +59,23 @@
     /// have received.
     last: CallId,
     running: Map<CallId, C>,
-    retained: VecDeque<(Millis, CallId, R)>,
+    retained: VecDeque<Retained<R>>,
+    /// The size of all retained replies, in bytes.
+    retained_bytes: usize,
     /// When the connection broke; `None` while there is one.
     unlinked_at: Option<Millis>,
 }
 
+/// A reply that the other node may still ask for.
+#[derive(Clone, Debug)]
+struct Retained<R> {
+    id: CallId,
+    reply: R,
+    /// In bytes.
+    size: usize,
+    ended_at: Millis,
+}
+
 impl<C, R: Clone> Session<C, R> {
     /// Creates the session of a process whose last call had this number when
     /// it connected.
@@ -72,6 +84,7 @@
             last: last_sent,
             running: Map::default(),
             retained: VecDeque::new(),
+            retained_bytes: 0,
             unlinked_at: None,
         }
     }
@@ -102,23 +115,48 @@
         self.running.remove(&id)
     }
 
-    /// Ends a call in progress, and retains its reply. Returns false if it was
-    /// not in progress.
-    pub fn end(&mut self, now: Millis, id: CallId, reply: R) -> bool {
+    /// Ends a call in progress, and retains its reply, which has this size in
+    /// bytes. Returns false if it was not in progress.
+    pub fn end(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        reply: R,
+        size: usize,
+    ) -> bool {
         if self.running.remove(&id).is_none() {
             return false;
         }
-        while let Some((at, ..)) = self.retained.front() {
-            let is_kept = now.since(*at) <= RETENTION;
+        while let Some(oldest) = self.retained.front() {
+            let is_kept = now.since(oldest.ended_at) <= RETENTION;
             if is_kept && self.retained.len() < MAX_RETAINED {
                 break;
             }
-            self.retained.pop_front();
+            self.evict();
         }
-        self.retained.push_back((now, id, reply));
+        self.retained_bytes += size;
+        let ended_at = now;
+        self.retained.push_back(Retained { id, reply, size, ended_at });
         true
     }
 
+    /// Drops the oldest retained reply.
+    fn evict(&mut self) {
+        if let Some(evicted) = self.retained.pop_front() {
+            self.retained_bytes -= evicted.size;
+        }
+    }
+
+    /// The number of retained replies.
+    pub fn retained(&self) -> usize {
+        self.retained.len()
+    }
+
+    /// The size of all retained replies, in bytes.
+    pub fn retained_bytes(&self) -> usize {
+        self.retained_bytes
+    }
+
     /// What is known of a call.
     pub fn find(&self, id: CallId) -> Found<R> {
         if id > self.last {
@@ -128,8 +166,8 @@
             return Found::Running;
         }
         let mut retained = self.retained.iter();
-        match retained.find(|(_, other, _)| *other == id) {
-            Some((_, _, reply)) => Found::Ended(reply.clone()),
+        match retained.find(|retained| retained.id == id) {
+            Some(retained) => Found::Ended(retained.reply.clone()),
             None => Found::Forgotten,
         }
     }
--- a/crates/walnutmoor-core/tests/session.rs
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -259,7 +259,7 @@
 
     fn end(&mut self, incarnation: u64, id: CallId, reply: Reply) {
         let session = self.runner.sessions.get_mut(&incarnation).unwrap();
-        session.end(self.now, id, reply);
+        session.end(self.now, id, reply, 1);
         let is_linked = self.forward.is_some();
         if is_linked && incarnation == self.caller.incarnation {
             self.back.push_back((id, reply));
@@ -330,7 +330,7 @@
     let late = Millis(100) + RETENTION + Millis(1);
 
     assert!(!session.is_expired(late), "a call is in progress");
-    session.end(late, CallId(1), ());
+    session.end(late, CallId(1), (), 0);
     assert!(!session.is_expired(Millis(100) + RETENTION));
     assert!(session.is_expired(late));
     session.link();
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -10,7 +10,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -77,6 +77,8 @@
     control: SocketAddr,
     behavior: Mutex<Behavior>,
     run_ms: AtomicU64,
+    /// The length of a padded response body, in bytes.
+    response_bytes: AtomicUsize,
     has_long_tail: AtomicBool,
     held: Mutex<BTreeSet<String>>,
     sequence: AtomicU64,
@@ -180,6 +182,7 @@
             control,
             behavior: Mutex::new(Behavior::Healthy),
             run_ms: AtomicU64::new(5),
+            response_bytes: AtomicUsize::new(0),
             has_long_tail: AtomicBool::new(false),
             held: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -304,6 +307,11 @@
         self.run_ms.store(time.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Pads the bodies of responses to this length, in bytes.
+    pub fn set_response_bytes(&self, length: usize) {
+        self.response_bytes.store(length, Ordering::Relaxed);
+    }
+
     /// Lets some runs last up to nine seconds and others a fraction of one,
     /// depending on the attempt id.
     pub fn set_long_tail(&self) {
@@ -645,7 +653,10 @@
     }
     let id = header::attempt(&request.headers).unwrap_or_default();
     let called = instance.make_call(id, &request.headers).await;
-    let body = format!("{} {id} {}", instance.id(), request.body);
+    let mut body = format!("{} {id} {}", instance.id(), request.body);
+    let length = instance.response_bytes.load(Ordering::Relaxed);
+    let padding = length.saturating_sub(body.len());
+    body.extend(std::iter::repeat_n('x', padding));
     let notices = instance.notices();
     let headers = format!("{notices}{}: {id}\r\n", header::ATTEMPT);
     let signed = format!("{headers}{}: s.{id}\r\n", header::SIGNATURE);
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -241,6 +241,23 @@
     Crashed(Crash),
 }
 
+impl Reply {
+    /// About the memory that it holds, in bytes.
+    pub fn size(&self) -> usize {
+        let variable = match self {
+            Reply::Answered { headers, body, .. } => {
+                let name_and_value =
+                    |(name, value): &(String, Bytes)| name.len() + value.len();
+                let entries = headers.len() * size_of::<(String, Bytes)>();
+                let text: usize = headers.iter().map(name_and_value).sum();
+                entries + text + body.len()
+            }
+            _ => 0,
+        };
+        size_of::<Reply>() + variable
+    }
+}
+
 /// A frame that cannot be decoded. Holds its length in bytes.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("a frame of {0} bytes cannot be decoded")]
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -108,9 +108,15 @@
         }
     }
 
-    /// True if some frames for the other node are not written yet.
-    pub(super) fn has_unwritten(&self) -> bool {
-        self.unwritten.get() > 0
+    /// The number of frames for the other node that are not written yet.
+    pub(crate) fn unwritten(&self) -> usize {
+        self.unwritten.get()
+    }
+
+    /// The number of retained replies, and their size in bytes.
+    pub(crate) fn retained(&self) -> (usize, usize) {
+        let calls = self.calls.borrow();
+        (calls.retained(), calls.retained_bytes())
     }
 
     fn record_written(&self, count: usize) {
@@ -121,7 +127,8 @@
     /// Sends and retains the reply to a call, unless it was canceled.
     pub fn reply(&self, state: &State, id: CallId, reply: Reply) {
         let now = state.now();
-        if !self.calls.borrow_mut().end(now, id, reply.clone()) {
+        let size = reply.size();
+        if !self.calls.borrow_mut().end(now, id, reply.clone(), size) {
             return;
         }
         self.send(Frame::Answer(id, reply, state.serve.load(state.now())));
--- a/crates/walnutmoor/src/mesh/shutdown.rs
+++ b/crates/walnutmoor/src/mesh/shutdown.rs
@@ -106,7 +106,7 @@
     let sessions = state.sessions.borrow();
     state.requests.is_empty()
         && state.serve.job_counts() == (0, 0)
-        && !sessions.values().any(|session| session.has_unwritten())
+        && !sessions.values().any(|session| session.unwritten() > 0)
 }
 
 /// Logs a phase of the shutdown, with the number of callers' requests at each
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -184,6 +184,7 @@
     for (name, value) in gauges {
         gauge!(name).set(value as f64);
     }
+    publish_sessions(state);
     let requests = state.requests.list();
     for stage in mesh::requests::Stage::NAMES {
         let at_stage = requests.iter().filter(|r| r.stage.as_str() == stage);
@@ -218,6 +219,19 @@
     }
 }
 
+/// Updates the metrics of what is held for other nodes.
+fn publish_sessions(state: &mesh::state::State) {
+    let sessions = state.sessions.borrow();
+    let retained = sessions.values().map(|session| session.retained());
+    let (replies, bytes) = retained.fold((0, 0), |sum, (replies, bytes)| {
+        (sum.0 + replies, sum.1 + bytes)
+    });
+    let unwritten: usize = sessions.values().map(|s| s.unwritten()).sum();
+    gauge!("walnutmoor_retained_replies").set(replies as f64);
+    gauge!("walnutmoor_retained_bytes").set(bytes as f64);
+    gauge!("walnutmoor_unwritten_frames").set(unwritten as f64);
+}
+
 /// Updates the metrics of connections to the instance.
 fn publish_connections(serve: &mesh::serve::Serve) {
     let pool = &serve.pool;
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod leaving;
 mod limits;
 mod path;
+mod peer;
 mod pipeline;
 mod poison;
 mod restore;
