Drop a reply once the other node has read it, and bound the rest by bytes

Cause: a session held up to 256 replies of a process that lives on. Each was dropped with a later reply of the same session only, by a count and an age, not by what had been read, and not by bytes.

Change: a node reports how many replies it has read on a connection (Frame::Read, with the next call or ping, or after 16 KB), and the other drops these. The retained replies of all sessions share a tenth of the memory; beyond it the oldest of the session go, and their outcome is unknown on request, never "not run". After a break only the replies that are asked for are kept. A body that was read in parts is copied into a buffer of its length. Protocol version 9: nodes of the former version do not link to these.

The drawn histories of core session now have reports of what was read: no reply that was not read is dropped, and a count that goes on over connections loses some.

--- a/crates/walnutmoor-core/src/intake.rs
+++ b/crates/walnutmoor-core/src/intake.rs
@@ -1,9 +1,10 @@
 /*!
-Bounds the memory of responses that are being read, all of them together.
+Bounds the memory of data that others send or fetch at their own pace, such as
+responses that are being read, all of them together.
 
-A response may exceed its even part of the limit while the others leave room. So
-a single long one is read, many short ones are, and many endless ones are given
-up before they hold twice the limit.
+A holder may exceed its even part of the limit while the others leave room. So
+a single long response is read, many short ones are, and many endless ones are
+given up before they hold twice the limit.
 
 # Example
 
@@ -21,47 +22,63 @@
 ```
 */
 
-use std::cell::Cell;
+use std::{cell::Cell, rc::Rc};
+
+/// The memory of all holders. Clones refer to the same memory.
+#[derive(Clone, Debug)]
+pub struct Intake(Rc<Total>);
 
-/// The memory of all responses that are being read.
 #[derive(Debug)]
-pub struct Intake {
+struct Total {
     max_bytes: usize,
     bytes: Cell<usize>,
-    responses: Cell<usize>,
+    holders: Cell<usize>,
 }
 
-/// The memory of one response. Returned to the intake when dropped.
+/// The memory of one holder. Returned to the intake when dropped.
 #[derive(Debug)]
-pub struct Share<'a> {
-    intake: &'a Intake,
+pub struct Share {
+    total: Rc<Total>,
     bytes: usize,
 }
 
 impl Intake {
     /// Creates an intake with this limit, in bytes.
     pub fn new(max_bytes: usize) -> Intake {
-        Intake { max_bytes, bytes: Cell::new(0), responses: Cell::new(0) }
+        let (bytes, holders) = (Cell::new(0), Cell::new(0));
+        Intake(Rc::new(Total { max_bytes, bytes, holders }))
     }
 
     /// The bytes that are held.
     pub fn bytes(&self) -> usize {
-        self.bytes.get()
+        self.0.bytes.get()
     }
 
-    /// Begins a response.
-    pub fn begin(&self) -> Share<'_> {
-        self.responses.set(self.responses.get() + 1);
-        Share { intake: self, bytes: 0 }
+    /// Adds a holder, which holds nothing yet.
+    pub fn begin(&self) -> Share {
+        let total = self.0.clone();
+        total.holders.set(total.holders.get() + 1);
+        Share { total, bytes: 0 }
     }
 }
 
-impl Share<'_> {
-    /// Adds bytes to the response. Returns false if there is no room; the
-    /// response is to be given up then.
+impl Default for Intake {
+    /// An intake without a limit.
+    fn default() -> Intake {
+        Intake::new(usize::MAX)
+    }
+}
+
+impl Share {
+    /// The bytes that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds bytes. Returns false if there is no room; nothing is added then.
     pub fn grow(&mut self, count: usize) -> bool {
-        let Intake { max_bytes, bytes, responses } = self.intake;
-        let even_part = max_bytes / responses.get();
+        let Total { max_bytes, bytes, holders } = &*self.total;
+        let even_part = max_bytes / holders.get();
         let is_over_part = self.bytes + count > even_part;
         if is_over_part && bytes.get() + count > *max_bytes {
             return false;
@@ -70,12 +87,18 @@
         bytes.set(bytes.get() + count);
         true
     }
+
+    /// Returns bytes, at most those that are held.
+    pub fn shrink(&mut self, count: usize) {
+        let count = count.min(self.bytes);
+        self.bytes -= count;
+        self.total.bytes.set(self.total.bytes.get() - count);
+    }
 }
 
-impl Drop for Share<'_> {
+impl Drop for Share {
     fn drop(&mut self) {
-        let Intake { bytes, responses, .. } = self.intake;
-        bytes.set(bytes.get() - self.bytes);
-        responses.set(responses.get() - 1);
+        self.shrink(self.bytes);
+        self.total.holders.set(self.total.holders.get() - 1);
     }
 }
--- a/crates/walnutmoor-core/src/session.rs
+++ b/crates/walnutmoor-core/src/session.rs
@@ -8,6 +8,10 @@
 before a newer one is read. The numbers are unique in the life of the sending
 process, so that they mean the same after a link was removed and made anew.
 
+A reply is retained until the other node has read it: it reports how many
+replies it has read on its connection. The oldest are dropped sooner if there
+are many of them, or no room is left; their outcome is unknown then.
+
 A session may be forgotten. The one that follows cannot know what its
 predecessor had received, so it takes the last number that was sent by then for
 received: the outcome of such a call is unknown, not "never received".
@@ -18,9 +22,12 @@
 use walnutmoor_core::{id::CallId, session::{Found, Session}, time::Millis};
 
 let mut session = Session::new(CallId(0));
+session.link();
 session.receive(CallId(1), "a call");
 session.end(Millis(5), CallId(1), "a reply", 7);
 assert_eq!(session.find(CallId(1)), Found::Ended("a reply"));
+session.record_read(1);
+assert_eq!(session.find(CallId(1)), Found::Forgotten);
 assert_eq!(session.find(CallId(2)), Found::NeverReceived);
 
 let successor: Session<&str, &str> = Session::new(CallId(2));
@@ -30,7 +37,12 @@
 
 use std::collections::VecDeque;
 
-use crate::{digest::Map, id::CallId, time::Millis};
+use crate::{
+    digest::{Map, Set},
+    id::CallId,
+    intake::{Intake, Share},
+    time::Millis,
+};
 
 /// How long a reply is retained. Exceeds the time in which a link reconnects.
 pub const RETENTION: Millis = Millis(3_000);
@@ -53,15 +65,19 @@
 
 /// The calls of one process: those in progress with their state `C`, and the
 /// replies `R` of the latest that have ended.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Session<C, R> {
     /// The greatest number that was received, or that a forgotten session may
     /// have received.
     last: CallId,
     running: Map<CallId, C>,
+    /// In the order of sending; those that were not sent come first.
     retained: VecDeque<Retained<R>>,
-    /// The size of all retained replies, in bytes.
-    retained_bytes: usize,
+    intake: Intake,
+    /// The memory of all retained replies, if there are any.
+    share: Option<Share>,
+    /// The number of replies that were sent on the connection.
+    sent: u64,
     /// When the connection broke; `None` while there is one.
     unlinked_at: Option<Millis>,
 }
@@ -74,6 +90,9 @@
     /// In bytes.
     size: usize,
     ended_at: Millis,
+    /// Its position among the replies that were sent on the connection; `None`
+    /// if it was not sent there.
+    position: Option<u64>,
 }
 
 impl<C, R: Clone> Session<C, R> {
@@ -84,11 +103,20 @@
             last: last_sent,
             running: Map::default(),
             retained: VecDeque::new(),
-            retained_bytes: 0,
+            intake: Intake::default(),
+            share: None,
+            sent: 0,
             unlinked_at: None,
         }
     }
 
+    /// Sets the memory that its retained replies share with those of other
+    /// sessions.
+    pub fn share(mut self, intake: &Intake) -> Session<C, R> {
+        self.intake = intake.clone();
+        self
+    }
+
     /// The greatest number that was received, or may have been.
     pub fn last(&self) -> CallId {
         self.last
@@ -116,7 +144,8 @@
     }
 
     /// Ends a call in progress, and retains its reply, which has this size in
-    /// bytes. Returns false if it was not in progress.
+    /// bytes. The reply counts as sent if there is a connection. Returns false
+    /// if the call was not in progress.
     pub fn end(
         &mut self,
         now: Millis,
@@ -127,6 +156,7 @@
         if self.running.remove(&id).is_none() {
             return false;
         }
+        let position = self.next_position();
         while let Some(oldest) = self.retained.front() {
             let is_kept = now.since(oldest.ended_at) <= RETENTION;
             if is_kept && self.retained.len() < MAX_RETAINED {
@@ -134,16 +164,63 @@
             }
             self.evict();
         }
-        self.retained_bytes += size;
-        let ended_at = now;
-        self.retained.push_back(Retained { id, reply, size, ended_at });
+        if self.reserve(size) {
+            let ended_at = now;
+            let retained = Retained { id, reply, size, ended_at, position };
+            self.retained.push_back(retained);
+        }
         true
     }
 
-    /// Drops the oldest retained reply.
-    fn evict(&mut self) {
-        if let Some(evicted) = self.retained.pop_front() {
-            self.retained_bytes -= evicted.size;
+    /// The position of a reply that is sent now; `None` without a connection.
+    fn next_position(&mut self) -> Option<u64> {
+        if self.unlinked_at.is_some() {
+            return None;
+        }
+        self.sent += 1;
+        Some(self.sent)
+    }
+
+    /// Reserves memory for a reply; evicts others as long as there is no room.
+    /// Returns false if there is none even so.
+    fn reserve(&mut self, size: usize) -> bool {
+        loop {
+            let begin = || self.intake.begin();
+            if self.share.get_or_insert_with(begin).grow(size) {
+                return true;
+            }
+            if !self.evict() {
+                self.share = None;
+                return false;
+            }
+        }
+    }
+
+    /// Drops the oldest retained reply. Returns false if there is none.
+    fn evict(&mut self) -> bool {
+        let Some(evicted) = self.retained.pop_front() else {
+            return false;
+        };
+        self.release(evicted.size);
+        true
+    }
+
+    /// Returns the memory of a reply that was removed.
+    fn release(&mut self, size: usize) {
+        match &mut self.share {
+            Some(share) if !self.retained.is_empty() => share.shrink(size),
+            _ => self.share = None,
+        }
+    }
+
+    /// Records that the other node has read this many replies on its
+    /// connection. They are not retained any longer.
+    pub fn record_read(&mut self, count: u64) {
+        let is_read = |retained: &Retained<R>| {
+            retained.position.is_some_and(|position| position <= count)
+        };
+        while self.retained.front().is_some_and(is_read) {
+            self.evict();
         }
     }
 
@@ -154,7 +231,7 @@
 
     /// The size of all retained replies, in bytes.
     pub fn retained_bytes(&self) -> usize {
-        self.retained_bytes
+        self.share.as_ref().map_or(0, Share::bytes)
     }
 
     /// What is known of a call.
@@ -175,6 +252,39 @@
     /// Records that the other node is connected.
     pub fn link(&mut self) {
         self.unlinked_at = None;
+        self.sent = 0;
+        self.retained.iter_mut().for_each(|r| r.position = None);
+    }
+
+    /// Drops the replies to all calls but these, which the other node still
+    /// waits for on its new connection.
+    pub fn resume(&mut self, wanted: &Set<CallId>) {
+        for _ in 0..self.retained.len() {
+            match self.retained.pop_front() {
+                Some(r) if wanted.contains(&r.id) => {
+                    self.retained.push_back(r);
+                }
+                Some(unwanted) => self.release(unwanted.size),
+                None => {}
+            }
+        }
+    }
+
+    /// What is known of a call. If that is told to the other node, it counts
+    /// as a reply that was sent on the connection.
+    pub fn resend(&mut self, id: CallId) -> Found<R> {
+        let found = self.find(id);
+        if matches!(found, Found::Running) {
+            return found;
+        }
+        let position = self.next_position();
+        let mut retained = self.retained.iter();
+        if let Some(at) = retained.position(|retained| retained.id == id)
+            && let Some(retained) = self.retained.remove(at)
+        {
+            self.retained.push_back(Retained { position, ..retained });
+        }
+        found
     }
 
     /// Records that the connection broke.
--- a/crates/walnutmoor-core/tests/intake.rs
+++ b/crates/walnutmoor-core/tests/intake.rs
@@ -19,7 +19,7 @@
     for seed in 0..200 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let intake = Intake::new(MAX);
-        let mut endless: Vec<Share<'_>> = Vec::new();
+        let mut endless: Vec<Share> = Vec::new();
         for _ in 0..2_000 {
             if endless.len() < SLOTS && rng.random_range(0..10) == 0 {
                 endless.push(intake.begin());
@@ -48,3 +48,17 @@
     assert!(response.grow(MAX));
     assert!(!response.grow(1));
 }
+
+#[test]
+fn what_a_holder_returns_is_room_for_others() {
+    let intake = Intake::new(MAX);
+    let (mut first, mut second) = (intake.begin(), intake.begin());
+    assert!(first.grow(MAX));
+    assert!(!second.grow(MAX));
+
+    first.shrink(MAX);
+
+    assert!(second.grow(MAX));
+    assert_eq!((first.bytes(), second.bytes()), (0, MAX));
+    assert_eq!(intake.bytes(), MAX);
+}
--- a/crates/walnutmoor-core/tests/session.rs
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use walnutmoor_core::{
     id::CallId,
+    intake::Intake,
     session::{Found, RETENTION, Session},
     time::Millis,
 };
@@ -26,6 +27,8 @@
 enum Frame {
     Resume(Vec<CallId>),
     Call(CallId, Attempt),
+    /// The number of replies that were read on this connection.
+    Read(u64),
 }
 
 /// The rules of the two nodes.
@@ -36,6 +39,8 @@
     NumbersPerLink,
     /// A new session assumes that no call was received before.
     NothingReceived,
+    /// The number of replies that were read goes on over connections.
+    CountNotReset,
 }
 
 /// A process that sends calls over one link.
@@ -46,6 +51,8 @@
     pending: BTreeMap<CallId, Attempt>,
     /// The incarnation of the other process at the last handshake.
     peer: Option<u64>,
+    /// The number of replies that were read on the connection.
+    read: u64,
 }
 
 /// A call at the node that runs it.
@@ -60,6 +67,8 @@
 struct Runner {
     incarnation: u64,
     sessions: BTreeMap<u64, Session<Call, Reply>>,
+    /// When the calls of each session ended.
+    ended: BTreeMap<(u64, CallId), Millis>,
 }
 
 /// Two nodes, the frames between them, and what really happened.
@@ -79,6 +88,8 @@
     ran: BTreeSet<Attempt>,
     promised: BTreeSet<Attempt>,
     lies: usize,
+    /// The replies that were dropped before they were read.
+    losses: usize,
 }
 
 impl Model {
@@ -96,6 +107,7 @@
             ran: BTreeSet::new(),
             promised: BTreeSet::new(),
             lies: 0,
+            losses: 0,
         }
     }
 
@@ -123,6 +135,9 @@
         self.caller.last += 1;
         let id = CallId(self.caller.last);
         self.caller.pending.insert(id, self.attempts);
+        if self.rng.random() {
+            forward.push_back(Frame::Read(self.caller.read));
+        }
         forward.push_back(Frame::Call(id, self.attempts));
     }
 
@@ -137,6 +152,9 @@
         {
             self.caller.pending.clear();
         }
+        if self.rules != Rules::CountNotReset {
+            self.caller.read = 0;
+        }
         let last = match self.rules {
             Rules::NothingReceived => CallId(0),
             _ => CallId(self.caller.last),
@@ -172,7 +190,9 @@
     fn forget(&mut self) {
         if self.forward.is_none() {
             self.late.clear();
-            self.runner.sessions.remove(&self.caller.incarnation);
+            let incarnation = self.caller.incarnation;
+            self.runner.sessions.remove(&incarnation);
+            self.runner.ended.retain(|(other, _), _| *other != incarnation);
         }
     }
 
@@ -207,17 +227,27 @@
                 session.receive(id, Call { attempt, has_started: false });
             }
             Frame::Resume(wanted) if is_linked => {
+                session.resume(&wanted.iter().copied().collect());
                 for id in wanted {
-                    let reply = match session.find(id) {
+                    let reply = match session.resend(id) {
                         Found::Running => continue,
                         Found::Ended(reply) => reply,
                         Found::NeverReceived => Reply::NotRun,
-                        Found::Forgotten => Reply::Unknown,
+                        Found::Forgotten => {
+                            let key = (self.caller.incarnation, id);
+                            let ended_at = self.runner.ended.get(&key);
+                            let is_kept =
+                                |at: &Millis| self.now.since(*at) <= RETENTION;
+                            let is_loss = ended_at.is_some_and(is_kept);
+                            self.losses += usize::from(is_loss);
+                            Reply::Unknown
+                        }
                     };
                     self.back.push_back((id, reply));
                 }
             }
-            Frame::Resume(_) => {}
+            Frame::Read(count) if is_linked => session.record_read(count),
+            Frame::Resume(_) | Frame::Read(_) => {}
         }
     }
 
@@ -260,6 +290,7 @@
     fn end(&mut self, incarnation: u64, id: CallId, reply: Reply) {
         let session = self.runner.sessions.get_mut(&incarnation).unwrap();
         session.end(self.now, id, reply, 1);
+        self.runner.ended.insert((incarnation, id), self.now);
         let is_linked = self.forward.is_some();
         if is_linked && incarnation == self.caller.incarnation {
             self.back.push_back((id, reply));
@@ -271,6 +302,7 @@
         let Some((id, reply)) = self.back.pop_front() else {
             return;
         };
+        self.caller.read += 1;
         let Some(attempt) = self.caller.pending.remove(&id) else {
             return;
         };
@@ -286,13 +318,18 @@
     }
 }
 
-/// The number of untrue replies in the history of this seed.
-fn lies(rules: Rules, seed: u64) -> usize {
+/// Plays the history of this seed.
+fn play(rules: Rules, seed: u64) -> Model {
     let mut model = Model::new(rules, seed);
     for _ in 0..600 {
         model.step();
     }
-    model.lies
+    model
+}
+
+/// The number of untrue replies in the history of this seed.
+fn lies(rules: Rules, seed: u64) -> usize {
+    play(rules, seed).lies
 }
 
 /// Guards against a call that ran, or runs later, and was reported as not run,
@@ -313,6 +350,86 @@
     }
 }
 
+/// Guards against a reply that is dropped before the other node has read it.
+#[test]
+fn a_reply_that_was_not_read_is_found_after_a_break() {
+    for seed in 0..3_000 {
+        let losses = play(Rules::Current, seed).losses;
+        assert_eq!(losses, 0, "seed {seed}");
+    }
+}
+
+/// Shows that the histories tell a wrong count of replies apart.
+#[test]
+fn a_count_that_is_not_reset_loses_replies() {
+    let losses = |seed| play(Rules::CountNotReset, seed).losses;
+
+    assert!((0..3_000).map(losses).sum::<usize>() > 0);
+}
+
+/// Ends calls of a session, each with a reply of this size.
+fn end_calls(session: &mut Session<(), u64>, ids: [u64; 3], size: usize) {
+    for id in ids {
+        session.receive(CallId(id), ());
+        session.end(Millis(0), CallId(id), id, size);
+    }
+}
+
+/// Guards against memory that grows with the replies of a process that lives.
+#[test]
+fn replies_that_were_read_are_not_retained() {
+    let intake = Intake::new(1_000);
+    let mut session = Session::new(CallId(0)).share(&intake);
+    session.link();
+    end_calls(&mut session, [1, 2, 3], 100);
+
+    session.record_read(2);
+
+    assert_eq!(session.find(CallId(2)), Found::Forgotten);
+    assert_eq!(session.find(CallId(3)), Found::Ended(3));
+    assert_eq!((session.retained(), intake.bytes()), (1, 100));
+    session.record_read(3);
+    assert_eq!((session.retained(), intake.bytes()), (0, 0));
+}
+
+/// Guards against a resumed link that counts the replies of the former one.
+#[test]
+fn a_reply_that_is_sent_again_takes_its_position_on_the_new_connection() {
+    let mut session = Session::new(CallId(0));
+    session.link();
+    end_calls(&mut session, [1, 2, 3], 1);
+    session.unlink(Millis(0));
+    session.link();
+    let wanted = [CallId(2), CallId(3)];
+    session.resume(&wanted.into_iter().collect());
+
+    assert_eq!(session.find(CallId(1)), Found::Forgotten, "it is unwanted");
+    assert_eq!(session.resend(CallId(3)), Found::Ended(3));
+    assert_eq!(session.resend(CallId(2)), Found::Ended(2));
+    session.record_read(1);
+    assert_eq!(session.find(CallId(3)), Found::Forgotten);
+    assert_eq!(session.find(CallId(2)), Found::Ended(2));
+}
+
+/// Guards against replies of many sessions that exceed the memory together,
+/// and against one session that leaves no room for the others.
+#[test]
+fn retained_replies_share_a_limit_of_bytes() {
+    let intake = Intake::new(300);
+    let mut first = Session::new(CallId(0)).share(&intake);
+    let mut second = Session::new(CallId(0)).share(&intake);
+    end_calls(&mut first, [1, 2, 3], 100);
+
+    end_calls(&mut second, [1, 2, 3], 100);
+
+    assert_eq!(first.find(CallId(1)), Found::Ended(1));
+    assert_eq!(second.find(CallId(2)), Found::Forgotten, "it was evicted");
+    assert_eq!(second.find(CallId(3)), Found::Ended(3));
+    assert_eq!(intake.bytes(), 400);
+    drop((first, second));
+    assert_eq!(intake.bytes(), 0);
+}
+
 #[test]
 fn a_call_that_a_forgotten_session_may_have_received_is_not_denied() {
     let successor: Session<(), ()> = Session::new(CallId(7));
--- a/crates/walnutmoor-standin/src/measure/restart.rs
+++ b/crates/walnutmoor-standin/src/measure/restart.rs
@@ -222,6 +222,7 @@
         addresses,
         server: None,
         descriptors: 4_096,
+        memory: 256,
         overload: Vec::new(),
         bounds: vec![("grace".into(), "6s".into())],
     }
--- a/crates/walnutmoor-standin/src/measure/restore.rs
+++ b/crates/walnutmoor-standin/src/measure/restore.rs
@@ -163,6 +163,7 @@
         addresses: Addresses::allocate(),
         server: None,
         descriptors: 4_096,
+        memory: 256,
         overload: Vec::new(),
         bounds: vec![("grace".into(), "6s".into())],
     })
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -67,6 +67,8 @@
     pub server: Option<SocketAddr>,
     /// The limit of file descriptors in its settings.
     pub descriptors: usize,
+    /// The limit of memory in its settings, in megabytes.
+    pub memory: u64,
     /// The parts of overload control that are enabled in its settings.
     pub overload: Vec<String>,
     /// The platform's bounds, as names and values.
@@ -186,7 +188,7 @@
          callers: '{}'\nready: '{}'\ncontrol: '{}'\nmetrics: '{}'\n\
          store: '{}'\nbounds: {{ {} }}\n\
          overload: {{ {} }}\n\
-         descriptors: {}\n",
+         descriptors: {}\nmemory: {}\n",
         addresses.peers,
         addresses.peers,
         setup.advertise.unwrap_or(addresses.peers),
@@ -201,5 +203,6 @@
         bounds.join(", "),
         overload.join(", "),
         setup.descriptors,
+        setup.memory,
     )
 }
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -759,6 +759,7 @@
         addresses,
         server: Some(server.address()),
         descriptors: 1_024,
+        memory: MEMORY_MB,
         overload: overload.iter().map(ToString::to_string).collect(),
         bounds: bounds(),
     });
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -114,11 +114,14 @@
     /// the receiver's instance accepted work then. Follows
     /// [`Frame::KnownDepartures`].
     KnownServing,
+    /// The number of replies that the sender has read on this connection. The
+    /// receiver need not retain them any longer.
+    Read(u64),
 }
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 8;
+pub const PROTOCOL_VERSION: u32 = 9;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -337,7 +337,12 @@
             }
             parts.extend_from_slice(&data);
         }
-        Ok(parts.freeze())
+        // The body may be held for long, and a buffer that has grown may be
+        // twice as large.
+        match parts.capacity() > parts.len() {
+            true => Ok(Bytes::copy_from_slice(&parts)),
+            false => Ok(parts.freeze()),
+        }
     }
 
     /// Keeps a connection after a response, unless a copy of the response
--- a/crates/walnutmoor/src/mesh/link.rs
+++ b/crates/walnutmoor/src/mesh/link.rs
@@ -71,6 +71,10 @@
 /// The interval at which [`Link::check`] is called.
 pub const CHECK_INTERVAL: Millis = Millis(125);
 
+/// The bytes of replies after which the peer is told at once that they were
+/// read. It is told of fewer with the next call or ping.
+const MAX_UNREPORTED_BYTES: usize = 16 << 10;
+
 /// A call without a reply.
 #[derive(Debug)]
 struct Pending {
@@ -78,6 +82,16 @@
     effect: Effect,
 }
 
+/// The replies that were read on a connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct Read {
+    count: u64,
+    /// The number that the peer was told.
+    reported: u64,
+    /// The size of those that it was not told of.
+    unreported_bytes: usize,
+}
+
 /// A link to a node.
 #[derive(Debug)]
 pub struct Link {
@@ -85,6 +99,8 @@
     pub node: NodeId,
     outgoing: RefCell<Option<UnboundedSender<Frame>>>,
     pending: RefCell<Map<CallId, Pending>>,
+    /// The replies that were read on the connection.
+    read: Cell<Read>,
     /// The incarnation of the peer at the last handshake.
     incarnation: Cell<Option<Incarnation>>,
     last_received: Cell<Millis>,
@@ -117,6 +133,7 @@
             node,
             outgoing: RefCell::new(None),
             pending: RefCell::new(Map::default()),
+            read: Cell::default(),
             incarnation: Cell::new(None),
             last_received: Cell::new(Millis(0)),
             breaks: Cell::new(0),
@@ -189,6 +206,7 @@
         let (reply, receiver) = oneshot::channel();
         let pending = Pending { reply, effect: call.effect };
         self.pending.borrow_mut().insert(id, pending);
+        self.report_read();
         self.send(Frame::Call(Box::new(call)));
         Some((id, receiver))
     }
@@ -251,6 +269,7 @@
 
     fn ping(&self, state: &State, first: Millis, now: Millis) {
         self.unanswered_pings.set(Some((first, now)));
+        self.report_read();
         self.send(Frame::Ping(state.edition()));
     }
 
@@ -284,6 +303,28 @@
         state.journal.log_event(now, Event::Regained, &fields);
     }
 
+    /// Tells the peer how many replies were read, if it was not told yet.
+    fn report_read(&self) {
+        let read = self.read.get();
+        if read.count == read.reported {
+            return;
+        }
+        let (reported, unreported_bytes) = (read.count, 0);
+        self.read.set(Read { reported, unreported_bytes, ..read });
+        self.send(Frame::Read(read.count));
+    }
+
+    /// Records that a reply was read.
+    fn record_read(&self, reply: &Reply) {
+        let mut read = self.read.get();
+        read.count += 1;
+        read.unreported_bytes += reply.size();
+        self.read.set(read);
+        if read.unreported_bytes > MAX_UNREPORTED_BYTES {
+            self.report_read();
+        }
+    }
+
     /// Delivers the reply of a pending call.
     fn complete(&self, id: CallId, reply: Reply) {
         if let Some(pending) = self.pending.borrow_mut().remove(&id) {
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -19,7 +19,7 @@
     bulkhead::Load, edition::Edition, id::CallId, table::Effect, time::Millis,
 };
 
-use super::Link;
+use super::{Link, Read};
 use crate::mesh::{
     desired::Source,
     frame::{self, Frame, Hello, PROTOCOL_VERSION, Reply},
@@ -175,6 +175,7 @@
 ) -> String {
     let (read, write, bytes) = stream;
     let (outgoing, frames) = unbounded_channel();
+    link.read.set(Read::default());
     let ids: Vec<CallId> = link.pending.borrow().keys().copied().collect();
     // Must precede all new calls: the peer recognizes calls that it never
     // received by their greater numbers, and cancels all that are not named.
@@ -280,6 +281,7 @@
             if let Reply::Answered { departed: Some(instance), .. } = &reply {
                 state.record_departed(link.node, instance.clone());
             }
+            link.record_read(&reply);
             link.complete(id, reply);
         }
         Frame::Pong(edition, reaches_store, load) => {
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -1,9 +1,9 @@
 /*!
 The server side of links: accepts calls from other nodes and replies to them.
 
-Replies are retained for a while. If the link breaks before the other node has
-read them, it asks for them after reconnecting. The calls that it does not name
-then are canceled. If it does not reconnect, its idempotent calls are canceled
+Replies are retained until the other node reports that it has read them. If the
+link breaks before that, it asks for them after reconnecting. The calls that it
+does not name then are canceled. If it does not reconnect, its idempotent calls are canceled
 after a while, as nobody waits for them any more, and the session is forgotten.
 */
 
@@ -28,6 +28,7 @@
     digest::Set,
     error::Kind,
     id::{CallId, Incarnation, NodeId},
+    intake::Intake,
     proof::Proof,
     session::{self, Found},
     table::Effect,
@@ -82,13 +83,14 @@
 }
 
 impl Session {
-    fn new(hello: &Hello) -> Rc<Session> {
+    fn new(hello: &Hello, replies: &Intake) -> Rc<Session> {
+        let calls = session::Session::new(hello.last_call).share(replies);
         Rc::new(Session {
             node: hello.node,
             outgoing: RefCell::new(None),
             unwritten: Cell::new(0),
             task: RefCell::new(None),
-            calls: RefCell::new(session::Session::new(hello.last_call)),
+            calls: RefCell::new(calls),
         })
     }
 
@@ -163,11 +165,12 @@
     /// Replies to the calls that the other node still waits for, as far as
     /// they have ended, and cancels all others.
     fn resume(&self, state: &Rc<State>, wanted: Vec<CallId>) {
-        let wanted: Set<CallId> = wanted.into_iter().collect();
-        let is_unwanted = |id, _| !wanted.contains(&id);
+        let waiting: Set<CallId> = wanted.iter().copied().collect();
+        let is_unwanted = |id, _| !waiting.contains(&id);
         self.cancel_all(state, Reason::Unwanted, is_unwanted);
+        self.calls.borrow_mut().resume(&waiting);
         for id in wanted {
-            if let Some(reply) = self.find_reply(id) {
+            if let Some(reply) = self.resend_reply(id) {
                 self.record_never_received(state, id, &reply);
                 let load = state.serve.load(state.now());
                 self.send(Frame::Answer(id, reply, load));
@@ -190,9 +193,9 @@
         state.journal.log_event(state.now(), Event::NotRun, &fields);
     }
 
-    /// The reply to a call; `None` if it is still running.
-    fn find_reply(&self, id: CallId) -> Option<Reply> {
-        match self.calls.borrow().find(id) {
+    /// The reply to a call, which is sent again; `None` if it is still running.
+    fn resend_reply(&self, id: CallId) -> Option<Reply> {
+        match self.calls.borrow_mut().resend(id) {
             Found::Running => None,
             Found::Ended(reply) => Some(reply),
             Found::NeverReceived => Some(Reply::NotRun {
@@ -306,7 +309,7 @@
 fn session(state: &State, hello: &Hello) -> Rc<Session> {
     let mut sessions = state.sessions.borrow_mut();
     let session = sessions.entry(hello.incarnation);
-    session.or_insert_with(|| Session::new(hello)).clone()
+    session.or_insert_with(|| Session::new(hello, &state.replies)).clone()
 }
 
 async fn read_hello(
@@ -371,6 +374,7 @@
             session.cancel(state, id, reason);
         }
         Frame::Resume(wanted) => session.resume(state, wanted),
+        Frame::Read(count) => session.calls.borrow_mut().record_read(count),
         Frame::Ping(edition) => {
             let load = state.serve.load(state.now());
             let reaches_store = state.reaches_store();
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -86,10 +86,6 @@
 /// The minimum retry delay that is sent to a caller.
 pub const MIN_RETRY_AFTER: Millis = Millis(100);
 
-/// The fraction of the node's memory for responses that are being read. A
-/// complete one is held up to four times until it is written to another node.
-const MAX_INTAKE_FRACTION: f64 = 0.1;
-
 /// Where the reply of a call is sent.
 #[derive(Debug)]
 pub enum Sink {
@@ -268,7 +264,7 @@
             draining: Cell::new(false),
             last_call: Cell::new(0),
             queued: Notify::new(),
-            pool: Pool::new(settings.server).max_intake(max_intake(settings)),
+            pool: Pool::new(settings.server).max_intake(settings.max_intake()),
             cancellations: Cancellations::new(
                 settings.overload.keep_connections,
             ),
@@ -761,12 +757,6 @@
     }
 }
 
-/// The bytes of responses that may be read from the instance at a time.
-fn max_intake(settings: &Settings) -> usize {
-    let memory = (settings.memory << 20) as f64;
-    (memory * MAX_INTAKE_FRACTION) as usize
-}
-
 /// The node that a sink replies to.
 fn origin(state: &State, sink: &Sink) -> Option<NodeId> {
     match sink {
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -20,6 +20,11 @@
 /// the settings specify it.
 const DEFAULT_GRACE: Millis = Millis(6_000);
 
+/// The fraction of the memory for responses that are being read, and the same
+/// for replies that other nodes have not read. A complete response is held up
+/// to four times until it is written to another node.
+const MAX_INTAKE_FRACTION: f64 = 0.1;
+
 /// Default limit of open files and sockets.
 fn default_descriptors() -> usize {
     1_024
@@ -150,6 +155,13 @@
         )
     }
 
+    /// The bytes of responses that may be read from the instance at a time,
+    /// and those of replies that may be retained for other nodes.
+    pub fn max_intake(&self) -> usize {
+        let memory = (self.memory << 20) as f64;
+        (memory * MAX_INTAKE_FRACTION) as usize
+    }
+
     /// Time between the termination signal and the kill by the platform.
     pub fn grace(&self) -> Millis {
         self.bounds().grace.unwrap_or(DEFAULT_GRACE)
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -15,6 +15,7 @@
     bulkhead::Load,
     digest::Map,
     id::{CallId, Incarnation, NodeId},
+    intake::Intake,
     profile::Profile,
     rate_limit::Rate,
     share::Report,
@@ -90,6 +91,8 @@
     links: RefCell<Map<NodeId, Rc<Link>>>,
     /// Sessions of other nodes that have linked to this one.
     pub sessions: RefCell<Map<Incarnation, Rc<Session>>>,
+    /// The memory of the replies that are retained for other nodes.
+    pub(super) replies: Intake,
     /// True once the directory of nodes was read.
     pub(super) has_directory: Cell<bool>,
     /// The desired state.
@@ -154,6 +157,7 @@
             undecoded_bytes: Cell::new(0),
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
+            replies: Intake::new(settings.max_intake()),
             has_directory: Cell::new(false),
             desired: Desired::default(),
             eras: EraTracker::default(),
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -21,6 +21,9 @@
 /// The file descriptors of a node; few enough that a test can exhaust them.
 pub const DESCRIPTORS: usize = 100;
 
+/// The memory that most nodes may take, in megabytes.
+const MEMORY_MB: u64 = 256;
+
 /// A node and its instance.
 pub struct Pair {
     pub node: Node,
@@ -35,6 +38,8 @@
     pub pairs: Vec<Pair>,
     /// The parts of overload control that are enabled on its nodes.
     pub overload: Vec<String>,
+    /// The limit of memory in the settings of its nodes, in megabytes.
+    pub memory: u64,
 }
 
 pub fn route(name: &str, effect: Effect, services: &[(&str, u32)]) -> Route {
@@ -91,7 +96,20 @@
         let store = Store::start().await;
         store.write_desired(desired);
         let overload = overload.iter().map(ToString::to_string).collect();
-        let mut world = World { store, pairs: Vec::new(), overload };
+        let pairs = Vec::new();
+        let mut world = World { store, pairs, overload, memory: MEMORY_MB };
+        for service in services {
+            world.add(service).await;
+        }
+        world.wait_until_connected().await;
+        world
+    }
+
+    /// Like [`World::start`], with nodes that may take this much memory, in
+    /// megabytes.
+    pub async fn start_with_memory(services: &[&str], memory: u64) -> World {
+        let world = World::start(&[]).await;
+        let mut world = World { memory, ..world };
         for service in services {
             world.add(service).await;
         }
@@ -129,6 +147,7 @@
             advertise,
             server: None,
             descriptors: DESCRIPTORS,
+            memory: self.memory,
             overload: self.overload.clone(),
             bounds: vec![("grace".into(), "6s".into())],
         };
@@ -236,7 +255,7 @@
 }
 
 /// True if the instance of a node accepts work, by the last log line about it.
-fn is_accepting(log: &str, node: SocketAddr) -> bool {
+pub fn is_accepting(log: &str, node: SocketAddr) -> bool {
     let peer = format!("\"peer\":\"{node}\"");
     let mut reports =
         log.lines().filter(|line| line.contains("\"accepting\""));
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -19,6 +19,7 @@
 mod poison;
 mod restore;
 mod resume;
+mod retention;
 mod returning;
 mod shares;
 mod shutdown;
