Test: an order of a forgotten session, between two real nodes

The node of the instance forgets the session while the other one waits for a reply that was lost with the link. Two real nodes, a proxy between them, a second instance.

Red with the fix of switched off (last_call: CallId(0) in State::hello, scratch change): the caller gets 200 from the second instance, where 502 is due, as the first one ran the order too. Green with it, once each.

--- a/crates/walnutmoor/tests/mesh/retention.rs
+++ b/crates/walnutmoor/tests/mesh/retention.rs
@@ -1,12 +1,18 @@
-//! The memory of the replies that a node holds for other nodes.
+//! What a node holds for other nodes: the memory of its replies, and sessions
+//! that end while the other node still waits.
+
+use std::{net::SocketAddr, time::Duration};
 
 use http::Method;
 use walnutmoor::mesh::frame::{Frame, Reply};
-use walnutmoor_core::id::CallId;
-use walnutmoor_standin::mesh::caller::{self, Connection};
+use walnutmoor_core::{id::CallId, table::Effect, time::Millis};
+use walnutmoor_standin::{
+    mesh::caller::{self, Connection, Response},
+    soak::proxy::Mode,
+};
 
 use crate::{
-    fixture::{World, headers, run, until},
+    fixture::{World, desired, headers, is_accepting, route, run, until},
     peer::{Peer, is_answered, order},
 };
 
@@ -132,3 +138,59 @@
         until("none is retained", || retained(0.0)).await;
     });
 }
+
+/// The desired state with a route for a slow order.
+fn slow_orders() -> String {
+    let mut order = route("order", Effect::Once, &[("desk", 1)]);
+    order.timeout = Millis(20_000);
+    desired(1, &[order])
+}
+
+/// Waits until the first node knows that the instance of a node accepts work.
+async fn wait_until_accepting(world: &World, node: SocketAddr) {
+    until("the instance accepts work", || async {
+        is_accepting(&world.pairs[0].node.log(), node)
+    })
+    .await;
+}
+
+/// Guards against an order that runs twice, as its node has forgotten the
+/// session and reports a call that ran as never received.
+#[test]
+fn a_call_of_a_forgotten_session_does_not_run_again_elsewhere() {
+    run(async {
+        let mut world =
+            World::start_desired(&["front"], &slow_orders(), &[]).await;
+        let path = world.add_behind_proxy("desk").await;
+        wait_until_accepting(&world, path.address()).await;
+        let first = world.pairs[1].instance.clone();
+        first.hold("once");
+        let callers = world.pairs[0].node.addresses().callers;
+        let sent = tokio::spawn(send_order(callers, "once"));
+        until("it runs", || async { first.runs("once") == 1 }).await;
+        world.add("desk").await;
+        let second = world.pairs[2].node.addresses().peers;
+        wait_until_accepting(&world, second).await;
+
+        path.set_mode(Mode::Refuse);
+        path.reset();
+        first.release("once");
+        until("its session is forgotten", || async {
+            let sessions = metric(&world, 1, "walnutmoor_sessions ").await;
+            sessions == Some(0.0)
+        })
+        .await;
+        path.set_mode(Mode::Forward);
+        let response = sent.await.unwrap().unwrap();
+
+        assert_eq!(response.status, 502, "its outcome is unknown");
+        assert_eq!(world.runs("once"), 1);
+    });
+}
+
+async fn send_order(callers: SocketAddr, attempt: &str) -> Option<Response> {
+    let headers = headers(attempt, 20_000);
+    let mut caller = Connection::open(callers).await?;
+    let sent = caller.send(Method::POST, "/order/x", &headers, "");
+    tokio::time::timeout(Duration::from_secs(20), sent).await.ok()?
+}
