Begin a session with the first connection that the other node uses

An order that has run could be reported as never received, and run twice.

Cause: a session took the number of the last call from the handshake that created it. A node that gets no response to its handshake in 500 ms gives it up and connects again; a process that was paused reads the old one later. If the session was forgotten meanwhile, the old handshake created a new one, with a number below that of calls that were sent since. These were denied when the link was up again.

Change: as long as the other node has not named the calls that it waits for, each handshake raises the number.

Evidence: mesh resume, a_handshake_that_was_given_up_...: before, call 2 of 3 was answered NotRun with NeverReceived; now unknown, and call 4 still NotRun.

--- a/crates/walnutmoor-core/src/session.rs
+++ b/crates/walnutmoor-core/src/session.rs
@@ -14,7 +14,10 @@
 
 A session may be forgotten. The one that follows cannot know what its
 predecessor had received, so it takes the last number that was sent by then for
-received: the outcome of such a call is unknown, not "never received".
+received: the outcome of such a call is unknown, not "never received". A session
+has begun once the other node names the calls that it waits for: it may give up
+a handshake, send calls on other connections, and the session may be forgotten
+before the handshake is read.
 
 # Example
 
@@ -22,7 +25,7 @@
 use walnutmoor_core::{id::CallId, session::{Found, Session}, time::Millis};
 
 let mut session = Session::new(CallId(0));
-session.link();
+session.link(CallId(0));
 session.receive(CallId(1), "a call");
 session.end(Millis(5), CallId(1), "a reply", 7);
 assert_eq!(session.find(CallId(1)), Found::Ended("a reply"));
@@ -70,6 +73,8 @@
     /// The greatest number that was received, or that a forgotten session may
     /// have received.
     last: CallId,
+    /// Whether the other node has used a connection of this session.
+    has_begun: bool,
     running: Map<CallId, C>,
     /// In the order of sending; those that were not sent come first.
     retained: VecDeque<Retained<R>>,
@@ -101,6 +106,7 @@
     pub fn new(last_sent: CallId) -> Session<C, R> {
         Session {
             last: last_sent,
+            has_begun: false,
             running: Map::default(),
             retained: VecDeque::new(),
             intake: Intake::default(),
@@ -124,6 +130,7 @@
 
     /// Records that a call has arrived.
     pub fn receive(&mut self, id: CallId, call: C) {
+        self.has_begun = true;
         self.last = self.last.max(id);
         self.running.insert(id, call);
     }
@@ -249,8 +256,12 @@
         }
     }
 
-    /// Records that the other node is connected.
-    pub fn link(&mut self) {
+    /// Records that the other node is connected. Its last call had this number
+    /// when it connected.
+    pub fn link(&mut self, last_sent: CallId) {
+        if !self.has_begun {
+            self.last = self.last.max(last_sent);
+        }
         self.unlinked_at = None;
         self.sent = 0;
         self.retained.iter_mut().for_each(|r| r.position = None);
@@ -259,6 +270,7 @@
     /// Drops the replies to all calls but these, which the other node still
     /// waits for on its new connection.
     pub fn resume(&mut self, wanted: &Set<CallId>) {
+        self.has_begun = true;
         for _ in 0..self.retained.len() {
             match self.retained.pop_front() {
                 Some(r) if wanted.contains(&r.id) => {
--- a/crates/walnutmoor-core/tests/session.rs
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -41,6 +41,9 @@
     NothingReceived,
     /// The number of replies that were read goes on over connections.
     CountNotReset,
+    /// A session begins with the first handshake that is read, even if the
+    /// caller has given it up.
+    FirstHandshakeCounts,
 }
 
 /// A process that sends calls over one link.
@@ -83,6 +86,8 @@
     /// Frames of the last connection that broke. The runner may still read
     /// them until the next handshake.
     late: VecDeque<Frame>,
+    /// The incarnation and the last call of a handshake that was given up.
+    late_handshake: Option<(u64, CallId)>,
     back: VecDeque<(CallId, Reply)>,
     attempts: Attempt,
     ran: BTreeSet<Attempt>,
@@ -102,6 +107,7 @@
             runner: Runner::default(),
             forward: None,
             late: VecDeque::new(),
+            late_handshake: None,
             back: VecDeque::new(),
             attempts: 0,
             ran: BTreeSet::new(),
@@ -113,7 +119,7 @@
 
     fn step(&mut self) {
         self.now += Millis(self.rng.random_range(0..40));
-        match self.rng.random_range(0..100) {
+        match self.rng.random_range(0..108) {
             0..30 => self.send(),
             30..55 => self.deliver(),
             55..70 => self.deliver_back(),
@@ -123,7 +129,9 @@
             96 => self.remove_link(),
             97 => self.forget(),
             98 => self.restart_runner(),
-            _ => self.restart_caller(),
+            99 => self.restart_caller(),
+            100..104 => self.give_up_handshake(),
+            _ => self.read_late_handshake(),
         }
     }
 
@@ -161,11 +169,40 @@
         };
         let sessions = &mut self.runner.sessions;
         let session = sessions.entry(self.caller.incarnation);
-        session.or_insert_with(|| Session::new(last)).link();
+        let session = session.or_insert_with(|| Session::new(last));
+        match self.rules {
+            Rules::FirstHandshakeCounts => session.link(CallId(0)),
+            _ => session.link(last),
+        }
         let wanted = self.caller.pending.keys().copied().collect();
         self.forward = Some([Frame::Resume(wanted)].into());
     }
 
+    /// The caller connects, and closes the connection before the runner has
+    /// read its handshake.
+    fn give_up_handshake(&mut self) {
+        if self.forward.is_none() {
+            let Caller { incarnation, last, .. } = self.caller;
+            self.late_handshake = Some((incarnation, CallId(last)));
+        }
+    }
+
+    /// The runner reads the handshake of a connection that was given up, which
+    /// ends the one in use.
+    fn read_late_handshake(&mut self) {
+        let Some((incarnation, last)) = self.late_handshake.take() else {
+            return;
+        };
+        if incarnation == self.caller.incarnation {
+            self.break_link();
+            self.late.clear();
+        }
+        let session = self.runner.sessions.entry(incarnation);
+        let session = session.or_insert_with(|| Session::new(last));
+        session.link(last);
+        session.unlink(self.now);
+    }
+
     fn break_link(&mut self) {
         let Some(frames) = self.forward.take() else {
             return;
@@ -344,7 +381,12 @@
 /// Shows that the histories tell the rules apart.
 #[test]
 fn other_rules_give_untrue_replies() {
-    for rules in [Rules::NumbersPerLink, Rules::NothingReceived] {
+    let others = [
+        Rules::NumbersPerLink,
+        Rules::NothingReceived,
+        Rules::FirstHandshakeCounts,
+    ];
+    for rules in others {
         let total: usize = (0..3_000).map(|seed| lies(rules, seed)).sum();
         assert!(total > 0, "{rules:?}");
     }
@@ -380,7 +422,7 @@
 fn replies_that_were_read_are_not_retained() {
     let intake = Intake::new(1_000);
     let mut session = Session::new(CallId(0)).share(&intake);
-    session.link();
+    session.link(CallId(0));
     end_calls(&mut session, [1, 2, 3], 100);
 
     session.record_read(2);
@@ -396,10 +438,10 @@
 #[test]
 fn a_reply_that_is_sent_again_takes_its_position_on_the_new_connection() {
     let mut session = Session::new(CallId(0));
-    session.link();
+    session.link(CallId(0));
     end_calls(&mut session, [1, 2, 3], 1);
     session.unlink(Millis(0));
-    session.link();
+    session.link(CallId(0));
     let wanted = [CallId(2), CallId(3)];
     session.resume(&wanted.into_iter().collect());
 
@@ -450,6 +492,6 @@
     session.end(late, CallId(1), (), 0);
     assert!(!session.is_expired(Millis(100) + RETENTION));
     assert!(session.is_expired(late));
-    session.link();
+    session.link(CallId(0));
     assert!(!session.is_expired(late));
 }
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -242,7 +242,7 @@
     }
     let (outgoing, frames) = unbounded_channel();
     *session.outgoing.borrow_mut() = Some(outgoing);
-    session.calls.borrow_mut().link();
+    session.calls.borrow_mut().link(hello.last_call);
     session.unwritten.set(0);
     session.send(Frame::Hello(state.hello_reply()));
     if let Some(evidence) = state.evidence_frame() {
--- a/crates/walnutmoor/tests/mesh/resume.rs
+++ b/crates/walnutmoor/tests/mesh/resume.rs
@@ -154,6 +154,32 @@
     });
 }
 
+/// Guards against the same after a handshake that the other node gave up: it
+/// was read late, and names fewer calls than have been sent since.
+#[test]
+fn a_handshake_that_was_given_up_does_not_deny_later_calls() {
+    run(async {
+        let world = World::start(&["desk"]).await;
+        let address = world.pairs[0].node.addresses().peers;
+        let node = ([127, 0, 0, 1], 9).into();
+        let hello = hello(node, 7, "front", Load::default());
+        let late = Hello { last_call: CallId(1), ..hello.clone() };
+        drop(Peer::open_with(late, address).await);
+
+        let hello = Hello { last_call: CallId(3), ..hello };
+        let mut peer = Peer::open_with(hello, address).await;
+        let wanted = [2, 3, 4].map(CallId).to_vec();
+        peer.send(&Frame::Resume(wanted)).await;
+
+        for id in [2, 3] {
+            let reply = peer.answer(id).await;
+            assert!(matches!(reply, Reply::Unknown(_)), "{id}: {reply:?}");
+        }
+        let reply = peer.answer(4).await;
+        assert!(matches!(reply, Reply::NotRun { .. }), "{reply:?}");
+    });
+}
+
 /// Guards against memory that grows with each process that ever linked to a
 /// node.
 #[test]
