--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -298,7 +298,11 @@
     }
     while is_unlinked() {
         if session.calls.borrow().is_expired(state.now()) {
-            state.sessions.borrow_mut().remove(&incarnation);
+            let mut sessions = state.sessions.borrow_mut();
+            let current = sessions.get(&incarnation);
+            if current.is_some_and(|current| Rc::ptr_eq(current, &session)) {
+                sessions.remove(&incarnation);
+            }
             return;
         }
         sleep(EXPIRY_CHECK_INTERVAL).await;
