Count replies that the other node does not read

Cause: each reply was in two places, in the session and in the queue of its connection. The queue had no bound, and frames that waited together were encoded into one buffer. The limit on retained replies did not reach it.

Change: the queue names the reply, and the session holds it until it is written. Replies that wait to be written are not evicted; one that finds no room beside them is reported as unknown, with a log line. At most 64 KB are encoded together, besides a longer frame.

--- a/crates/walnutmoor-core/src/session.rs
+++ b/crates/walnutmoor-core/src/session.rs
@@ -9,8 +9,10 @@
 process, so that they mean the same after a link was removed and made anew.
 
 A reply is retained until the other node has read it: it reports how many
-replies it has read on its connection. The oldest are dropped sooner if there
-are many of them, or no room is left; their outcome is unknown then.
+replies it has read on its connection. Replies that were written are dropped
+sooner, the oldest first, if there are many of them or no room is left; their
+outcome is unknown then. So is that of a call whose reply finds no room beside
+those that wait to be written.
 
 A session may be forgotten. The one that follows cannot know what its
 predecessor had received, so it takes the last number that was sent by then for
@@ -53,6 +55,17 @@
 /// The number of replies retained per session at most.
 const MAX_RETAINED: usize = 256;
 
+/// What has become of the reply to a call that ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// It is retained.
+    Retained,
+    /// There is no room for it. The outcome is to be reported as unknown.
+    NoRoom,
+    /// The call was not in progress, and nobody waits for the reply.
+    Unexpected,
+}
+
 /// What is known of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Found<R> {
@@ -98,6 +111,15 @@
     /// Its position among the replies that were sent on the connection; `None`
     /// if it was not sent there.
     position: Option<u64>,
+    /// Whether it was written to the connection.
+    is_written: bool,
+}
+
+impl<R> Retained<R> {
+    /// True if it waits to be written.
+    fn is_queued(&self) -> bool {
+        self.position.is_some() && !self.is_written
+    }
 }
 
 impl<C, R: Clone> Session<C, R> {
@@ -151,17 +173,16 @@
     }
 
     /// Ends a call in progress, and retains its reply, which has this size in
-    /// bytes. The reply counts as sent if there is a connection. Returns false
-    /// if the call was not in progress.
+    /// bytes. The reply counts as sent if there is a connection.
     pub fn end(
         &mut self,
         now: Millis,
         id: CallId,
         reply: R,
         size: usize,
-    ) -> bool {
+    ) -> Ended {
         if self.running.remove(&id).is_none() {
-            return false;
+            return Ended::Unexpected;
         }
         let position = self.next_position();
         while let Some(oldest) = self.retained.front() {
@@ -169,14 +190,31 @@
             if is_kept && self.retained.len() < MAX_RETAINED {
                 break;
             }
-            self.evict();
+            if !self.evict() {
+                break;
+            }
         }
-        if self.reserve(size) {
-            let ended_at = now;
-            let retained = Retained { id, reply, size, ended_at, position };
-            self.retained.push_back(retained);
+        if !self.reserve(size) {
+            return Ended::NoRoom;
         }
-        true
+        self.retained.push_back(Retained {
+            id,
+            reply,
+            size,
+            ended_at: now,
+            position,
+            is_written: false,
+        });
+        Ended::Retained
+    }
+
+    /// The reply to a call, which is written to the connection now. `None` if
+    /// it is not retained.
+    pub fn write(&mut self, id: CallId) -> Option<R> {
+        let mut retained = self.retained.iter_mut();
+        let retained = retained.find(|retained| retained.id == id)?;
+        retained.is_written = true;
+        Some(retained.reply.clone())
     }
 
     /// The position of a reply that is sent now; `None` without a connection.
@@ -197,19 +235,29 @@
                 return true;
             }
             if !self.evict() {
-                self.share = None;
+                if self.retained.is_empty() {
+                    self.share = None;
+                }
                 return false;
             }
         }
     }
 
-    /// Drops the oldest retained reply. Returns false if there is none.
+    /// Drops the oldest retained reply, unless it waits to be written. Returns
+    /// whether one was dropped.
     fn evict(&mut self) -> bool {
-        let Some(evicted) = self.retained.pop_front() else {
-            return false;
-        };
-        self.release(evicted.size);
-        true
+        let oldest = self.retained.front();
+        let is_evicted = oldest.is_some_and(|oldest| !oldest.is_queued());
+        if is_evicted {
+            self.drop_oldest();
+        }
+        is_evicted
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(oldest) = self.retained.pop_front() {
+            self.release(oldest.size);
+        }
     }
 
     /// Returns the memory of a reply that was removed.
@@ -227,7 +275,7 @@
             retained.position.is_some_and(|position| position <= count)
         };
         while self.retained.front().is_some_and(is_read) {
-            self.evict();
+            self.drop_oldest();
         }
     }
 
@@ -264,7 +312,14 @@
         }
         self.unlinked_at = None;
         self.sent = 0;
-        self.retained.iter_mut().for_each(|r| r.position = None);
+        self.reset_positions();
+    }
+
+    fn reset_positions(&mut self) {
+        for retained in &mut self.retained {
+            retained.position = None;
+            retained.is_written = false;
+        }
     }
 
     /// Drops the replies to all calls but these, which the other node still
@@ -294,7 +349,9 @@
         if let Some(at) = retained.position(|retained| retained.id == id)
             && let Some(retained) = self.retained.remove(at)
         {
-            self.retained.push_back(Retained { position, ..retained });
+            let is_written = false;
+            let retained = Retained { position, is_written, ..retained };
+            self.retained.push_back(retained);
         }
         found
     }
@@ -302,6 +359,7 @@
     /// Records that the connection broke.
     pub fn unlink(&mut self, now: Millis) {
         self.unlinked_at = Some(now);
+        self.reset_positions();
     }
 
     /// When the connection broke; `None` while there is one.
--- a/crates/walnutmoor-core/tests/session.rs
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -8,7 +8,7 @@
 use walnutmoor_core::{
     id::CallId,
     intake::Intake,
-    session::{Found, RETENTION, Session},
+    session::{Ended, Found, RETENTION, Session},
     time::Millis,
 };
 
@@ -280,6 +280,7 @@
                             Reply::Unknown
                         }
                     };
+                    session.write(id);
                     self.back.push_back((id, reply));
                 }
             }
@@ -330,6 +331,7 @@
         self.runner.ended.insert((incarnation, id), self.now);
         let is_linked = self.forward.is_some();
         if is_linked && incarnation == self.caller.incarnation {
+            session.write(id);
             self.back.push_back((id, reply));
         }
     }
@@ -414,6 +416,7 @@
     for id in ids {
         session.receive(CallId(id), ());
         session.end(Millis(0), CallId(id), id, size);
+        session.write(CallId(id));
     }
 }
 
@@ -472,6 +475,32 @@
     assert_eq!(intake.bytes(), 0);
 }
 
+/// Guards against a reply that is dropped while it waits to be written, and
+/// against such replies that take memory without a limit.
+#[test]
+fn a_reply_that_waits_to_be_written_is_not_dropped() {
+    let intake = Intake::new(200);
+    let mut session = Session::new(CallId(0)).share(&intake);
+    session.link(CallId(0));
+    for id in [1, 2, 3] {
+        session.receive(CallId(id), ());
+    }
+    let late = RETENTION + Millis(1);
+
+    assert_eq!(session.end(Millis(0), CallId(1), 1, 100), Ended::Retained);
+    assert_eq!(session.end(late, CallId(2), 2, 100), Ended::Retained);
+    assert_eq!(session.end(late, CallId(3), 3, 100), Ended::NoRoom);
+    assert_eq!(session.end(late, CallId(3), 3, 100), Ended::Unexpected);
+
+    assert_eq!(session.write(CallId(1)), Some(1));
+    assert_eq!(session.write(CallId(2)), Some(2));
+    assert_eq!(session.write(CallId(3)), None);
+    assert_eq!(session.find(CallId(3)), Found::Forgotten);
+    session.receive(CallId(4), ());
+    assert_eq!(session.end(late, CallId(4), 4, 100), Ended::Retained);
+    assert_eq!(session.find(CallId(1)), Found::Forgotten, "it was evicted");
+}
+
 #[test]
 fn a_call_that_a_forgotten_session_may_have_received_is_not_denied() {
     let successor: Session<(), ()> = Session::new(CallId(7));
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -201,12 +201,13 @@
     let _ = outgoing.send(Frame::Ping(state.edition()));
     *link.outgoing.borrow_mut() = Some(outgoing);
     state.record_peer_edition(peer_edition, link.node);
+    let encode = |frame, bytes: &mut BytesMut| frame::encode(&frame, bytes);
     tokio::select! {
         end = receive(state, link, read, bytes) => match end {
             Ok(()) => "closed by the peer".into(),
             Err(error) => error.to_string(),
         },
-        end = transmit(write, frames, |_| ()) => match end {
+        end = transmit(write, frames, encode, |_| ()) => match end {
             Ok(()) => "closed locally".into(),
             Err(error) => error.to_string(),
         },
@@ -214,23 +215,30 @@
     }
 }
 
-/// Writes frames until the channel closes. Frames that wait together are
-/// written together; `record_written` gets their number.
+/// The bytes after which no further frame is written together with others.
+const MAX_BATCH_BYTES: usize = 64 << 10;
+
+/// Writes items, as `encode` appends them to a buffer, until the channel
+/// closes. Items that wait together are written together, up to a limit;
+/// `record_written` gets their number.
 ///
 /// # Errors
 ///
 /// If the connection breaks.
-pub async fn transmit(
+pub async fn transmit<T>(
     mut write: OwnedWriteHalf,
-    mut frames: UnboundedReceiver<Frame>,
+    mut items: UnboundedReceiver<T>,
+    encode: impl Fn(T, &mut BytesMut),
     record_written: impl Fn(usize),
 ) -> io::Result<()> {
     let mut bytes = BytesMut::new();
-    while let Some(first) = frames.recv().await {
-        frame::encode(&first, &mut bytes);
+    while let Some(first) = items.recv().await {
+        encode(first, &mut bytes);
         let mut count = 1;
-        while let Ok(next) = frames.try_recv() {
-            frame::encode(&next, &mut bytes);
+        while bytes.len() < MAX_BATCH_BYTES
+            && let Ok(next) = items.try_recv()
+        {
+            encode(next, &mut bytes);
             count += 1;
         }
         write.write_all(&bytes).await?;
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -30,7 +30,7 @@
     id::{CallId, Incarnation, NodeId},
     intake::Intake,
     proof::Proof,
-    session::{self, Found},
+    session::{self, Ended, Found},
     table::Effect,
     time::Millis,
 };
@@ -62,12 +62,20 @@
 /// expired.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// What is written to another node.
+#[derive(Debug)]
+enum Outgoing {
+    Frame(Box<Frame>),
+    /// The retained reply to a call.
+    Reply(CallId),
+}
+
 /// The calls of one incarnation of another node.
 #[derive(Debug)]
 pub struct Session {
     /// The node that has opened it.
     node: NodeId,
-    outgoing: RefCell<Option<UnboundedSender<Frame>>>,
+    outgoing: RefCell<Option<UnboundedSender<Outgoing>>>,
     /// The number of frames of this connection that are not written yet.
     unwritten: Cell<usize>,
     task: RefCell<Option<AbortHandle>>,
@@ -101,10 +109,14 @@
 
     /// Sends a frame, if the other node is connected.
     pub fn send(&self, frame: Frame) {
+        self.enqueue(Outgoing::Frame(Box::new(frame)));
+    }
+
+    fn enqueue(&self, item: Outgoing) {
         if let Some(outgoing) = &*self.outgoing.borrow() {
             // Fails if the link has broken. The other node then queries for
             // its replies.
-            if outgoing.send(frame).is_ok() {
+            if outgoing.send(item).is_ok() {
                 self.unwritten.set(self.unwritten.get() + 1);
             }
         }
@@ -126,14 +138,39 @@
         self.unwritten.set(left);
     }
 
-    /// Sends and retains the reply to a call, unless it was canceled.
+    /// Retains and sends the reply to a call, unless it was canceled.
     pub fn reply(&self, state: &State, id: CallId, reply: Reply) {
-        let now = state.now();
         let size = reply.size();
-        if !self.calls.borrow_mut().end(now, id, reply.clone(), size) {
-            return;
+        let mut calls = self.calls.borrow_mut();
+        let ended = calls.end(state.now(), id, reply, size);
+        drop(calls);
+        match ended {
+            Ended::Retained => self.enqueue(Outgoing::Reply(id)),
+            Ended::NoRoom => {
+                log_no_room(state, self.node, size);
+                self.send_reply(state, id, Reply::Unknown(Kind::AnswerGone));
+            }
+            Ended::Unexpected => {}
         }
-        self.send(Frame::Answer(id, reply, state.serve.load(state.now())));
+    }
+
+    /// Sends a reply that is not retained.
+    fn send_reply(&self, state: &State, id: CallId, reply: Reply) {
+        let load = state.serve.load(state.now());
+        self.send(Frame::Answer(id, reply, load));
+    }
+
+    /// Appends an item to the bytes that are written to the other node.
+    fn encode(&self, state: &State, item: Outgoing, bytes: &mut BytesMut) {
+        let frame = match item {
+            Outgoing::Frame(frame) => *frame,
+            Outgoing::Reply(id) => {
+                let reply = self.calls.borrow_mut().write(id);
+                let reply = reply.unwrap_or(Reply::Unknown(Kind::AnswerGone));
+                Frame::Answer(id, reply, state.serve.load(state.now()))
+            }
+        };
+        frame::encode(&frame, bytes);
     }
 
     /// Cancels a call in progress.
@@ -170,42 +207,45 @@
         self.cancel_all(state, Reason::Unwanted, is_unwanted);
         self.calls.borrow_mut().resume(&waiting);
         for id in wanted {
-            if let Some(reply) = self.resend_reply(id) {
-                self.record_never_received(state, id, &reply);
-                let load = state.serve.load(state.now());
-                self.send(Frame::Answer(id, reply, load));
+            let found = self.calls.borrow_mut().resend(id);
+            match found {
+                Found::Running => {}
+                Found::Ended(_) => self.enqueue(Outgoing::Reply(id)),
+                Found::NeverReceived => self.deny(state, id),
+                Found::Forgotten => {
+                    let reply = Reply::Unknown(Kind::AnswerGone);
+                    self.send_reply(state, id, reply);
+                }
             }
         }
     }
 
-    /// Logs and counts a call that is reported as never received.
-    fn record_never_received(&self, state: &State, id: CallId, reply: &Reply) {
-        let Reply::NotRun { proof: Proof::NeverReceived, .. } = reply else {
-            return;
-        };
-        state.serve.not_run.record(Proof::NeverReceived);
+    /// Reports a call as never received.
+    fn deny(&self, state: &State, id: CallId) {
+        let proof = Proof::NeverReceived;
+        state.serve.not_run.record(proof);
         let fields = [
-            ("evidence", Proof::NeverReceived.as_str().into()),
+            ("evidence", proof.as_str().into()),
             ("call", id.0.into()),
             ("last_call", self.calls.borrow().last().0.into()),
             ("from", self.node.to_string().into()),
         ];
         state.journal.log_event(state.now(), Event::NotRun, &fields);
+        let (kind, retry) = (Kind::Unreachable, Millis(0));
+        self.send_reply(state, id, Reply::NotRun { kind, retry, proof });
     }
+}
 
-    /// The reply to a call, which is sent again; `None` if it is still running.
-    fn resend_reply(&self, id: CallId) -> Option<Reply> {
-        match self.calls.borrow_mut().resend(id) {
-            Found::Running => None,
-            Found::Ended(reply) => Some(reply),
-            Found::NeverReceived => Some(Reply::NotRun {
-                kind: Kind::Unreachable,
-                retry: Millis(0),
-                proof: Proof::NeverReceived,
-            }),
-            Found::Forgotten => Some(Reply::Unknown(Kind::AnswerGone)),
-        }
-    }
+/// Logs that there is no room for a reply beside those that the other nodes
+/// have not read.
+fn log_no_room(state: &State, node: NodeId, size: usize) {
+    let fields = [
+        ("why", "no room for a reply".into()),
+        ("peer", node.to_string().into()),
+        ("bytes", size.into()),
+        ("retained_bytes", state.replies.bytes().into()),
+    ];
+    state.journal.log_event(state.now(), Event::Fault, &fields);
 }
 
 /// Accepts links until the process ends.
@@ -240,7 +280,7 @@
     if let Some(older) = session.task.borrow_mut().take() {
         older.abort();
     }
-    let (outgoing, frames) = unbounded_channel();
+    let (outgoing, items) = unbounded_channel();
     *session.outgoing.borrow_mut() = Some(outgoing);
     session.calls.borrow_mut().link(hello.last_call);
     session.unwritten.set(0);
@@ -251,8 +291,7 @@
     state.add_node(hello.node);
     state.quotas.record_reported_size(hello.fleet);
     state.observe_peer_era(hello.era);
-    let task =
-        run(state, session.clone(), (read, bytes), write, frames, hello);
+    let task = run(state, session.clone(), (read, bytes), write, items, hello);
     let task = tokio::task::spawn_local(task);
     *session.task.borrow_mut() = Some(task.abort_handle());
 }
@@ -263,13 +302,15 @@
     session: Rc<Session>,
     (read, bytes): (OwnedReadHalf, BytesMut),
     write: OwnedWriteHalf,
-    frames: UnboundedReceiver<Frame>,
+    outgoing: UnboundedReceiver<Outgoing>,
     hello: Hello,
 ) {
+    let encode = |item, bytes: &mut _| session.encode(&state, item, bytes);
+    let record_written = |count| session.record_written(count);
     tokio::select! {
         // Errors are ignored: the other node reopens the link.
         _ = receive(&state, &session, read, bytes, &hello) => {}
-        _ = transmit(write, frames, |count| session.record_written(count)) => {}
+        _ = transmit(write, outgoing, encode, record_written) => {}
     }
     // The session is still this task's: a newer connection aborts the task
     // before it takes the session over.
--- a/crates/walnutmoor/tests/mesh/retention.rs
+++ b/crates/walnutmoor/tests/mesh/retention.rs
@@ -97,6 +97,44 @@
     });
 }
 
+/// Guards against a node that is killed for the memory of replies that the
+/// other nodes do not read.
+#[test]
+fn replies_that_are_not_read_do_not_take_the_memory() {
+    run(async {
+        let world = World::start_with_memory(&["desk"], MAX_MEMORY_MB).await;
+        let desk = &world.pairs[0];
+        desk.instance.set_response_bytes(REPLY_BYTES);
+        let mut peers = Vec::new();
+        for incarnation in 1..=CALLERS as u64 {
+            let address = desk.node.addresses().peers;
+            peers.push(Peer::open(address, incarnation).await);
+        }
+
+        for id in 1..=REPLIES {
+            for (index, peer) in peers.iter_mut().enumerate() {
+                peer.send(&order(id, &format!("u{index}-{id}"))).await;
+            }
+            let calls = id as u32 * CALLERS as u32;
+            until("all calls have run", || async {
+                desk.instance.total_runs() == calls
+            })
+            .await;
+        }
+
+        let peak = desk.node.peak_memory_mb().unwrap();
+        assert!(peak < MAX_MEMORY_MB, "{peak} MB");
+        for (index, peer) in peers.iter_mut().enumerate() {
+            for id in 1..=REPLIES {
+                let reply = peer.answer(id).await;
+                let is_true =
+                    is_answered(&reply) || matches!(reply, Reply::Unknown(_));
+                assert!(is_true, "u{index}-{id}: {reply:?}");
+            }
+        }
+    });
+}
+
 /// Guards against a node that keeps what the other node has read, and against
 /// one that drops a reply that it has not.
 #[test]
