--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -24,6 +24,9 @@
                      N runs were killed, as JSON lines
   measure restore [--nodes N]
                      cost of a store restore for N nodes, as JSON
+  measure retention [--bytes N] [--replies N] [--program PATH]
+                     memory of a node whose replies of N bytes other nodes
+                     fetch, as JSON
   soak --seed N [--count N] [--seconds N] [--logs DIR]
        [--planned | --overload | --leaving] [--hot] [--departures] [--quirks]
                      node processes under fault injection, for N seeds
@@ -64,6 +67,8 @@
     options.optopt("", "seconds", "duration of the overload", "N");
     options.optopt("", "nodes", "number of nodes", "N");
     options.optopt("", "count", "number of runs", "N");
+    options.optopt("", "bytes", "length of a reply", "N");
+    options.optopt("", "replies", "replies of each node", "N");
     options.optopt("", "program", "program of the nodes", "PATH");
     options.optflag("", "trace", "print the state of the bottleneck");
     let usage_error = |e: getopts::Fail| Failure::usage(e.to_string());
@@ -87,6 +92,11 @@
         let program = matches.opt_str("program").map(PathBuf::from);
         return restart(program, number("seed", 1)?, number("count", 1)?);
     }
+    if scenario == "retention" {
+        let program = matches.opt_str("program").map(PathBuf::from);
+        let bytes = number("bytes", 36 << 10)? as usize;
+        return retention(program, bytes, number("replies", 256)?);
+    }
     let plan = Plan {
         scenario: scenario.parse()?,
         topology: Topology::named(
@@ -104,6 +114,25 @@
     Ok(())
 }
 
+fn retention(
+    program: Option<PathBuf>,
+    bytes: usize,
+    replies: u64,
+) -> Result<(), Failure> {
+    let own = std::env::current_exe();
+    let own = own.map_err(|e| Failure::Internal(e.to_string()))?;
+    let program = program.unwrap_or(own);
+    let report = measure::retention::run(&program, bytes, replies);
+    let report = runtime()?.block_on(report);
+    let timed_out = || Failure::Internal("a request failed".into());
+    let report = report.ok_or_else(timed_out)?;
+    println!(
+        "{}",
+        serde_json::to_string(&report).expect("report serializes to JSON")
+    );
+    Ok(())
+}
+
 fn restart(
     program: Option<PathBuf>,
     seed: u64,
--- a/crates/walnutmoor-standin/src/measure.rs
+++ b/crates/walnutmoor-standin/src/measure.rs
@@ -11,6 +11,7 @@
 mod probe;
 pub mod restart;
 pub mod restore;
+pub mod retention;
 pub mod slopes;
 mod world;
 
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -140,9 +140,18 @@
     /// The most memory that the process has held, in mebibytes. `None` where
     /// the system doesn't tell, or after its exit.
     pub fn peak_memory_mb(&self) -> Option<u64> {
+        self.status_mb("VmHWM:")
+    }
+
+    /// The memory that the process holds, in mebibytes. `None` as above.
+    pub fn resident_mb(&self) -> Option<u64> {
+        self.status_mb("VmRSS:")
+    }
+
+    fn status_mb(&self, field: &str) -> Option<u64> {
         let path = format!("/proc/{}/status", self.child.id());
         let text = fs::read_to_string(path).ok()?;
-        let line = text.lines().find(|line| line.starts_with("VmHWM:"))?;
+        let line = text.lines().find(|line| line.starts_with(field))?;
         let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
         Some(kib / 1_024)
     }
