Stand-in: a stopped instance does not restart after a crash

Two runs that crash an instance at the same moment also started two restarts, of which the second panicked after 10 s.

Now an instance restarts once for crashes at the same moment, and not after it was stopped.

--- a/crates/walnutmoor-standin/src/mesh/instance/fault.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance/fault.rs
@@ -25,6 +25,8 @@
     /// Time from a crash to the restart, in milliseconds.
     downtime_ms: AtomicU64,
     crashes: Mutex<Vec<Instant>>,
+    /// True from a crash until the restart.
+    is_down: AtomicBool,
     restart_disabled: AtomicBool,
 }
 
@@ -72,19 +74,30 @@
         let crashes = &self.fault.crashes;
         let now = Instant::now();
         crashes.lock().expect("no holder panics").push(now);
+        // Several runs may crash it at the same moment.
+        if self.fault.is_down.swap(true, Ordering::Relaxed) {
+            return;
+        }
         // A separate task, because the calling one is aborted too.
         tokio::spawn(async move {
             self.abort_tasks();
             let downtime = self.fault.downtime_ms.load(Ordering::Relaxed);
             tokio::time::sleep(Duration::from_millis(downtime)).await;
-            if !self.fault.restart_disabled.load(Ordering::Relaxed) {
-                self.restart().await;
-            }
+            self.restart().await;
         });
     }
 
+    /// Restarts the instance, unless it was stopped meanwhile: its address
+    /// then belongs to its successor.
     async fn restart(self: Arc<Instance>) {
+        if self.fault.restart_disabled.load(Ordering::Relaxed) {
+            return;
+        }
         let listener = listen(self.address).await;
+        if self.fault.restart_disabled.load(Ordering::Relaxed) {
+            return;
+        }
+        self.fault.is_down.store(false, Ordering::Relaxed);
         let restarts = self.crashes().len();
         let base = self.id();
         let base = base.split('.').next().unwrap_or_default();
@@ -92,6 +105,9 @@
         let lifetime = Lifetime::new(&id, Some(StartTime(unix_millis())));
         *self.lifetime.lock().expect("no holder panics") = lifetime;
         self.sequence.store(0, Ordering::Relaxed);
-        self.spawn_tasks(listener);
+        self.clone().spawn_tasks(listener);
+        if self.fault.restart_disabled.load(Ordering::Relaxed) {
+            self.abort_tasks();
+        }
     }
 }
