--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -71,8 +71,8 @@
 /// The delay before another instance reuses an address.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_millis(2_000);
 
-/// The memory that a node may hold, by default.
-const MEMORY_MB: u64 = 256;
+/// The memory that a node may hold at the target's size, in megabytes.
+const MEMORY_MB: u64 = 64;
 
 /// How old the store's lists are, in runs with quirks.
 const LIST_AGE: Duration = Duration::from_secs(4);
