Tests of clients that do not behave, red on the code as it stands

What callers saw: in a trial of the users, clients that read long answers slowly, and bodies that stop short of their end, ended a process.

They check that the process lives, that VmHWM and the open descriptors stay under these bounds, and that an ordinary request (an upload, where bodies are the matter) is answered.

--- a/crates/walnutmoor-standin/src/child.rs
+++ b/crates/walnutmoor-standin/src/child.rs
@@ -68,6 +68,29 @@
     program.spawn()
 }
 
+/// A program and its leading arguments that run with this limit of open file
+/// descriptors.
+pub fn limit_descriptors(program: &Path, limit: usize) -> Vec<PathBuf> {
+    let script = format!("ulimit -n {limit}; exec \"$0\" \"$@\"");
+    let shell = ["sh", "-c", &script].map(PathBuf::from);
+    [shell.as_slice(), &[program.to_path_buf()]].concat()
+}
+
+/// The number of file descriptors that a process has open. `None` where the
+/// system doesn't tell, or after its exit.
+pub fn descriptors(pid: u32) -> Option<usize> {
+    Some(fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
+}
+
+/// A field of the memory of a process, in mebibytes, such as `VmHWM:`. `None`
+/// where the system doesn't tell, or after its exit.
+pub fn status_mb(pid: u32, field: &str) -> Option<u64> {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = text.lines().find(|line| line.starts_with(field))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib / 1_024)
+}
+
 /// The ports of one node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Ports {
@@ -189,6 +212,12 @@
         self.child.id()
     }
 
+    /// The most memory that the process has held, in mebibytes. `None` where
+    /// the system doesn't tell, or after its exit.
+    pub fn peak_memory_mb(&self) -> Option<u64> {
+        status_mb(self.pid(), "VmHWM:")
+    }
+
     /// The log output of the current process so far.
     pub fn log(&self) -> String {
         fs::read_to_string(self.dir.join("log")).unwrap_or_default()
--- a/crates/walnutmoor-standin/src/measure/restart.rs
+++ b/crates/walnutmoor-standin/src/measure/restart.rs
@@ -214,7 +214,7 @@
 
 fn setup(program: &Path, store: &Arc<Store>, addresses: Addresses) -> Setup {
     Setup {
-        program: program.to_path_buf(),
+        program: vec![program.to_path_buf()],
         advertise: None,
         zone: "a".into(),
         service: "desk".into(),
--- a/crates/walnutmoor-standin/src/measure/restore.rs
+++ b/crates/walnutmoor-standin/src/measure/restore.rs
@@ -155,7 +155,7 @@
 
 fn start(program: &Path, store: &Arc<Store>, index: usize) -> Node {
     Node::start(&Setup {
-        program: program.to_path_buf(),
+        program: vec![program.to_path_buf()],
         advertise: None,
         zone: ["a", "b", "c"][index % 3].to_string(),
         service: "desk".to_string(),
--- a/crates/walnutmoor-standin/src/measure/retention.rs
+++ b/crates/walnutmoor-standin/src/measure/retention.rs
@@ -103,7 +103,7 @@
     let id = format!("i-{index}");
     let instance = Instance::start(&id, service, server, control).await;
     let node = Node::start(&Setup {
-        program: program.to_path_buf(),
+        program: vec![program.to_path_buf()],
         advertise: None,
         zone: "a".to_string(),
         service: service.to_string(),
--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -79,6 +79,7 @@
     run_ms: AtomicU64,
     /// The length of a padded response body, in bytes.
     response_bytes: AtomicUsize,
+    omits_request: AtomicBool,
     has_long_tail: AtomicBool,
     held: Mutex<BTreeSet<String>>,
     sequence: AtomicU64,
@@ -183,6 +184,7 @@
             behavior: Mutex::new(Behavior::Healthy),
             run_ms: AtomicU64::new(5),
             response_bytes: AtomicUsize::new(0),
+            omits_request: AtomicBool::new(false),
             has_long_tail: AtomicBool::new(false),
             held: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -312,6 +314,11 @@
         self.response_bytes.store(length, Ordering::Relaxed);
     }
 
+    /// Leaves the body of the request out of the response.
+    pub fn omit_request(&self) {
+        self.omits_request.store(true, Ordering::Relaxed);
+    }
+
     /// Lets some runs last up to nine seconds and others a fraction of one,
     /// depending on the attempt id.
     pub fn set_long_tail(&self) {
@@ -653,7 +660,11 @@
     }
     let id = header::attempt(&request.headers).unwrap_or_default();
     let called = instance.make_call(id, &request.headers).await;
-    let mut body = format!("{} {id} {}", instance.id(), request.body);
+    let echoed = match instance.omits_request.load(Ordering::Relaxed) {
+        true => "",
+        false => &request.body,
+    };
+    let mut body = format!("{} {id} {echoed}", instance.id());
     let length = instance.response_bytes.load(Ordering::Relaxed);
     let padding = length.saturating_sub(body.len());
     body.extend(std::iter::repeat_n('x', padding));
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -50,8 +50,8 @@
 /// The program and settings of a node.
 #[derive(Clone, Debug)]
 pub struct Setup {
-    /// The path of the program.
-    pub program: PathBuf,
+    /// The program and its leading arguments.
+    pub program: Vec<PathBuf>,
     /// The address that other nodes use, if not `addresses.peers`.
     pub advertise: Option<SocketAddr>,
     /// Its availability zone.
@@ -137,6 +137,12 @@
         matches!(self.child.try_wait(), Ok(Some(s)) if s.success())
     }
 
+    /// The number of file descriptors that the process has open. `None` where
+    /// the system doesn't tell, or after its exit.
+    pub fn descriptors(&self) -> Option<usize> {
+        child::descriptors(self.child.id())
+    }
+
     /// The most memory that the process has held, in mebibytes. `None` where
     /// the system doesn't tell, or after its exit.
     pub fn peak_memory_mb(&self) -> Option<u64> {
@@ -149,11 +155,7 @@
     }
 
     fn status_mb(&self, field: &str) -> Option<u64> {
-        let path = format!("/proc/{}/status", self.child.id());
-        let text = fs::read_to_string(path).ok()?;
-        let line = text.lines().find(|line| line.starts_with(field))?;
-        let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kib / 1_024)
+        child::status_mb(self.child.id(), field)
     }
 
     /// Its log so far; empty if the log can't be read.
@@ -169,14 +171,16 @@
     }
 }
 
-fn spawn(program: &Path, file: &Path, dir: &Path) -> Child {
+fn spawn(program: &[PathBuf], file: &Path, dir: &Path) -> Child {
     let log = fs::OpenOptions::new()
         .create(true)
         .append(true)
         .open(dir.join("log"))
         .expect("a log file");
+    let (program, arguments) = program.split_first().expect("a program");
     let mut program = Command::new(program);
     let program = program
+        .args(arguments)
         .args(["mesh", "--settings"])
         .arg(file)
         .stdin(Stdio::null())
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -751,7 +751,7 @@
     let id = format!("i-{index}");
     let instance = Instance::start(&id, service, at, control).await;
     let node = Node::start(&Setup {
-        program: program.to_path_buf(),
+        program: vec![program.to_path_buf()],
         advertise: Some(peers.address()),
         zone: ["a", "b", "c"][index % 3].to_string(),
         service: service.to_string(),
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -1,6 +1,10 @@
 //! Starts a store, nodes and instances for a test, and sends requests to them.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use http::{HeaderName, Method};
 use walnutmoor_core::{
@@ -8,13 +12,16 @@
     time::Millis,
 };
 use walnutmoor_platform::{header, standin};
-use walnutmoor_standin::mesh::{
-    caller::{self, Response},
-    instance::Instance,
-    node::{Addresses, Node, Setup},
-    store::Store,
+use walnutmoor_standin::{
+    child,
+    mesh::{
+        caller::{self, Response},
+        instance::Instance,
+        node::{Addresses, Node, Setup},
+        store::Store,
+    },
+    soak::proxy::Proxy,
 };
-use walnutmoor_standin::soak::proxy::Proxy;
 
 pub use walnutmoor_standin::wait::{run, until};
 
@@ -40,6 +47,10 @@
     pub overload: Vec<String>,
     /// The limit of memory in the settings of its nodes, in megabytes.
     pub memory: u64,
+    /// The limit of file descriptors in the settings of its nodes.
+    pub descriptors: usize,
+    /// Whether the processes themselves have that limit.
+    pub limits_processes: bool,
 }
 
 pub fn route(name: &str, effect: Effect, services: &[(&str, u32)]) -> Route {
@@ -97,7 +108,14 @@
         store.write_desired(desired);
         let overload = overload.iter().map(ToString::to_string).collect();
         let pairs = Vec::new();
-        let mut world = World { store, pairs, overload, memory: MEMORY_MB };
+        let mut world = World {
+            store,
+            pairs,
+            overload,
+            memory: MEMORY_MB,
+            descriptors: DESCRIPTORS,
+            limits_processes: false,
+        };
         for service in services {
             world.add(service).await;
         }
@@ -119,7 +137,8 @@
 
     /// Starts another pair.
     pub async fn add(&mut self, service: &str) {
-        self.start_pair(service, Addresses::allocate(), None).await;
+        let addresses = Addresses::allocate();
+        self.start_pair(service, addresses, None, None).await;
     }
 
     /// Starts another pair with a proxy between its node and all others.
@@ -127,26 +146,49 @@
         let addresses = Addresses::allocate();
         let proxy = Proxy::start(addresses.peers).await;
         let advertise = Some(proxy.address());
-        self.start_pair(service, addresses, advertise).await;
+        self.start_pair(service, addresses, advertise, None).await;
+        proxy
+    }
+
+    /// Starts another pair with a proxy between its node and its instance.
+    #[allow(dead_code)] // the tests of crowds use it
+    pub async fn add_with_proxied_instance(
+        &mut self,
+        service: &str,
+    ) -> Arc<Proxy> {
+        let addresses = Addresses::allocate();
+        let proxy = Proxy::start(addresses.server).await;
+        let server = Some(proxy.address());
+        self.start_pair(service, addresses, None, server).await;
         proxy
     }
 
+    /// The program of its nodes, with leading arguments.
+    fn program(&self) -> Vec<PathBuf> {
+        let program = Path::new(env!("CARGO_BIN_EXE_walnutmoor"));
+        match self.limits_processes {
+            true => child::limit_descriptors(program, self.descriptors),
+            false => vec![program.to_path_buf()],
+        }
+    }
+
     async fn start_pair(
         &mut self,
         service: &str,
         addresses: Addresses,
         advertise: Option<SocketAddr>,
+        server: Option<SocketAddr>,
     ) {
         let store = Proxy::start(self.store.address()).await;
         let setup = Setup {
-            program: PathBuf::from(env!("CARGO_BIN_EXE_walnutmoor")),
+            program: self.program(),
             zone: "a".into(),
             service: service.into(),
             store: store.address(),
             addresses,
             advertise,
-            server: None,
-            descriptors: DESCRIPTORS,
+            server,
+            descriptors: self.descriptors,
             memory: self.memory,
             overload: self.overload.clone(),
             bounds: vec![("grace".into(), "6s".into())],
