One account of a node's memory, and bodies that are not copied

Cause: nothing bounded the bodies of calls from other nodes. Each was held as the frame, once more as the decoded call, and again while it was encoded at the sender, whose own bound went by length while its buffer had up to twice that capacity.

Change: `memory::Budget` in the core divides 0.6 of the memory into four pools, each with 0.1 reserved and 0.3 at most: requests of callers, calls of other nodes, replies to other nodes, responses to callers. A buffer counts by its capacity until its last reference is dropped, wherever it has moved (`Bytes::from_owner`). A body from 16 KB on follows its message in a frame instead of being part of it, so it is neither copied when written nor when read, and the receiver knows its length first: without room it discards the body and refuses the call as not run (503, and the sender may try another instance), or gives the answer up (502). Protocol version 10.

Why it works: what other nodes send is admitted by bytes before it is read, and a refusal at that point is true, since the call was not queued. Ruled out: a bound on the number of calls, as one legal body is a quarter of a machine.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod lifetime;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod node;
 pub mod once;
 pub mod picker;
--- a/crates/walnutmoor/src/lib.rs
+++ b/crates/walnutmoor/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod command;
 pub mod failure;
 pub mod http1;
+pub mod memory;
 pub mod mesh;
 pub mod platform;
 pub mod prelude;
--- /dev/null
+++ b/crates/walnutmoor/src/memory.rs
@@ -0,0 +1,81 @@
+/*!
+The account of a node's memory: what callers, the instance and other nodes make
+it hold. See [`walnutmoor_core::memory`].
+
+The pools add up to 0.6 of the memory. The rest is for bytes read ahead, for the
+state of the node itself and for the overhead of the allocator.
+*/
+
+use bytes::Bytes;
+use walnutmoor_core::memory::{Budget, Buffer, Hold, Limit, Pool};
+
+/// The fraction of the memory that the pools may hold together.
+const TOTAL_FRACTION: f64 = 0.6;
+
+/// The fraction that is reserved for each pool.
+const RESERVED_FRACTION: f64 = 0.1;
+
+/// The greatest fraction of one pool.
+const MAX_FRACTION: f64 = 0.3;
+
+/// The pools of a node.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    budget: Budget,
+    /// Requests of callers, until their responses are known.
+    pub requests: Pool,
+    /// Calls of other nodes, until the instance has read them.
+    pub calls: Pool,
+    /// Replies to other nodes, until these have read them.
+    pub replies: Pool,
+    /// Responses to callers, until these have read them.
+    pub responses: Pool,
+}
+
+impl Memory {
+    /// Divides the memory of a node, in bytes.
+    pub fn new(bytes: usize) -> Memory {
+        let fraction = |fraction: f64| (bytes as f64 * fraction) as usize;
+        let reserved = fraction(RESERVED_FRACTION);
+        let limit = Limit { reserved, max: fraction(MAX_FRACTION) };
+        let total = fraction(TOTAL_FRACTION);
+        let (budget, pools) = Budget::divide(total, [limit; 4]);
+        let [requests, calls, replies, responses] = pools;
+        Memory { budget, requests, calls, replies, responses }
+    }
+
+    /// The bytes that are held in all pools.
+    pub fn bytes(&self) -> usize {
+        self.budget.bytes()
+    }
+}
+
+/// Bytes with the hold that counts them.
+struct Counted {
+    bytes: Bytes,
+    _hold: Hold,
+}
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Counts bytes until their last reference is dropped. `None` if the pool has
+/// no room.
+pub fn count(pool: &Pool, bytes: Bytes) -> Option<Bytes> {
+    if bytes.is_empty() {
+        return Some(bytes);
+    }
+    let hold = pool.hold(bytes.len())?;
+    Some(Bytes::from_owner(Counted { bytes, _hold: hold }))
+}
+
+/// Freezes a buffer. It counts until the last reference is dropped.
+pub fn freeze(buffer: Buffer) -> Bytes {
+    match buffer.is_empty() {
+        true => Bytes::new(),
+        false => Bytes::from_owner(buffer),
+    }
+}
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -398,7 +398,7 @@
                 }
             }
             (ReadState::Body(mut arrival), http1::Event::Data(data)) => {
-                match arrival.push_body(&self.state, &data) {
+                match arrival.push_body(&data) {
                     Ok(()) => ReadState::Body(arrival),
                     Err(kind) => {
                         let rejection = arrival.reject(&self.state, kind);
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -6,6 +6,12 @@
 in `postcard` format. The calls of a link are multiplexed: a slow one does not
 block the others.
 
+A long body follows its message instead of being part of it, so that it is
+neither copied when it is written nor when it is read. Such a frame begins with
+the length of the message, with its highest bit set, and that of the body. The
+receiver knows both before it reads the body, and discards a body for which it
+has no room.
+
 # Example
 
 ```
@@ -40,6 +46,7 @@
     footprint::Footprint,
     id::{Account, CallId, Era, Incarnation, NodeId, RouteKey, Service, Zone},
     lifetime::Lifetime,
+    memory::{Buffer, Pool},
     poison::{Crash, Evidence, Fingerprint},
     profile::Profile,
     proof::Proof,
@@ -50,10 +57,18 @@
     time::Millis,
 };
 
+use crate::memory;
+
 /// The longest frame: the longest body that the platform allows, with room
 /// for its headers.
 const MAX_FRAME_BYTES: usize = 72 << 20;
 
+/// The shortest body that follows its message.
+const MIN_DETACHED_BYTES: usize = 16 << 10;
+
+/// Marks the length of a message whose body follows it.
+const DETACHED: u32 = 1 << 31;
+
 /// Header names and values, in order.
 pub type Headers = Vec<(String, Bytes)>;
 
@@ -121,7 +136,7 @@
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 9;
+pub const PROTOCOL_VERSION: u32 = 10;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -266,14 +281,63 @@
 #[error("a frame of {0} bytes cannot be decoded")]
 pub struct Error(usize);
 
+impl Frame {
+    /// The body of a call or of an answer.
+    fn body(&mut self) -> Option<&mut Bytes> {
+        match self {
+            Frame::Call(call) => Some(&mut call.body),
+            Frame::Answer(_, Reply::Answered { body, .. }, _) => Some(body),
+            _ => None,
+        }
+    }
+
+    /// Takes the body if it follows the message.
+    fn detach_body(&mut self) -> Option<Bytes> {
+        let body = self.body()?;
+        let is_detached = body.len() >= MIN_DETACHED_BYTES;
+        is_detached.then(|| std::mem::take(body))
+    }
+
+    /// Counts its body in a pool until it is dropped. Returns false if there
+    /// is no room; the body is dropped then.
+    fn count_body(&mut self, pool: &Pool) -> bool {
+        let Some(body) = self.body() else {
+            return true;
+        };
+        match memory::count(pool, std::mem::take(body)) {
+            Some(counted) => {
+                *body = counted;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
 /// Appends an encoded frame.
 pub fn encode(frame: &Frame, out: &mut BytesMut) {
-    let body = postcard::to_allocvec(frame);
-    let body = body.expect("encoding plain data cannot fail");
-    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    let body = encode_detached(frame.clone(), out);
     out.extend_from_slice(&body);
 }
 
+/// Appends an encoded frame up to its body. Returns what is to follow it.
+pub fn encode_detached(frame: Frame, out: &mut BytesMut) -> Bytes {
+    let mut frame = frame;
+    let body = frame.detach_body();
+    let message = postcard::to_allocvec(&frame);
+    let message = message.expect("encoding plain data cannot fail");
+    let length = message.len() as u32;
+    match &body {
+        Some(body) => {
+            out.extend_from_slice(&(length | DETACHED).to_le_bytes());
+            out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        }
+        None => out.extend_from_slice(&length.to_le_bytes()),
+    }
+    out.extend_from_slice(&message);
+    body.unwrap_or_default()
+}
+
 /// The size of the read buffer. All links of a thread share it, so that idle
 /// links hold no buffers. Most responses fit; with smaller reads most frames
 /// took two. With a buffer of 8 KB for each link, a node that is linked both
@@ -285,6 +349,171 @@
         RefCell::new(vec![0; READ_BUFFER_BYTES].into_boxed_slice());
 }
 
+/// A frame that was read.
+#[derive(Debug)]
+pub enum Received {
+    /// It is complete.
+    Complete(Frame),
+    /// There was no room for its body, which was discarded.
+    NoRoom(Frame),
+}
+
+/// Reads the frames of one connection.
+#[derive(Debug, Default)]
+pub struct Reader {
+    bytes: BytesMut,
+    detached: Option<Detached>,
+}
+
+/// A frame whose body is being read.
+#[derive(Debug)]
+struct Detached {
+    frame: Frame,
+    /// `None` if the body is discarded.
+    body: Option<Buffer>,
+    /// The bytes of the body that are missing.
+    missing: usize,
+}
+
+impl Reader {
+    /// Creates a reader whose first bytes were received before.
+    pub fn new(bytes: BytesMut) -> Reader {
+        Reader { bytes, detached: None }
+    }
+
+    /// Reads the available bytes, waiting for some if there are none. Returns
+    /// their number; 0 at the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks.
+    pub async fn fill(
+        &mut self,
+        read: &mut OwnedReadHalf,
+    ) -> io::Result<usize> {
+        fill_with(read, |bytes| self.feed(bytes)).await
+    }
+
+    /// Appends received bytes.
+    fn feed(&mut self, bytes: &[u8]) {
+        let rest = match &mut self.detached {
+            Some(detached) => detached.feed(bytes),
+            None => bytes,
+        };
+        if self.bytes.is_empty() && !rest.is_empty() {
+            self.bytes = BytesMut::new();
+        }
+        self.bytes.extend_from_slice(rest);
+    }
+
+    /// Removes and decodes the first frame. Returns `None` if it is
+    /// incomplete. Bodies count in this room.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are not a valid frame, or it is too long.
+    pub fn next(
+        &mut self,
+        room: &impl Room,
+    ) -> Result<Option<Received>, Error> {
+        if self.detached.is_none() {
+            match decode_message(&mut self.bytes)? {
+                None => return Ok(None),
+                Some((frame, None)) => {
+                    return Ok(Some(room.count(frame)));
+                }
+                Some((frame, Some(length))) => {
+                    let body = room.buffer(length);
+                    let missing = length;
+                    let mut detached = Detached { frame, body, missing };
+                    let count = missing.min(self.bytes.len());
+                    detached.feed(&self.bytes.split_to(count));
+                    self.detached = Some(detached);
+                }
+            }
+        }
+        match self.detached.take_if(|detached| detached.missing == 0) {
+            Some(detached) => Ok(Some(detached.finish())),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Detached {
+    /// Takes what belongs to the body, and returns the rest.
+    fn feed<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let (own, rest) = bytes.split_at(self.missing.min(bytes.len()));
+        self.missing -= own.len();
+        if let Some(body) = &mut self.body {
+            // It has its full capacity.
+            body.push(own, usize::MAX);
+        }
+        rest
+    }
+
+    fn finish(mut self) -> Received {
+        let Some(buffer) = self.body else {
+            return Received::NoRoom(self.frame);
+        };
+        if let Some(body) = self.frame.body() {
+            *body = memory::freeze(buffer);
+        }
+        Received::Complete(self.frame)
+    }
+}
+
+/// Where the bodies of received frames count.
+pub trait Room {
+    /// The pool.
+    fn pool(&self) -> &Pool;
+
+    /// Frees some memory of the pool, if possible. Returns whether it did.
+    fn free(&self) -> bool;
+
+    /// Allocates a buffer, if there is room.
+    fn buffer(&self, capacity: usize) -> Option<Buffer> {
+        let mut buffer = self.pool().buffer();
+        while !buffer.reserve(capacity) {
+            if !self.free() {
+                return None;
+            }
+        }
+        Some(buffer)
+    }
+
+    /// Appends bytes of a content that has at most `max_len` in all. Returns
+    /// false if there is no room.
+    fn push(&self, buffer: &mut Buffer, data: &[u8], max_len: usize) -> bool {
+        while !buffer.push(data, max_len) {
+            if !self.free() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Counts a frame that was decoded whole.
+    fn count(&self, frame: Frame) -> Received {
+        let mut frame = frame;
+        let length = frame.body().map_or(0, |body| body.len());
+        while self.pool().room() < length && self.free() {}
+        match frame.count_body(self.pool()) {
+            true => Received::Complete(frame),
+            false => Received::NoRoom(frame),
+        }
+    }
+}
+
+impl Room for Pool {
+    fn pool(&self) -> &Pool {
+        self
+    }
+
+    fn free(&self) -> bool {
+        false
+    }
+}
+
 /// Appends the available bytes, waiting for some if there are none. Returns
 /// their number; 0 at the end of the connection.
 ///
@@ -295,38 +524,102 @@
     read: &mut OwnedReadHalf,
     bytes: &mut BytesMut,
 ) -> io::Result<usize> {
-    if bytes.is_empty() {
-        *bytes = BytesMut::new();
-    }
+    fill_with(read, |received| bytes.extend_from_slice(received)).await
+}
+
+async fn fill_with(
+    read: &mut OwnedReadHalf,
+    mut feed: impl FnMut(&[u8]),
+) -> io::Result<usize> {
     poll_fn(|cx| {
         READ_BUFFER.with_borrow_mut(|shared| {
             let mut buffer = ReadBuf::new(shared);
             ready!(Pin::new(&mut *read).poll_read(cx, &mut buffer))?;
-            bytes.extend_from_slice(buffer.filled());
+            feed(buffer.filled());
             Poll::Ready(Ok(buffer.filled().len()))
         })
     })
     .await
 }
 
-/// Removes and decodes the first frame. Returns `None` if it is incomplete.
+/// Removes and decodes the first frame, with its body. Returns `None` if it is
+/// incomplete.
 ///
 /// # Errors
 ///
 /// If the bytes are not a valid frame, or it is too long.
 pub fn decode(input: &mut BytesMut) -> Result<Option<Frame>, Error> {
-    let Some(prefix) = input.first_chunk::<4>() else {
+    let Some(length) = complete_len(input)? else {
         return Ok(None);
     };
-    let len = u32::from_le_bytes(*prefix) as usize;
-    if len > MAX_FRAME_BYTES {
-        return Err(Error(len));
+    let mut reader = Reader::new(input.split_to(length));
+    let received = reader.next(&Pool::unlimited())?;
+    Ok(received.map(|received| match received {
+        Received::Complete(frame) | Received::NoRoom(frame) => frame,
+    }))
+}
+
+/// The length of the first frame with its prefix and its body; `None` if it is
+/// incomplete.
+fn complete_len(input: &BytesMut) -> Result<Option<usize>, Error> {
+    let Some(prefix) = Prefix::read(input)? else {
+        return Ok(None);
+    };
+    let length = prefix.len + prefix.message + prefix.body.unwrap_or(0);
+    Ok((input.len() >= length).then_some(length))
+}
+
+/// What a frame begins with.
+#[derive(Clone, Copy, Debug)]
+struct Prefix {
+    /// Its own length.
+    len: usize,
+    /// The length of the message.
+    message: usize,
+    /// The length of a body that follows the message.
+    body: Option<usize>,
+}
+
+impl Prefix {
+    /// Reads the prefix of the first frame; `None` if it is incomplete.
+    fn read(input: &BytesMut) -> Result<Option<Prefix>, Error> {
+        let Some((first, rest)) = input.split_first_chunk::<4>() else {
+            return Ok(None);
+        };
+        let first = u32::from_le_bytes(*first);
+        let message = (first & !DETACHED) as usize;
+        let prefix = match first & DETACHED {
+            0 => Prefix { len: 4, message, body: None },
+            _ => {
+                let Some(body) = rest.first_chunk::<4>() else {
+                    return Ok(None);
+                };
+                let body = Some(u32::from_le_bytes(*body) as usize);
+                Prefix { len: 8, message, body }
+            }
+        };
+        let length = prefix.message.saturating_add(prefix.body.unwrap_or(0));
+        match length > MAX_FRAME_BYTES {
+            true => Err(Error(length)),
+            false => Ok(Some(prefix)),
+        }
     }
-    if input.len() < 4 + len {
-        input.reserve(4 + len - input.len());
+}
+
+/// Removes and decodes the message of the first frame. Returns it with the
+/// length of the body that follows, or `None` if it is incomplete.
+fn decode_message(
+    input: &mut BytesMut,
+) -> Result<Option<(Frame, Option<usize>)>, Error> {
+    let Some(Prefix { len, message, body }) = Prefix::read(input)? else {
+        return Ok(None);
+    };
+    if input.len() < len + message {
+        input.reserve(len + message - input.len());
         return Ok(None);
     }
-    input.advance(4);
-    let body = input.split_to(len);
-    postcard::from_bytes(&body).map(Some).map_err(|_| Error(len))
+    input.advance(len);
+    let encoded = input.split_to(message);
+    let frame = postcard::from_bytes(&encoded).map_err(|_| Error(message))?;
+    Ok(Some((frame, body)))
 }
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -8,13 +8,13 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::BytesMut;
 use http::{Method, header as names};
 use tokio::net::TcpListener;
 use walnutmoor_core::{
     account::{Account, Directory, Key, Sender},
     error::{Kind, Ran, Refusal},
     feasibility::Need,
+    memory::{Buffer, Hold},
     poison,
     proof::{NeverRan, Proof},
     reservation::{Flow, Told},
@@ -46,9 +46,8 @@
 /// rejected. Bounds their memory.
 const MAX_IN_FLIGHT: usize = 3_000;
 
-/// The fraction of the node's memory that request bodies may take. A body
-/// may be in memory twice while it is written to another node.
-const MAX_HELD_FRACTION: f64 = 0.3;
+/// The memory that a request without headers takes, in bytes.
+const REQUEST_BYTES: usize = 1 << 10;
 
 /// The `Retry-After` of requests that this node cannot serve for the moment,
 /// for example before it has read the desired state.
@@ -104,7 +103,6 @@
     route: String,
     account: Option<Arc<Account>>,
     received_at: Millis,
-    held_bytes: usize,
     is_finished: bool,
     /// What the caller is told, if its retry time comes from the backlog.
     told: Option<Told>,
@@ -122,7 +120,6 @@
             route: String::new(),
             account: None,
             received_at: now,
-            held_bytes: 0,
             is_finished: false,
             told: None,
             waited: Millis(0),
@@ -144,7 +141,6 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let state = &self.state;
-        state.buffered_bytes.set(state.buffered_bytes.get() - self.held_bytes);
         if self.is_finished {
             return;
         }
@@ -202,7 +198,8 @@
 pub(super) fn reject_unreadable(state: &Rc<State>, kind: Kind) -> Rejection {
     let mut in_flight = InFlight::new(state, "");
     let answer = refuse(state, &mut in_flight, &not_run(kind));
-    Rejection { answer, method: Method::GET, max_discard: None, in_flight }
+    let (method, max_discard) = (Method::GET, None);
+    Rejection { answer, method, max_discard, in_flight }
 }
 
 /// A request whose head was read and whose body is being read.
@@ -212,8 +209,11 @@
     route: Arc<Route>,
     origin: Origin,
     content_hasher: poison::Hasher,
-    body: BytesMut,
+    body: Buffer,
+    /// The most bytes that the body may have, by its length or the limit.
     max_body_bytes: usize,
+    /// The memory of the head.
+    _head_hold: Hold,
     /// How it was admitted, if this node decides by rate.
     turn: Option<Turn>,
 }
@@ -233,11 +233,12 @@
         let max_body_bytes =
             state.table().unwrap_or_default().limits.max_body_bytes;
         match resolve(state, &in_flight, &head) {
-            Ok((route, origin)) => {
+            Ok((route, origin, head_hold)) => {
                 in_flight.route = route.name.clone();
                 in_flight.account = origin.account().cloned();
                 let content_hasher = content_hasher(&head, origin.account());
-                let body = BytesMut::new();
+                let body = state.memory.requests.buffer();
+                let length = body_len(&head).unwrap_or(max_body_bytes);
                 Ok(Arrival {
                     in_flight,
                     head,
@@ -245,7 +246,8 @@
                     origin,
                     content_hasher,
                     body,
-                    max_body_bytes,
+                    max_body_bytes: length.min(max_body_bytes),
+                    _head_hold: head_hold,
                     turn: None,
                 })
             }
@@ -270,21 +272,14 @@
     /// # Errors
     ///
     /// If the body is too large or the node holds too many bytes.
-    pub(super) fn push_body(
-        &mut self,
-        state: &State,
-        data: &[u8],
-    ) -> Result<(), Kind> {
+    pub(super) fn push_body(&mut self, data: &[u8]) -> Result<(), Kind> {
         if self.body.len() + data.len() > self.max_body_bytes {
             return Err(Kind::TooLarge);
         }
-        if state.buffered_bytes.get() + data.len() > max_held_bytes(state) {
+        if !self.body.push(data, self.max_body_bytes) {
             return Err(Kind::Full);
         }
         self.content_hasher.update(data);
-        self.body.extend_from_slice(data);
-        self.in_flight.held_bytes += data.len();
-        state.buffered_bytes.set(state.buffered_bytes.get() + data.len());
         Ok(())
     }
 
@@ -426,7 +421,7 @@
     state: &State,
     in_flight: &InFlight,
     head: &Head,
-) -> Result<(Arc<Route>, Origin), Kind> {
+) -> Result<(Arc<Route>, Origin, Hold), Kind> {
     let table = state.table().ok_or(Kind::Starting)?;
     let is_finishing = state.phase.get() == Phase::Finishing;
     // The runs that the node still finishes may depend on their calls.
@@ -448,18 +443,34 @@
         return Err(Kind::Leaving);
     }
     let origin = identify(state, &table.accounts, &route, in_flight, head)?;
-    if let Framing::Length(length) = head.framing {
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > table.limits.max_body_bytes {
-            return Err(Kind::TooLarge);
-        }
-        if length
-            > max_held_bytes(state).saturating_sub(state.buffered_bytes.get())
-        {
-            return Err(Kind::Full);
+    let length = body_len(head).unwrap_or(0);
+    if length > table.limits.max_body_bytes {
+        return Err(Kind::TooLarge);
+    }
+    let requests = &state.memory.requests;
+    let head_hold = requests.hold(head_bytes(head)).ok_or(Kind::Full)?;
+    if length > requests.room() {
+        return Err(Kind::Full);
+    }
+    Ok((route, origin, head_hold))
+}
+
+/// The length of the body, if it is known.
+fn body_len(head: &Head) -> Option<usize> {
+    match head.framing {
+        Framing::Length(length) => {
+            Some(usize::try_from(length).unwrap_or(usize::MAX))
         }
+        Framing::Chunked => None,
     }
-    Ok((route, origin))
+}
+
+/// About the memory that a request holds without its body, in bytes.
+fn head_bytes(head: &Head) -> usize {
+    let headers = head.headers.iter();
+    let headers =
+        headers.map(|(name, value)| name.as_str().len() + value.len());
+    REQUEST_BYTES + headers.sum::<usize>()
 }
 
 /// Determines the sender of a request. Only its key and its attempt id count,
@@ -522,12 +533,6 @@
     proofs.iter().map(|proof| proof.as_str()).collect()
 }
 
-/// The number of bytes of request bodies that the node may hold.
-fn max_held_bytes(state: &State) -> usize {
-    let memory = (state.settings.memory << 20) as f64;
-    (memory * MAX_HELD_FRACTION) as usize
-}
-
 /// The refusal of a request that was not sent to any instance.
 fn not_run(kind: Kind) -> Refusal {
     let refusal = Refusal::new(kind, Ran::No);
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -23,6 +23,7 @@
 use super::{Arrival, InFlight, Origin, not_run};
 use crate::{
     http1::Head,
+    memory::freeze,
     mesh::{
         dispatch::{self, End},
         feasibility,
@@ -82,6 +83,7 @@
         }
     };
     header::sanitize(&mut head.headers);
+    let empty = state.memory.requests.buffer();
     let deadline = deadline(in_flight.received_at, head, route);
     in_flight.request().set_deadline(deadline);
     Ok(dispatch::Request {
@@ -103,7 +105,7 @@
         method: head.method.to_string(),
         path: path(head),
         headers: wire::pack(&head.headers),
-        body: std::mem::take(body).freeze(),
+        body: freeze(std::mem::replace(body, empty)),
         deadline,
         caller_deadline: in_flight.received_at + time_left,
         route: route.clone(),
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -20,11 +20,11 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -33,12 +33,14 @@
     connection::{Choice, Closing, Idle, Policy, Reason},
     digest,
     intake::Intake,
+    memory,
     table::Effect,
     time::Millis,
 };
 use walnutmoor_platform::header::{self, Verdict};
 
-use super::cancellation::increment;
+use super::{cancellation::increment, frame::Room};
+use crate::memory::freeze;
 
 /// The timeout for connecting to the instance, which is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -180,6 +182,19 @@
         request: Request<Full<Bytes>>,
         attempt: &str,
         effect: Effect,
+    ) -> Outcome {
+        let room = memory::Pool::unlimited();
+        self.send_within(now, request, attempt, effect, &room).await
+    }
+
+    /// Like [`Pool::send`]. The body of the response counts in this room.
+    pub async fn send_within(
+        &self,
+        now: impl Fn() -> Millis,
+        request: Request<Full<Bytes>>,
+        attempt: &str,
+        effect: Effect,
+        room: &impl Room,
     ) -> Outcome {
         let mut request = request;
         let mut was_closed = false;
@@ -203,7 +218,8 @@
             let carrier = connection.carrier;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let outcome = self.read(response, attempt, carrier).await;
+                    let outcome =
+                        self.read(response, attempt, carrier, room).await;
                     match &outcome {
                         Outcome::Response(response) => {
                             self.reuse(now(), connection, key, response);
@@ -245,7 +261,8 @@
         let carrier = connection.carrier;
         let response = connection.sender.send_request(request).await.ok()?;
         self.record_closing(Closing::HealthCheck);
-        match self.read(response, "", carrier).await {
+        let room = memory::Pool::unlimited();
+        match self.read(response, "", carrier, &room).await {
             Outcome::Response(response) => Some(response),
             Outcome::Unreachable | Outcome::Broken(_) => None,
         }
@@ -308,9 +325,10 @@
         response: http::Response<Incoming>,
         attempt: &str,
         carrier: Carrier,
+        room: &impl Room,
     ) -> Outcome {
         let (head, body) = response.into_parts();
-        let body = match self.read_body(body).await {
+        let body = match self.read_body(body, room).await {
             Ok(body) => body,
             Err(why) => return Outcome::Broken(why),
         };
@@ -324,25 +342,30 @@
     /// # Errors
     ///
     /// If the connection breaks, or there is no room for the body.
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, String> {
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        room: &impl Room,
+    ) -> Result<Bytes, String> {
         let mut share = self.intake.begin();
-        let mut parts = BytesMut::new();
+        let mut buffer = room.pool().buffer();
+        let exact = body.size_hint().exact();
+        let max_len = exact.and_then(|length| usize::try_from(length).ok());
+        let max_len = max_len.unwrap_or(usize::MAX);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if !share.grow(data.len()) {
+            let has_room = share.grow(data.len())
+                && room.push(&mut buffer, &data, max_len);
+            if !has_room {
                 return Err("no room for the response".into());
             }
-            parts.extend_from_slice(&data);
-        }
-        // The body may be held for long, and a buffer that has grown may be
-        // twice as large.
-        match parts.capacity() > parts.len() {
-            true => Ok(Bytes::copy_from_slice(&parts)),
-            false => Ok(parts.freeze()),
         }
+        // It may be held for long.
+        buffer.shrink();
+        Ok(freeze(buffer))
     }
 
     /// Keeps a connection after a response, unless a copy of the response
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -5,7 +5,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use tokio::{
     io::AsyncWriteExt,
     net::{
@@ -16,13 +16,14 @@
     time::{sleep, timeout},
 };
 use walnutmoor_core::{
-    bulkhead::Load, edition::Edition, id::CallId, table::Effect, time::Millis,
+    bulkhead::Load, edition::Edition, error::Kind, id::CallId, table::Effect,
+    time::Millis,
 };
 
 use super::{Link, Read};
 use crate::mesh::{
     desired::Source,
-    frame::{self, Frame, Hello, PROTOCOL_VERSION, Reply},
+    frame::{self, Frame, Hello, PROTOCOL_VERSION, Reader, Received, Reply},
     journal::Event,
     state::State,
     suspicion::SOURCE_PEER,
@@ -201,7 +202,7 @@
     let _ = outgoing.send(Frame::Ping(state.edition()));
     *link.outgoing.borrow_mut() = Some(outgoing);
     state.record_peer_edition(peer_edition, link.node);
-    let encode = |frame, bytes: &mut BytesMut| frame::encode(&frame, bytes);
+    let encode = frame::encode_detached;
     tokio::select! {
         end = receive(state, link, read, bytes) => match end {
             Ok(()) => "closed by the peer".into(),
@@ -219,8 +220,8 @@
 const MAX_BATCH_BYTES: usize = 64 << 10;
 
 /// Writes items, as `encode` appends them to a buffer, until the channel
-/// closes. Items that wait together are written together, up to a limit;
-/// `record_written` gets their number.
+/// closes. `encode` returns a body that follows. Items that wait together are
+/// written together, up to a limit; `record_written` gets their number.
 ///
 /// # Errors
 ///
@@ -228,20 +229,23 @@
 pub async fn transmit<T>(
     mut write: OwnedWriteHalf,
     mut items: UnboundedReceiver<T>,
-    encode: impl Fn(T, &mut BytesMut),
+    encode: impl Fn(T, &mut BytesMut) -> Bytes,
     record_written: impl Fn(usize),
 ) -> io::Result<()> {
     let mut bytes = BytesMut::new();
     while let Some(first) = items.recv().await {
-        encode(first, &mut bytes);
+        let mut body = encode(first, &mut bytes);
         let mut count = 1;
-        while bytes.len() < MAX_BATCH_BYTES
+        while body.is_empty()
+            && bytes.len() < MAX_BATCH_BYTES
             && let Ok(next) = items.try_recv()
         {
-            encode(next, &mut bytes);
+            body = encode(next, &mut bytes);
             count += 1;
         }
         write.write_all(&bytes).await?;
+        write.write_all(&body).await?;
+        drop(body);
         record_written(count);
         recycle(&mut bytes);
     }
@@ -262,21 +266,42 @@
     state: &Rc<State>,
     link: &Rc<Link>,
     mut read: OwnedReadHalf,
-    mut bytes: BytesMut,
+    bytes: BytesMut,
 ) -> io::Result<()> {
+    let mut reader = Reader::new(bytes);
     loop {
-        while let Some(frame) =
-            frame::decode(&mut bytes).map_err(io::Error::other)?
+        while let Some(received) =
+            reader.next(&state.memory.responses).map_err(io::Error::other)?
         {
+            let frame = match received {
+                Received::Complete(frame) => frame,
+                Received::NoRoom(frame) => without_body(state, frame),
+            };
             handle_frame(state, link, frame);
         }
-        if frame::fill(&mut read, &mut bytes).await? == 0 {
+        if reader.fill(&mut read).await? == 0 {
             return Ok(());
         }
         link.record_received(state);
     }
 }
 
+/// What replaces an answer for whose body there is no room.
+fn without_body(state: &State, frame: Frame) -> Frame {
+    metrics::counter!("walnutmoor_responses_without_room_total").increment(1);
+    let fields = [
+        ("why", "no room for a response".into()),
+        ("held_bytes", state.memory.responses.bytes().into()),
+    ];
+    state.journal.log_event(state.now(), Event::Fault, &fields);
+    match frame {
+        Frame::Answer(id, _, load) => {
+            Frame::Answer(id, Reply::Unknown(Kind::AnswerGone), load)
+        }
+        frame => frame,
+    }
+}
+
 fn record_load(state: &State, link: &Link, load: Load) {
     link.witness.borrow_mut().observe(load.accepting);
     state.record_load(link.node, load);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use tokio::{
     net::{
         TcpListener, TcpStream,
@@ -36,7 +36,9 @@
 
 use super::{
     cancellation::Reason,
-    frame::{self, Frame, Hello, PROTOCOL_VERSION, Reply},
+    frame::{
+        self, Call, Frame, Hello, PROTOCOL_VERSION, Reader, Received, Reply,
+    },
     journal::Event,
     link::transmit,
     serve::Sink,
@@ -167,7 +169,13 @@
     }
 
     /// Appends an item to the bytes that are written to the other node.
-    fn encode(&self, state: &State, item: Outgoing, bytes: &mut BytesMut) {
+    /// Returns the body that is to follow.
+    fn encode(
+        &self,
+        state: &State,
+        item: Outgoing,
+        bytes: &mut BytesMut,
+    ) -> Bytes {
         let frame = match item {
             Outgoing::Frame(frame) => *frame,
             Outgoing::Reply(id) => {
@@ -177,7 +185,7 @@
                 Frame::Answer(id, reply, state.serve.load(state.now()))
             }
         };
-        frame::encode(&frame, bytes);
+        frame::encode_detached(frame, bytes)
     }
 
     /// Cancels a call in progress.
@@ -390,16 +398,22 @@
     state: &Rc<State>,
     session: &Rc<Session>,
     mut read: OwnedReadHalf,
-    mut bytes: BytesMut,
+    bytes: BytesMut,
     hello: &Hello,
 ) -> io::Result<()> {
+    let mut reader = Reader::new(bytes);
     loop {
-        while let Some(frame) =
-            frame::decode(&mut bytes).map_err(io::Error::other)?
+        while let Some(received) =
+            reader.next(&state.memory.calls).map_err(io::Error::other)?
         {
-            handle_frame(state, session, frame, hello);
+            match received {
+                Received::Complete(frame) => {
+                    handle_frame(state, session, frame, hello);
+                }
+                Received::NoRoom(frame) => refuse(state, session, frame),
+            }
         }
-        match timeout(IDLE_TIMEOUT, frame::fill(&mut read, &mut bytes)).await {
+        match timeout(IDLE_TIMEOUT, reader.fill(&mut read)).await {
             Ok(Ok(0)) => return Ok(()),
             Ok(Ok(_)) => {}
             Ok(Err(error)) => return Err(error),
@@ -408,6 +422,27 @@
     }
 }
 
+/// Refuses a call for whose body there is no room.
+fn refuse(state: &Rc<State>, session: &Rc<Session>, frame: Frame) {
+    let Frame::Call(call) = frame else {
+        return;
+    };
+    let sink = accept_call(state, session, &call).1;
+    state.serve.refuse_without_room(state, sink);
+}
+
+/// Records a call of another node, and returns its local number.
+fn accept_call(
+    state: &State,
+    session: &Rc<Session>,
+    call: &Call,
+) -> (CallId, Sink) {
+    let local_id = state.serve.allocate_call_id();
+    let running = Running { local_id, effect: call.effect };
+    session.calls.borrow_mut().receive(call.id, running);
+    (local_id, Sink::Remote(session.clone(), call.id))
+}
+
 fn handle_frame(
     state: &Rc<State>,
     session: &Rc<Session>,
@@ -416,11 +451,7 @@
 ) {
     match frame {
         Frame::Call(call) => {
-            let id = call.id;
-            let local_id = state.serve.allocate_call_id();
-            let running = Running { local_id, effect: call.effect };
-            session.calls.borrow_mut().receive(id, running);
-            let sink = Sink::Remote(session.clone(), id);
+            let (local_id, sink) = accept_call(state, session, &call);
             state.serve.submit(state, local_id, *call, sink);
         }
         Frame::Cancel(id, left_ago) => {
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -14,6 +14,7 @@
     footprint::{Footprint, Key},
     id::{Account, CallId},
     lifetime::Lifetime,
+    memory::Pool,
     proof::Proof,
     table::Effect,
     time::Millis,
@@ -24,7 +25,7 @@
     frame::{Call, Reply},
     instance::{Outcome, Response},
     journal::Event,
-    serve::{MIN_RETRY_AFTER, Parent, Run},
+    serve::{MIN_RETRY_AFTER, Parent, Run, Sink},
     state::State,
     wire,
 };
@@ -79,7 +80,8 @@
         return;
     };
     let clock = || state.now();
-    let sent = serve.pool.send(clock, request, &attempt, effect);
+    let room = room(&state, id);
+    let sent = serve.pool.send_within(clock, request, &attempt, effect, &room);
     let limit = deadline.since(now) + RESPONSE_GRACE;
     let limit = Duration::from_millis(limit.0);
     let outcome = timeout(limit, sent).await.unwrap_or_else(|_| {
@@ -129,6 +131,17 @@
     finish(&state, id, reply, answered);
 }
 
+/// Where the response to a call counts: its caller is connected here, or
+/// another node fetches it.
+fn room(state: &State, id: CallId) -> Pool {
+    let jobs = state.serve.jobs.borrow();
+    let sink = jobs.get(&id).and_then(|job| job.sink.as_ref());
+    match sink {
+        Some(Sink::Local(_)) => state.memory.responses.clone(),
+        Some(Sink::Remote(..)) | None => state.memory.replies.clone(),
+    }
+}
+
 fn finish(state: &Rc<State>, id: CallId, reply: Reply, answered: bool) {
     let Some(job) = state.serve.take_job(state, id) else {
         return;
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -86,6 +86,9 @@
 /// The minimum retry delay that is sent to a caller.
 pub const MIN_RETRY_AFTER: Millis = Millis(100);
 
+/// The retry delay of a call for whose body there is no room.
+const NO_ROOM_RETRY_AFTER: Millis = Millis(300);
+
 /// Where the reply of a call is sent.
 #[derive(Debug)]
 pub enum Sink {
@@ -456,6 +459,12 @@
         self.offer(state, id);
     }
 
+    /// Refuses a call for whose body this node has no room.
+    pub(super) fn refuse_without_room(&self, state: &State, sink: Sink) {
+        metrics::counter!("walnutmoor_calls_without_room_total").increment(1);
+        reject(state, sink, Kind::Full, NO_ROOM_RETRY_AFTER);
+    }
+
     /// Offers a job to the bulkhead.
     fn offer(&self, state: &Rc<State>, id: CallId) {
         let work = {
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -42,6 +42,7 @@
     store::EraTracker,
     suspicion::Suspicion,
 };
+use crate::memory::Memory;
 
 /// The phase of a node's shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -84,8 +85,8 @@
     pub requests: Requests,
     /// The number of open connections of callers.
     pub connections: Cell<usize>,
-    /// Bytes of request and response bodies that are buffered for callers.
-    pub buffered_bytes: Cell<usize>,
+    /// The memory that others fill.
+    pub memory: Memory,
     /// Bytes that were read from callers but not decoded yet.
     pub undecoded_bytes: Cell<usize>,
     links: RefCell<Map<NodeId, Rc<Link>>>,
@@ -153,7 +154,7 @@
             shutdown: Shutdown::default(),
             requests: Requests::default(),
             connections: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            memory: Memory::new(settings.memory << 20),
             undecoded_bytes: Cell::new(0),
             links: RefCell::new(Map::default()),
             sessions: RefCell::new(Map::default()),
--- a/crates/walnutmoor/src/telemetry.rs
+++ b/crates/walnutmoor/src/telemetry.rs
@@ -171,7 +171,7 @@
         ("walnutmoor_running", running),
         ("walnutmoor_queued", waiting),
         ("walnutmoor_under_way", state.requests.len()),
-        ("walnutmoor_held_bytes", state.buffered_bytes.get()),
+        ("walnutmoor_held_bytes", state.memory.bytes()),
         ("walnutmoor_links", state.links().len()),
         ("walnutmoor_sessions", state.sessions.borrow().len()),
         ("walnutmoor_suspects", state.suspects()),
