Bound the responses that callers do not read

What callers saw: clients that request long answers and read them slowly or not at all end the node by its memory; ordinary callers lose their requests.

Cause: once a response had reached the node that the caller is connected to, nothing bounded it. 256 KB of unwritten bytes only stopped the decoding of further requests, and each byte written restarted the idle timeout, so a reader of 2 KB every 0.2 s held 6 MB for ever.

Change: responses count in a pool until they are written. Without room the connection that reads slowest gives way (bytes per second in windows of 0.5 s, those that have just begun left out): its responses are dropped at once and it is closed, mid-answer, which does not look complete as the length was sent. Besides, a response that is not read 1 s after its request was due closes its connection, whatever is read meanwhile: the caller has stopped waiting by then.

Why it works: the pool is counted in bytes over all connections, so a crowd does not multiply it, and a drip does not make a reader fast. Ruled out: a limit for each connection, which a crowd multiplies; the longest silence as the measure, which a byte now and then resets.

--- a/crates/walnutmoor-core/src/lib.rs
+++ b/crates/walnutmoor-core/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod platform;
 pub mod poison;
 pub mod profile;
+pub mod progress;
 pub mod proof;
 pub mod queue;
 pub mod quota;
--- /dev/null
+++ b/crates/walnutmoor/src/mesh/callers.rs
@@ -0,0 +1,160 @@
+/*!
+The connections of callers, and which of them gives way when the node runs out
+of memory: the one whose response moves slowest.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use bytes::Buf;
+use tokio::sync::Notify;
+use walnutmoor_core::{memory::Pool, progress::Meter, time::Millis};
+
+use super::{frame::Room, output::Output, state::State};
+
+/// What a connection is to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Close at once.
+    Close,
+}
+
+/// A caller's connection, listed until this is dropped.
+#[derive(Debug)]
+pub struct Caller {
+    entries: Entries,
+    key: u64,
+    entry: Rc<Entry>,
+}
+
+/// A listed connection.
+#[derive(Debug)]
+struct Entry {
+    /// The progress of the response that is being written.
+    meter: Cell<Meter>,
+    output: RefCell<Output>,
+    order: Cell<Option<Order>>,
+    ordered: Notify,
+}
+
+type Entries = Rc<RefCell<BTreeMap<u64, Rc<Entry>>>>;
+
+/// The open connections of callers.
+#[derive(Debug, Default)]
+pub struct Callers {
+    entries: Entries,
+    last_key: Cell<u64>,
+}
+
+impl Callers {
+    /// Adds a connection.
+    pub fn add(&self, now: Millis) -> Caller {
+        let key = self.last_key.get() + 1;
+        self.last_key.set(key);
+        let entry = Rc::new(Entry {
+            meter: Cell::new(Meter::new(now)),
+            output: RefCell::default(),
+            order: Cell::new(None),
+            ordered: Notify::new(),
+        });
+        self.entries.borrow_mut().insert(key, entry.clone());
+        Caller { entries: self.entries.clone(), key, entry }
+    }
+
+    /// The number of connections.
+    pub fn len(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
+    /// True if there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Closes the connection that reads its responses slowest, and frees them.
+    /// Returns false if there is none.
+    pub fn drop_slowest_response(&self, now: Millis) -> bool {
+        let entries = self.entries.borrow();
+        let readers = entries
+            .values()
+            .filter(|entry| entry.output.borrow().has_remaining());
+        let Some(slowest) = slowest(now, readers) else {
+            return false;
+        };
+        slowest.output.borrow_mut().clear();
+        slowest.order(Order::Close);
+        true
+    }
+}
+
+/// The slowest transfer. Those that have just begun are left out.
+fn slowest<'a>(
+    now: Millis,
+    entries: impl Iterator<Item = &'a Rc<Entry>>,
+) -> Option<&'a Rc<Entry>> {
+    let rated = entries.filter_map(|entry| {
+        let rate = entry.meter.get().rate(now)?;
+        Some((rate, entry))
+    });
+    let slowest = rated.min_by_key(|(rate, _)| *rate);
+    slowest.map(|(_, entry)| entry)
+}
+
+impl Entry {
+    fn order(&self, order: Order) {
+        self.order.set(Some(order));
+        self.ordered.notify_one();
+    }
+}
+
+impl Caller {
+    /// Begins to measure the progress of a response.
+    pub fn begin_response(&self, now: Millis) {
+        self.entry.meter.set(Meter::new(now));
+    }
+
+    /// Records that bytes of a body or of a response were transferred.
+    pub fn record_progress(&self, now: Millis, bytes: usize) {
+        let mut meter = self.entry.meter.get();
+        meter.record(now, bytes);
+        self.entry.meter.set(meter);
+    }
+
+    /// The responses that are being written.
+    pub fn output(&self) -> &RefCell<Output> {
+        &self.entry.output
+    }
+
+    /// Takes the order for this connection, if there is one.
+    pub fn take_order(&self) -> Option<Order> {
+        self.entry.order.take()
+    }
+
+    /// Waits for an order.
+    pub async fn ordered(&self) {
+        self.entry.ordered.notified().await;
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.entries.borrow_mut().remove(&self.key);
+    }
+}
+
+/// Where the responses to callers of this node count. The slowest reader gives
+/// way to a response for which there is no room.
+pub struct Responses<'a>(pub &'a State);
+
+impl Room for Responses<'_> {
+    fn pool(&self) -> &Pool {
+        &self.0.memory.responses
+    }
+
+    fn free(&self) -> bool {
+        self.0.callers.drop_slowest_response(self.0.now())
+    }
+}
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -6,6 +6,8 @@
 disconnects, all of its requests are dropped and thereby canceled. If it does
 not read its responses, no further requests are read.
 
+An unread response has a deadline that no byte postpones, that of its request.
+
 A close is seen while the connection is read, and usually also while it is not:
 the kernel reports it although bytes before it are unread. But if more bytes are
 on the way than the kernel holds, the close is behind them. So a connection
@@ -13,7 +15,9 @@
 and reads and discards it.
 */
 
-use std::{collections::VecDeque, io, pin::pin, rc::Rc, time::Duration};
+use std::{
+    collections::VecDeque, io, io::IoSlice, pin::pin, rc::Rc, time::Duration,
+};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{
@@ -24,15 +28,18 @@
 use http::Method;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, Interest},
-    net::{TcpStream, tcp::ReadHalf},
-    time::{sleep, timeout},
+    net::{
+        TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
+    time::{Instant, sleep, timeout},
 };
 use walnutmoor_core::{error::Kind, pipeline::Pipeline, time::Millis};
 
 use super::{
+    callers::{Caller, Order},
     ingress::{self, Arrival, InFlight, Rejection},
     journal::Event,
-    output::Output,
     requests::{self, Stage},
     state::State,
     wire::Answer,
@@ -65,11 +72,18 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How long a connection may be idle until the desired state sets a limit.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+const DEFAULT_IDLE_TIMEOUT: Millis = Millis(60_000);
 
 /// Added to the configured limits, because callers apply them by their own
 /// clocks.
-const IDLE_TIMEOUT_MARGIN: Millis = Millis(1_000);
+const TIMEOUT_MARGIN: Millis = Millis(1_000);
+
+/// How long a caller may read a response after it was due. The caller has
+/// stopped waiting by then.
+const UNREAD_TIMEOUT: Millis = Millis(1_000);
+
+/// The number of buffers that are written together.
+const MAX_SLICES: usize = 64;
 
 /// A request with its response.
 struct Completed {
@@ -108,12 +122,11 @@
     reading: ReadState,
     pipeline: Pipeline,
     pending: FuturesOrdered<LocalBoxFuture<'static, Completed>>,
-    output: Output,
+    caller: Rc<Caller>,
     /// The number of bytes that were queued for writing.
     queued: u64,
-    /// Requests whose responses are not completely written, each with the
-    /// value of `queued` at the end of its response.
-    unwritten: VecDeque<(u64, Rc<requests::Request>)>,
+    /// Responses that are not completely written, in order.
+    unwritten: VecDeque<Unwritten>,
     /// The bytes read ahead on this connection, as counted in the total of
     /// the node.
     read_ahead: usize,
@@ -124,10 +137,18 @@
     paused_since: Option<Millis>,
 }
 
+/// A response that is not completely written.
+struct Unwritten {
+    /// The value of `queued` at its end.
+    end: u64,
+    /// When the connection closes if it is still not written.
+    deadline: Millis,
+    /// Listed until it is written.
+    _request: Rc<requests::Request>,
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
-        let open = &self.state.connections;
-        open.set(open.get() - 1);
         let all = &self.state.undecoded_bytes;
         all.set(all.get() - self.read_ahead);
     }
@@ -139,9 +160,11 @@
     let _ = stream.set_nodelay(true);
     let mut connection = Connection::new(state);
     // A connection that the caller breaks is not an error of this node.
-    if connection.run(&mut stream).await.is_ok() {
-        linger(&mut stream).await;
+    if connection.run(&mut stream).await.is_err() {
+        return;
     }
+    drop(connection);
+    linger(&mut stream).await;
 }
 
 /// Closes the sending side and discards what the caller still sends.
@@ -158,10 +181,10 @@
 }
 
 /// How long a connection may make no progress.
-fn idle_timeout(state: &State) -> Duration {
+fn idle_timeout(state: &State) -> Millis {
     state.table().map_or(DEFAULT_IDLE_TIMEOUT, |table| {
         let longest = table.limits.idle_timeout.max(table.limits.head_timeout);
-        Duration::from_millis((longest + IDLE_TIMEOUT_MARGIN).0)
+        longest + TIMEOUT_MARGIN
     })
 }
 
@@ -212,19 +235,18 @@
         let limits = state.table().map(|table| table.limits);
         let max_head_bytes = limits.unwrap_or_default().max_head_bytes;
         let settings = &state.settings.read_ahead;
-        let open = &state.connections;
-        open.set(open.get() + 1);
+        let now = state.now();
         Connection {
             decoder: Decoder::new(max_head_bytes),
             reading: ReadState::Head,
             pipeline: Pipeline::new(settings.requests),
             pending: FuturesOrdered::new(),
-            output: Output::default(),
+            caller: Rc::new(state.callers.add(now)),
             queued: 0,
             unwritten: VecDeque::new(),
             read_ahead: 0,
             max_read_ahead: settings.bytes.max(max_head_bytes),
-            last_progress: state.now(),
+            last_progress: now,
             paused_since: None,
             state,
         }
@@ -232,24 +254,30 @@
 
     async fn run(&mut self, stream: &mut TcpStream) -> io::Result<()> {
         let idle_timeout = idle_timeout(&self.state);
-        let (mut reader, mut writer) = stream.split();
-        let mut timer = pin!(sleep(idle_timeout));
+        let (mut reader, writer) = stream.split();
+        let mut timer = pin!(sleep(Duration::from_millis(idle_timeout.0)));
         loop {
+            self.obey()?;
             self.advance();
-            if self.pipeline.is_drained() && !self.output.has_remaining() {
+            let has_output = self.caller.output().borrow().has_remaining();
+            if self.pipeline.is_drained() && !has_output {
                 return Ok(());
             }
+            let now = self.state.now();
+            let due = self.next_deadline(idle_timeout);
+            let due = Instant::now() + Duration::from_millis(due.since(now).0);
+            if due < timer.deadline() {
+                timer.as_mut().reset(due);
+            }
+            let caller = self.caller.clone();
             let intake = self.intake();
             let stall_left = self.stall_left(intake);
             let buffer = self.decoder.buffer();
             tokio::select! {
                 biased;
-                written = writer.write_buf(&mut self.output),
-                    if self.output.has_remaining() =>
-                {
-                    written?;
-                    self.remove_written();
-                    self.last_progress = self.state.now();
+                ready = writer.writable(), if has_output => {
+                    ready?;
+                    self.write(&writer)?;
                 }
                 completed = self.pending.next(),
                     if !self.pending.is_empty() =>
@@ -264,32 +292,92 @@
                 {
                     self.abandon_backlog();
                 }
+                () = caller.ordered() => {}
                 () = &mut timer => {
-                    let stalled = self.state.now().since(self.last_progress);
-                    let stalled = Duration::from_millis(stalled.0);
-                    let has_pending = !self.pending.is_empty();
-                    if stalled >= idle_timeout && !has_pending {
-                        return Err(io::ErrorKind::TimedOut.into());
-                    }
-                    let left = idle_timeout
-                        .saturating_sub(stalled)
-                        .max(idle_timeout / 4);
-                    let next_check = tokio::time::Instant::now() + left;
-                    timer.as_mut().reset(next_check);
+                    self.check_deadlines(idle_timeout)?;
+                    let left = Duration::from_millis(idle_timeout.0 / 4);
+                    timer.as_mut().reset(Instant::now() + left);
                 }
             }
             self.update_read_ahead();
         }
     }
 
+    /// Does what it was ordered to.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is to be closed at once.
+    fn obey(&mut self) -> io::Result<()> {
+        match self.caller.take_order() {
+            None => {}
+            Some(Order::Close) => {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+        }
+        Ok(())
+    }
+
+    /// When the connection is checked next.
+    fn next_deadline(&self, idle_timeout: Millis) -> Millis {
+        let unread = self.unwritten.front().map(|first| first.deadline);
+        let active_at = match self.pending.is_empty() {
+            true => self.last_progress,
+            false => self.state.now(),
+        };
+        let idle = active_at + idle_timeout;
+        unread.map_or(idle, |deadline| deadline.min(idle))
+    }
+
+    /// Ends what has taken longer than it may.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is to be closed.
+    fn check_deadlines(&mut self, idle_timeout: Millis) -> io::Result<()> {
+        let now = self.state.now();
+        let is_over = |deadline: Millis| now >= deadline;
+        let is_idle = self.pending.is_empty()
+            && is_over(self.last_progress + idle_timeout);
+        let unread = self.unwritten.front().map(|first| first.deadline);
+        let is_late = unread.is_some_and(is_over);
+        match is_idle || is_late {
+            true => Err(io::ErrorKind::TimedOut.into()),
+            false => Ok(()),
+        }
+    }
+
+    /// Writes as much as the kernel takes.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has broken.
+    fn write(&mut self, writer: &WriteHalf<'_>) -> io::Result<()> {
+        let mut output = self.caller.output().borrow_mut();
+        let mut slices = [IoSlice::new(&[]); MAX_SLICES];
+        let filled = output.chunks_vectored(&mut slices);
+        let written = match writer.try_write_vectored(&slices[..filled]) {
+            Ok(written) => written,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        };
+        output.advance(written);
+        drop(output);
+        let now = self.state.now();
+        self.caller.record_progress(now, written);
+        self.remove_written();
+        self.last_progress = now;
+        Ok(())
+    }
+
     /// Decides whether the connection is read.
     fn intake(&self) -> Intake {
         if self.pipeline.is_draining() {
             return Intake::Discard;
         }
-        let memory = (self.state.settings.memory << 20) as f64;
-        let is_over = self.state.undecoded_bytes.get() as f64
-            > memory * MAX_READ_AHEAD_FRACTION;
+        let is_over = self.is_read_ahead_over();
         let max_read_ahead = match is_over && !self.pending.is_empty() {
             true => MIN_READ_AHEAD.min(self.max_read_ahead),
             false => self.max_read_ahead,
@@ -332,6 +420,13 @@
         self.read_ahead = buffered;
     }
 
+    /// True if all connections together read more ahead than they may.
+    fn is_read_ahead_over(&self) -> bool {
+        let memory = (self.state.settings.memory << 20) as f64;
+        self.state.undecoded_bytes.get() as f64
+            > memory * MAX_READ_AHEAD_FRACTION
+    }
+
     /// Decodes and starts as many requests as possible.
     fn advance(&mut self) {
         while !self.pipeline.is_draining() && self.step() {}
@@ -346,13 +441,19 @@
 
     fn push_output(&mut self, part: Bytes) {
         self.queued += part.len() as u64;
-        self.output.push(part);
+        let mut output = self.caller.output().borrow_mut();
+        if !output.has_remaining() {
+            self.caller.begin_response(self.state.now());
+        }
+        output.push(part);
     }
 
     /// Removes the requests whose responses are completely written.
     fn remove_written(&mut self) {
-        let written = self.queued - self.output.remaining() as u64;
-        while self.unwritten.front().is_some_and(|(end, _)| *end <= written) {
+        let remaining = self.caller.output().borrow().remaining();
+        let written = self.queued - remaining as u64;
+        while self.unwritten.front().is_some_and(|first| first.end <= written)
+        {
             self.unwritten.pop_front();
         }
     }
@@ -373,7 +474,7 @@
     fn may_decode(&self) -> bool {
         let may_begin = self.pipeline.may_begin(true);
         let in_body = !matches!(self.reading, ReadState::Head);
-        let unwritten = self.output.remaining();
+        let unwritten = self.caller.output().borrow().remaining();
         (may_begin || in_body) && unwritten < MAX_UNWRITTEN_BYTES
     }
 
@@ -476,12 +577,18 @@
         let closes = self.pipeline.end();
         let (head, body) =
             http1::encode(completed.answer, &completed.method, closes);
-        self.last_progress = self.state.now();
+        let now = self.state.now();
+        self.last_progress = now;
         self.push_output(head);
         self.push_output(body);
         let request = completed.in_flight.request().clone();
         request.set_stage(Stage::Writing);
-        self.unwritten.push_back((self.queued, request));
+        let due = request.deadline().unwrap_or(now).max(now);
+        self.unwritten.push_back(Unwritten {
+            end: self.queued,
+            deadline: due + UNREAD_TIMEOUT,
+            _request: request,
+        });
     }
 
     /// Starts no more requests. A request that was not started is abandoned;
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -90,8 +90,7 @@
 /// too many, or the node is shutting down.
 pub(super) fn should_close_connections(state: &State) -> bool {
     let all = state.settings.descriptors as f64;
-    let too_many =
-        state.connections.get() as f64 > all * MAX_CONNECTIONS_FRACTION;
+    let too_many = state.callers.len() as f64 > all * MAX_CONNECTIONS_FRACTION;
     too_many || state.phase.get() != Phase::Serving
 }
 
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -22,6 +22,7 @@
 
 use super::{Link, Read};
 use crate::mesh::{
+    callers::Responses,
     desired::Source,
     frame::{self, Frame, Hello, PROTOCOL_VERSION, Reader, Received, Reply},
     journal::Event,
@@ -271,7 +272,7 @@
     let mut reader = Reader::new(bytes);
     loop {
         while let Some(received) =
-            reader.next(&state.memory.responses).map_err(io::Error::other)?
+            reader.next(&Responses(state)).map_err(io::Error::other)?
         {
             let frame = match received {
                 Received::Complete(frame) => frame,
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 | [`node`] | starts the tasks and shuts the node down |
 | [`state`] | holds the state shared by the tasks |
 | [`connection`] | serves a caller's connection, with pipelining |
+| [`callers`] | lists the connections of callers, and selects those that give way |
 | [`output`] | buffers bytes to be written to a caller |
 | [`ingress`] | handles callers' requests at the entry node |
 | [`requests`] | lists the callers' requests without a complete response |
@@ -48,6 +49,7 @@
 ```
 */
 
+pub mod callers;
 pub mod cancellation;
 pub mod connection;
 pub mod control;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -234,7 +234,7 @@
             ("over_share", serve.over_share.get().into()),
             ("limited", serve.diverted().into()),
             ("spilled", state.balancer.borrow().spilled().into()),
-            ("callers", state.connections.get().into()),
+            ("callers", state.callers.len().into()),
             ("connections", serve.pool.opened().into()),
             ("connections_opened", opened(serve)),
             ("connections_closed", closed(serve)),
--- a/crates/walnutmoor/src/mesh/output.rs
+++ b/crates/walnutmoor/src/mesh/output.rs
@@ -25,6 +25,11 @@
         self.remaining += part.len();
         self.parts.push_back(part);
     }
+
+    /// Drops all bytes.
+    pub fn clear(&mut self) {
+        *self = Output::default();
+    }
 }
 
 impl Buf for Output {
--- a/crates/walnutmoor/src/mesh/requests.rs
+++ b/crates/walnutmoor/src/mesh/requests.rs
@@ -157,6 +157,11 @@
         self.entry.stage.get()
     }
 
+    /// When its response is due; `None` until it is admitted.
+    pub fn deadline(&self) -> Option<Millis> {
+        self.entry.deadline.get()
+    }
+
     /// Sets when its response is due.
     pub fn set_deadline(&self, deadline: Millis) {
         self.entry.deadline.set(Some(deadline));
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -22,7 +22,8 @@
 use walnutmoor_platform::header::{self, Verdict};
 
 use super::{
-    frame::{Call, Reply},
+    callers::Responses,
+    frame::{Call, Reply, Room},
     instance::{Outcome, Response},
     journal::Event,
     serve::{MIN_RETRY_AFTER, Parent, Run, Sink},
@@ -80,7 +81,7 @@
         return;
     };
     let clock = || state.now();
-    let room = room(&state, id);
+    let room = Destination::of(&state, id);
     let sent = serve.pool.send_within(clock, request, &attempt, effect, &room);
     let limit = deadline.since(now) + RESPONSE_GRACE;
     let limit = Duration::from_millis(limit.0);
@@ -131,14 +132,38 @@
     finish(&state, id, reply, answered);
 }
 
-/// Where the response to a call counts: its caller is connected here, or
-/// another node fetches it.
-fn room(state: &State, id: CallId) -> Pool {
-    let jobs = state.serve.jobs.borrow();
-    let sink = jobs.get(&id).and_then(|job| job.sink.as_ref());
-    match sink {
-        Some(Sink::Local(_)) => state.memory.responses.clone(),
-        Some(Sink::Remote(..)) | None => state.memory.replies.clone(),
+/// Who gets the response to a call, in whose memory it counts.
+enum Destination<'a> {
+    /// A caller of this node.
+    Caller(Responses<'a>),
+    /// Another node.
+    Node(&'a Pool),
+}
+
+impl Destination<'_> {
+    fn of(state: &State, id: CallId) -> Destination<'_> {
+        let jobs = state.serve.jobs.borrow();
+        let sink = jobs.get(&id).and_then(|job| job.sink.as_ref());
+        match sink {
+            Some(Sink::Local(_)) => Destination::Caller(Responses(state)),
+            _ => Destination::Node(&state.memory.replies),
+        }
+    }
+}
+
+impl Room for Destination<'_> {
+    fn pool(&self) -> &Pool {
+        match self {
+            Destination::Caller(responses) => responses.pool(),
+            Destination::Node(pool) => pool,
+        }
+    }
+
+    fn free(&self) -> bool {
+        match self {
+            Destination::Caller(responses) => responses.free(),
+            Destination::Node(_) => false,
+        }
     }
 }
 
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -25,6 +25,7 @@
 };
 
 use super::{
+    callers::Callers,
     departure::Departures,
     desired::Desired,
     frame::{Frame, Hello, PROTOCOL_VERSION},
@@ -83,8 +84,8 @@
     pub(super) shutdown: Shutdown,
     /// The callers' requests without a complete response.
     pub requests: Requests,
-    /// The number of open connections of callers.
-    pub connections: Cell<usize>,
+    /// The open connections of callers.
+    pub callers: Callers,
     /// The memory that others fill.
     pub memory: Memory,
     /// Bytes that were read from callers but not decoded yet.
@@ -153,7 +154,7 @@
             phase: Cell::new(Phase::Serving),
             shutdown: Shutdown::default(),
             requests: Requests::default(),
-            connections: Cell::new(0),
+            callers: Callers::default(),
             memory: Memory::new(settings.memory << 20),
             undecoded_bytes: Cell::new(0),
             links: RefCell::new(Map::default()),
