End a body that is not complete by the deadline of its request

What callers saw: ordinary uploads get 503 for as long as a crowd likes that stops its bodies just short of their end, or sends a byte now and then.

Cause: each byte of a body restarted the idle timeout, and the deadline of the request ended nothing until its body was complete. So the room for bodies was held without end.

Change: a body has until its request is due: a request that is not complete then is answered 408 (it has not run and will not) and its connection is closed; the rest of a rejected body is discarded until the caller stops waiting. A body that finds no room also makes the one that arrives slowest give way, which is refused with 503 and a Retry-After.

Why it works: no caller inside the limits meets the deadline, since it has left by then, and no byte postpones it.

--- a/crates/walnutmoor-core/src/error.rs
+++ b/crates/walnutmoor-core/src/error.rs
@@ -140,6 +140,8 @@
     Limited = ("limited", 503),
     /// The account demands more than its fair share of a short service.
     Share = ("share", 503),
+    /// The request was not complete by its deadline.
+    Incomplete = ("incomplete", 408),
 }
 
 impl fmt::Display for Kind {
--- a/crates/walnutmoor/src/mesh/callers.rs
+++ b/crates/walnutmoor/src/mesh/callers.rs
@@ -1,6 +1,6 @@
 /*!
 The connections of callers, and which of them gives way when the node runs out
-of memory: the one whose response moves slowest.
+of memory: the one whose body or response moves slowest.
 */
 
 use std::{
@@ -15,11 +15,26 @@
 
 use super::{frame::Room, output::Output, state::State};
 
+/// What a connection does.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Stage {
+    /// It sends the head of a request.
+    Head,
+    /// It has no request in flight.
+    Idle,
+    /// It sends the body of a request.
+    Body,
+    /// It waits for responses or reads them.
+    Busy,
+}
+
 /// What a connection is to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Order {
     /// Close at once.
     Close,
+    /// Reject the request whose body is being read.
+    RejectBody,
 }
 
 /// A caller's connection, listed until this is dropped.
@@ -33,7 +48,10 @@
 /// A listed connection.
 #[derive(Debug)]
 struct Entry {
-    /// The progress of the response that is being written.
+    stage: Cell<Stage>,
+    /// When it entered its stage.
+    since: Cell<Millis>,
+    /// The progress of the body or the response that is being transferred.
     meter: Cell<Meter>,
     output: RefCell<Output>,
     order: Cell<Option<Order>>,
@@ -55,6 +73,8 @@
         let key = self.last_key.get() + 1;
         self.last_key.set(key);
         let entry = Rc::new(Entry {
+            stage: Cell::new(Stage::Idle),
+            since: Cell::new(now),
             meter: Cell::new(Meter::new(now)),
             output: RefCell::default(),
             order: Cell::new(None),
@@ -74,6 +94,17 @@
         self.len() == 0
     }
 
+    /// Rejects the request whose body arrives slowest.
+    pub fn reject_slowest_body(&self, now: Millis) {
+        let entries = self.entries.borrow();
+        let bodies = entries.values().filter(|entry| {
+            entry.stage.get() == Stage::Body && entry.order.get().is_none()
+        });
+        if let Some(slowest) = slowest(now, bodies) {
+            slowest.order(Order::RejectBody);
+        }
+    }
+
     /// Closes the connection that reads its responses slowest, and frees them.
     /// Returns false if there is none.
     pub fn drop_slowest_response(&self, now: Millis) -> bool {
@@ -99,7 +130,7 @@
         let rate = entry.meter.get().rate(now)?;
         Some((rate, entry))
     });
-    let slowest = rated.min_by_key(|(rate, _)| *rate);
+    let slowest = rated.min_by_key(|(rate, e)| (*rate, e.since.get()));
     slowest.map(|(_, entry)| entry)
 }
 
@@ -111,6 +142,14 @@
 }
 
 impl Caller {
+    /// Sets what the connection does.
+    pub fn set_stage(&self, now: Millis, stage: Stage) {
+        if self.entry.stage.replace(stage) != stage {
+            self.entry.since.set(now);
+            self.entry.meter.set(Meter::new(now));
+        }
+    }
+
     /// Begins to measure the progress of a response.
     pub fn begin_response(&self, now: Millis) {
         self.entry.meter.set(Meter::new(now));
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -6,7 +6,8 @@
 disconnects, all of its requests are dropped and thereby canceled. If it does
 not read its responses, no further requests are read.
 
-An unread response has a deadline that no byte postpones, that of its request.
+Whatever a caller makes the node hold has a deadline that no byte postpones: a
+body and an unread response that of their request.
 
 A close is seen while the connection is read, and usually also while it is not:
 the kernel reports it although bytes before it are unread. But if more bytes are
@@ -37,7 +38,7 @@
 use walnutmoor_core::{error::Kind, pipeline::Pipeline, time::Millis};
 
 use super::{
-    callers::{Caller, Order},
+    callers::{self, Caller, Order},
     ingress::{self, Arrival, InFlight, Rejection},
     journal::Event,
     requests::{self, Stage},
@@ -100,9 +101,13 @@
     Body(Box<Arrival>),
     /// Nothing: a complete request waits until it may start.
     Blocked(Box<Arrival>),
-    /// The body of a rejected request, to be discarded. Holds the number of
-    /// bytes that may still follow.
-    Discard(usize),
+    /// The body of a rejected request, to be discarded.
+    Discard {
+        /// The number of bytes that may still follow.
+        left: usize,
+        /// When the caller stops waiting.
+        deadline: Millis,
+    },
 }
 
 /// What happens to the bytes that the caller sends.
@@ -259,6 +264,7 @@
         loop {
             self.obey()?;
             self.advance();
+            self.update_stage();
             let has_output = self.caller.output().borrow().has_remaining();
             if self.pipeline.is_drained() && !has_output {
                 return Ok(());
@@ -314,19 +320,44 @@
             Some(Order::Close) => {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
+            Some(Order::RejectBody) => self.reject_body(Kind::Full),
         }
         Ok(())
     }
 
+    /// Updates what the connection is listed with.
+    fn update_stage(&mut self) {
+        let now = self.state.now();
+        let is_head = matches!(self.reading, ReadState::Head)
+            && self.may_decode()
+            && self.decoder.is_in_head();
+        let has_output = self.caller.output().borrow().has_remaining();
+        let stage = match self.reading {
+            ReadState::Body(_) => callers::Stage::Body,
+            _ if !self.pending.is_empty() || has_output => {
+                callers::Stage::Busy
+            }
+            _ if is_head => callers::Stage::Head,
+            _ => callers::Stage::Idle,
+        };
+        self.caller.set_stage(now, stage);
+    }
+
     /// When the connection is checked next.
     fn next_deadline(&self, idle_timeout: Millis) -> Millis {
+        let read = match &self.reading {
+            ReadState::Body(arrival) => Some(arrival.deadline()),
+            ReadState::Discard { deadline, .. } => Some(*deadline),
+            ReadState::Head | ReadState::Blocked(_) => None,
+        };
         let unread = self.unwritten.front().map(|first| first.deadline);
         let active_at = match self.pending.is_empty() {
             true => self.last_progress,
             false => self.state.now(),
         };
         let idle = active_at + idle_timeout;
-        unread.map_or(idle, |deadline| deadline.min(idle))
+        let deadlines = [read, unread].into_iter().flatten();
+        deadlines.fold(idle, Millis::min)
     }
 
     /// Ends what has taken longer than it may.
@@ -340,6 +371,18 @@
         let is_idle = self.pending.is_empty()
             && is_over(self.last_progress + idle_timeout);
         let unread = self.unwritten.front().map(|first| first.deadline);
+        let is_body_late = match &self.reading {
+            ReadState::Body(arrival) => is_over(arrival.deadline()),
+            _ => false,
+        };
+        if is_body_late {
+            self.reject_body(Kind::Incomplete);
+        }
+        if let ReadState::Discard { deadline, .. } = self.reading
+            && is_over(deadline)
+        {
+            self.drain();
+        }
         let is_late = unread.is_some_and(is_over);
         match is_idle || is_late {
             true => Err(io::ErrorKind::TimedOut.into()),
@@ -499,9 +542,14 @@
                 }
             }
             (ReadState::Body(mut arrival), http1::Event::Data(data)) => {
+                let now = self.state.now();
+                self.caller.record_progress(now, data.len());
                 match arrival.push_body(&data) {
                     Ok(()) => ReadState::Body(arrival),
                     Err(kind) => {
+                        if kind == Kind::Full {
+                            self.state.callers.reject_slowest_body(now);
+                        }
                         let rejection = arrival.reject(&self.state, kind);
                         self.reject(rejection)
                     }
@@ -510,11 +558,15 @@
             (ReadState::Body(arrival), http1::Event::End) => {
                 ReadState::Blocked(arrival)
             }
-            (ReadState::Discard(left), http1::Event::Data(data)) => {
+            (
+                ReadState::Discard { left, deadline },
+                http1::Event::Data(data),
+            ) => {
                 if data.len() > left {
                     self.drain();
                 }
-                ReadState::Discard(left.saturating_sub(data.len()))
+                let left = left.saturating_sub(data.len());
+                ReadState::Discard { left, deadline }
             }
             (_, _) => ReadState::Head,
         };
@@ -524,12 +576,13 @@
     /// Its body is discarded, or the connection drains if the rejection does
     /// not allow that.
     fn reject(&mut self, rejection: Rejection) -> ReadState {
-        let Rejection { answer, method, max_discard, in_flight } = rejection;
+        let Rejection { answer, method, max_discard, deadline, in_flight } =
+            rejection;
         let completed = Completed { answer, method, in_flight };
         self.pipeline.begin(true);
         self.pending.push_back(future::ready(completed).boxed_local());
         match max_discard {
-            Some(max) => ReadState::Discard(max),
+            Some(left) => ReadState::Discard { left, deadline },
             None => {
                 self.drain();
                 ReadState::Head
@@ -537,6 +590,17 @@
         }
     }
 
+    /// Answers the request whose body is being read, which is given up.
+    fn reject_body(&mut self, kind: Kind) {
+        match std::mem::replace(&mut self.reading, ReadState::Head) {
+            ReadState::Body(arrival) => {
+                let rejection = arrival.reject(&self.state, kind);
+                self.reading = self.reject(rejection);
+            }
+            reading => self.reading = reading,
+        }
+    }
+
     /// Answers bytes that are not a valid request. The connection drains,
     /// since the start of the next request is unknown.
     fn reject_unreadable(&mut self, error: http1::Error) {
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -189,6 +189,8 @@
     /// The number of body bytes that may be discarded; `None` if the
     /// connection must close instead.
     pub(super) max_discard: Option<usize>,
+    /// When the caller stops waiting.
+    pub(super) deadline: Millis,
     /// Kept until the response is queued for writing.
     pub(super) in_flight: InFlight,
 }
@@ -197,8 +199,9 @@
 pub(super) fn reject_unreadable(state: &Rc<State>, kind: Kind) -> Rejection {
     let mut in_flight = InFlight::new(state, "");
     let answer = refuse(state, &mut in_flight, &not_run(kind));
+    let deadline = in_flight.received_at;
     let (method, max_discard) = (Method::GET, None);
-    Rejection { answer, method, max_discard, in_flight }
+    Rejection { answer, method, max_discard, deadline, in_flight }
 }
 
 /// A request whose head was read and whose body is being read.
@@ -252,6 +255,8 @@
             }
             Err(kind) => {
                 let answer = refuse(state, &mut in_flight, &not_run(kind));
+                let deadline =
+                    in_flight.received_at + admission::time_left(&head);
                 let Head { method, expects_continue, closes, .. } = head;
                 let closes =
                     kind == Kind::TooLarge || expects_continue || closes;
@@ -260,6 +265,7 @@
                     answer,
                     method,
                     max_discard,
+                    deadline,
                     in_flight,
                 }))
             }
@@ -290,10 +296,12 @@
     ) -> Rejection {
         let answer = refuse(state, &mut self.in_flight, &not_run(kind));
         let method = self.head.method.clone();
+        let deadline = self.deadline();
         Rejection {
             answer,
             method,
             max_discard: None,
+            deadline,
             in_flight: self.in_flight,
         }
     }
@@ -316,6 +324,12 @@
         std::mem::take(&mut self.head.expects_continue) && self.body.is_empty()
     }
 
+    /// When its response is due.
+    pub(super) fn deadline(&self) -> Millis {
+        let received_at = self.in_flight.received_at;
+        admission::deadline(received_at, &self.head, &self.route)
+    }
+
     pub(super) fn is_idempotent(&self) -> bool {
         self.route.effect == Effect::Idempotent
     }
--- a/crates/walnutmoor/src/mesh/ingress/admission.rs
+++ b/crates/walnutmoor/src/mesh/ingress/admission.rs
@@ -113,7 +113,7 @@
 }
 
 /// The time left until the caller stops waiting.
-fn time_left(head: &Head) -> Millis {
+pub(super) fn time_left(head: &Head) -> Millis {
     header::time_left(&head.headers).unwrap_or(DEFAULT_TIME_LEFT)
 }
 
