Enforce the time for a head

What callers saw: connections that send a head a byte at a time, or nothing, stay open for the idle timeout, and for ever if it is long.

Cause: the operator's time for heads only raised the idle timeout.

Why it works: the time counts from the first byte. It does not count while the node itself reads nothing, because of responses that are not read or requests in flight. Bytes that have arrived are read before the timer is looked at, so a node that was suspended closes nobody for it.

--- a/crates/walnutmoor/src/mesh/callers.rs
+++ b/crates/walnutmoor/src/mesh/callers.rs
@@ -18,6 +18,8 @@
 /// What a connection does.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stage {
+    /// It has sent no request yet.
+    Silent,
     /// It sends the head of a request.
     Head,
     /// It has no request in flight.
@@ -73,7 +75,7 @@
         let key = self.last_key.get() + 1;
         self.last_key.set(key);
         let entry = Rc::new(Entry {
-            stage: Cell::new(Stage::Idle),
+            stage: Cell::new(Stage::Silent),
             since: Cell::new(now),
             meter: Cell::new(Meter::new(now)),
             output: RefCell::default(),
@@ -94,6 +96,17 @@
         self.len() == 0
     }
 
+    /// Closes the connection whose incomplete head is the oldest. Returns
+    /// false if there is none.
+    pub fn close_oldest_head(&self) -> bool {
+        let entries = self.entries.borrow();
+        let heads = entries.values().filter(|entry| {
+            entry.stage.get() == Stage::Head && entry.order.get().is_none()
+        });
+        let oldest = heads.min_by_key(|entry| entry.since.get());
+        oldest.inspect(|entry| entry.order(Order::Close)).is_some()
+    }
+
     /// Rejects the request whose body arrives slowest.
     pub fn reject_slowest_body(&self, now: Millis) {
         let entries = self.entries.borrow();
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -7,7 +7,8 @@
 not read its responses, no further requests are read.
 
 Whatever a caller makes the node hold has a deadline that no byte postpones: a
-body and an unread response that of their request.
+head that of the desired state, a body and an unread response that of their
+request.
 
 A close is seen while the connection is read, and usually also while it is not:
 the kernel reports it although bytes before it are unread. But if more bytes are
@@ -140,6 +141,8 @@
     last_progress: Millis,
     /// Since when bytes are not read.
     paused_since: Option<Millis>,
+    /// Since when a head is awaited that has begun, or the first one.
+    head_since: Option<Millis>,
 }
 
 /// A response that is not completely written.
@@ -152,6 +155,28 @@
     _request: Rc<requests::Request>,
 }
 
+/// The limits on the time of a caller.
+#[derive(Clone, Copy)]
+struct Timeouts {
+    /// How long a connection may make no progress.
+    idle: Millis,
+    /// How long a head may take.
+    head: Millis,
+}
+
+impl Timeouts {
+    /// The timeouts of the desired state, or defaults until it is known.
+    fn of(state: &State) -> Timeouts {
+        let table = state.table();
+        let limits = table.as_ref().map(|table| table.limits);
+        let head = limits.unwrap_or_default().head_timeout;
+        let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
+            limits.idle_timeout.max(limits.head_timeout)
+        });
+        Timeouts { idle: idle + TIMEOUT_MARGIN, head: head + TIMEOUT_MARGIN }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         let all = &self.state.undecoded_bytes;
@@ -185,14 +210,6 @@
     let _ = timeout(LINGER_TIMEOUT, discard).await;
 }
 
-/// How long a connection may make no progress.
-fn idle_timeout(state: &State) -> Millis {
-    state.table().map_or(DEFAULT_IDLE_TIMEOUT, |table| {
-        let longest = table.limits.idle_timeout.max(table.limits.head_timeout);
-        longest + TIMEOUT_MARGIN
-    })
-}
-
 /// Reads from the caller, or waits until it closes the connection.
 ///
 /// # Errors
@@ -253,14 +270,15 @@
             max_read_ahead: settings.bytes.max(max_head_bytes),
             last_progress: now,
             paused_since: None,
+            head_since: Some(now),
             state,
         }
     }
 
     async fn run(&mut self, stream: &mut TcpStream) -> io::Result<()> {
-        let idle_timeout = idle_timeout(&self.state);
+        let timeouts = Timeouts::of(&self.state);
         let (mut reader, writer) = stream.split();
-        let mut timer = pin!(sleep(Duration::from_millis(idle_timeout.0)));
+        let mut timer = pin!(sleep(Duration::from_millis(timeouts.head.0)));
         loop {
             self.obey()?;
             self.advance();
@@ -270,7 +288,7 @@
                 return Ok(());
             }
             let now = self.state.now();
-            let due = self.next_deadline(idle_timeout);
+            let due = self.next_deadline(timeouts);
             let due = Instant::now() + Duration::from_millis(due.since(now).0);
             if due < timer.deadline() {
                 timer.as_mut().reset(due);
@@ -300,8 +318,8 @@
                 }
                 () = caller.ordered() => {}
                 () = &mut timer => {
-                    self.check_deadlines(idle_timeout)?;
-                    let left = Duration::from_millis(idle_timeout.0 / 4);
+                    self.check_deadlines(timeouts)?;
+                    let left = Duration::from_millis(timeouts.idle.0 / 4);
                     timer.as_mut().reset(Instant::now() + left);
                 }
             }
@@ -331,6 +349,7 @@
         let is_head = matches!(self.reading, ReadState::Head)
             && self.may_decode()
             && self.decoder.is_in_head();
+        let is_first = self.head_since.is_some() && self.queued == 0;
         let has_output = self.caller.output().borrow().has_remaining();
         let stage = match self.reading {
             ReadState::Body(_) => callers::Stage::Body,
@@ -338,13 +357,20 @@
                 callers::Stage::Busy
             }
             _ if is_head => callers::Stage::Head,
+            _ if is_first => callers::Stage::Silent,
             _ => callers::Stage::Idle,
         };
         self.caller.set_stage(now, stage);
+        match is_head {
+            true => self.head_since = self.head_since.or(Some(now)),
+            false if stage != callers::Stage::Silent => self.head_since = None,
+            false => {}
+        }
     }
 
     /// When the connection is checked next.
-    fn next_deadline(&self, idle_timeout: Millis) -> Millis {
+    fn next_deadline(&self, timeouts: Timeouts) -> Millis {
+        let head = self.head_since.map(|since| since + timeouts.head);
         let read = match &self.reading {
             ReadState::Body(arrival) => Some(arrival.deadline()),
             ReadState::Discard { deadline, .. } => Some(*deadline),
@@ -355,8 +381,8 @@
             true => self.last_progress,
             false => self.state.now(),
         };
-        let idle = active_at + idle_timeout;
-        let deadlines = [read, unread].into_iter().flatten();
+        let idle = active_at + timeouts.idle;
+        let deadlines = [head, read, unread].into_iter().flatten();
         deadlines.fold(idle, Millis::min)
     }
 
@@ -365,11 +391,12 @@
     /// # Errors
     ///
     /// If the connection is to be closed.
-    fn check_deadlines(&mut self, idle_timeout: Millis) -> io::Result<()> {
+    fn check_deadlines(&mut self, timeouts: Timeouts) -> io::Result<()> {
         let now = self.state.now();
         let is_over = |deadline: Millis| now >= deadline;
         let is_idle = self.pending.is_empty()
-            && is_over(self.last_progress + idle_timeout);
+            && is_over(self.last_progress + timeouts.idle);
+        let head = self.head_since.map(|since| since + timeouts.head);
         let unread = self.unwritten.front().map(|first| first.deadline);
         let is_body_late = match &self.reading {
             ReadState::Body(arrival) => is_over(arrival.deadline()),
@@ -383,7 +410,7 @@
         {
             self.drain();
         }
-        let is_late = unread.is_some_and(is_over);
+        let is_late = head.is_some_and(is_over) || unread.is_some_and(is_over);
         match is_idle || is_late {
             true => Err(io::ErrorKind::TimedOut.into()),
             false => Ok(()),
@@ -461,6 +488,9 @@
         let all = &self.state.undecoded_bytes;
         all.set(all.get() - self.read_ahead + buffered);
         self.read_ahead = buffered;
+        if self.is_read_ahead_over() {
+            self.state.callers.close_oldest_head();
+        }
     }
 
     /// True if all connections together read more ahead than they may.
