Keep descriptors for links, the store, the instance and readiness

What callers saw: connections that send nothing take all descriptors of a node; three of four requests then get no answer there, and /ready one in five.

Cause: nothing was refused or closed. From 0.35 of the descriptors on, responses ask callers to close, which a silent caller never hears.

Change: callers' connections take at most half of the descriptors. Beyond, the connection that is needed least is closed for a new one: one that lingers after its last response, one that has sent no request, one in a head, an idle one; of those alike, the one that is longest in its stage. If all have requests in flight, the new one is closed.

Why it works: the other half is never given to callers. Ruled out: a limit for an address, as all callers come from the machine's own.

--- a/crates/walnutmoor/src/mesh/callers.rs
+++ b/crates/walnutmoor/src/mesh/callers.rs
@@ -1,6 +1,9 @@
 /*!
 The connections of callers, and which of them gives way when the node runs out
-of memory: the one whose body or response moves slowest.
+of descriptors or of memory.
+
+A connection gives way that costs its caller least: one that has sent no
+request, one that is idle, or the one whose body or response moves slowest.
 */
 
 use std::{
@@ -18,6 +21,8 @@
 /// What a connection does.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stage {
+    /// It has sent its last response, and is about to close.
+    Closing,
     /// It has sent no request yet.
     Silent,
     /// It sends the head of a request.
@@ -96,6 +101,17 @@
         self.len() == 0
     }
 
+    /// Closes the connection that is needed least; of those alike, the one
+    /// that is longest in its stage. Returns false if all are in use.
+    pub fn close_unused(&self) -> bool {
+        let entries = self.entries.borrow();
+        let unused = entries.values().filter(|entry| {
+            entry.stage.get() <= Stage::Idle && entry.order.get().is_none()
+        });
+        let least = unused.min_by_key(|e| (e.stage.get(), e.since.get()));
+        least.inspect(|entry| entry.order(Order::Close)).is_some()
+    }
+
     /// Closes the connection whose incomplete head is the oldest. Returns
     /// false if there is none.
     pub fn close_oldest_head(&self) -> bool {
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -188,13 +188,18 @@
 pub async fn serve(state: Rc<State>, mut stream: TcpStream) {
     // A failure only costs latency.
     let _ = stream.set_nodelay(true);
-    let mut connection = Connection::new(state);
+    let mut connection = Connection::new(state.clone());
     // A connection that the caller breaks is not an error of this node.
     if connection.run(&mut stream).await.is_err() {
         return;
     }
+    let caller = connection.caller.clone();
     drop(connection);
-    linger(&mut stream).await;
+    caller.set_stage(state.now(), callers::Stage::Closing);
+    tokio::select! {
+        () = linger(&mut stream) => {}
+        () = caller.ordered() => {}
+    }
 }
 
 /// Closes the sending side and discards what the caller still sends.
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -62,13 +62,19 @@
 /// could not accept connections.
 const MAX_CONNECTIONS_FRACTION: f64 = 0.35;
 
+/// The fraction of the file descriptors that callers' connections may take.
+/// The rest is for links, the store, the instance, readiness and heartbeats.
+const MAX_DESCRIPTORS_FRACTION: f64 = 0.5;
+
 /// Accepts connections until the process ends.
 pub async fn listen(state: Rc<State>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serve = connection::serve(state.clone(), stream);
-                tokio::task::spawn_local(serve);
+                if has_descriptor(&state).await {
+                    let serve = connection::serve(state.clone(), stream);
+                    tokio::task::spawn_local(serve);
+                }
             }
             Err(error) => {
                 let fields = [("why", error.to_string().into())];
@@ -79,6 +85,21 @@
     }
 }
 
+/// True if a connection may be served besides those that are open. If there
+/// are too many, one that is not in use is closed for it.
+async fn has_descriptor(state: &State) -> bool {
+    let all = state.settings.descriptors as f64;
+    let max = (all * MAX_DESCRIPTORS_FRACTION) as usize;
+    if state.callers.len() < max {
+        return true;
+    }
+    metrics::counter!("walnutmoor_surplus_connections_total").increment(1);
+    let has_closed = state.callers.close_unused();
+    // Lets the other connection close.
+    tokio::task::yield_now().await;
+    has_closed
+}
+
 /// Decides the requests that wait at this node until the process ends.
 pub(super) async fn decide_waiting(state: Rc<State>) {
     let fraction = |flow: &Flow| admission::fraction(&state, flow);
