walnutmoor node: bound the bodies that callers and peers send

What callers saw: 600 bodies of 1 MB that stop short of their end take 633 MB.

Cause: each body was bounded, all together were not, and no deadline ended one.

Change: `limits.memory` (256 MB by default) is divided as in the mesh; a body counts by its capacity until its call has ended. Without room a call is refused with 503 and a Retry-After, and the slowest body is given up. A body that is not complete by the deadline of its call is refused with 408.

Why it works: as in the mesh; the account is the same module.

--- a/crates/walnutmoor/src/command/node.rs
+++ b/crates/walnutmoor/src/command/node.rs
@@ -10,11 +10,13 @@
 use tokio::sync::mpsc;
 use walnutmoor_core::{
     config::{Author, Config, Op},
+    memory::Pool,
     node::{Event, Node, Starting},
     platform::{Key, Reply},
 };
 
 use crate::{
+    memory,
     platform::{Http, Memory, Platform},
     prelude::*,
     settings::{self, Settings},
@@ -25,6 +27,7 @@
         echo, forward, gossip,
         listen::{Context, Tokens},
         operator, peer, platform as platform_worker,
+        transfer::{Room, Transfers},
     },
 };
 
@@ -35,18 +38,28 @@
     tokens: Arc<Tokens>,
     max_body_bytes: usize,
     retries: u8,
+    max_time_left: Millis,
+    memory: memory::Memory,
+    transfers: Transfers,
 }
 
 impl Shared {
-    fn context(&self) -> Context {
+    /// The context of a listener whose requests count in this pool.
+    fn context(&self, pool: &Pool) -> Context {
         Context {
             inputs: self.inputs.clone(),
             call_counter: self.call_counter.clone(),
             tokens: self.tokens.clone(),
             max_body_bytes: self.max_body_bytes,
             retries: self.retries,
+            max_time_left: self.max_time_left,
+            room: self.room(pool),
         }
     }
+
+    fn room(&self, pool: &Pool) -> Room {
+        Room { pool: pool.clone(), transfers: self.transfers.clone() }
+    }
 }
 
 pub(super) fn run(settings: Settings) -> Result<(), Failure> {
@@ -61,6 +74,9 @@
         tokens: Arc::default(),
         max_body_bytes: settings.limits.body.0,
         retries: settings.limits.retries,
+        max_time_left: settings.limits.deadline.0,
+        memory: memory::Memory::new(settings.limits.memory.0),
+        transfers: Transfers::default(),
     };
     let backend = start_echo(&settings)?;
     let outputs = start_outputs(&settings, &shared, &platform, backend)?;
@@ -187,9 +203,11 @@
     shared: &Shared,
     platform: &Arc<Platform>,
 ) -> Result<(), Failure> {
-    let (context, address) = (shared.context(), settings.caller.address);
+    let context = shared.context(&shared.memory.requests);
+    let address = settings.caller.address;
     listener("caller", move || worker::caller::start(context, address))?;
-    let (context, address) = (shared.context(), settings.node.address);
+    let context = shared.context(&shared.memory.calls);
+    let address = settings.node.address;
     listener("peer", move || peer::start(context, address))?;
     let address = settings.operator.address;
     let (inputs, platform) = (shared.inputs.clone(), platform.clone());
--- a/crates/walnutmoor/src/settings.rs
+++ b/crates/walnutmoor/src/settings.rs
@@ -220,6 +220,8 @@
     pub ring: usize,
     /// The size of one body.
     pub body: Size,
+    /// The memory that the process may take.
+    pub memory: Size,
     /// The size of one answer that is cached for repeated calls.
     pub kept_answer: Size,
     /// The longest deadline that a caller may request.
@@ -241,6 +243,7 @@
             marks: 65_536,
             ring: 4_096,
             body: Size(1 << 20),
+            memory: Size(256 << 20),
             kept_answer: Size(64 << 10),
             deadline: Span(Millis(30_000)),
             ticket: Span(Millis(60_000)),
--- a/crates/walnutmoor/src/worker/caller.rs
+++ b/crates/walnutmoor/src/worker/caller.rs
@@ -52,6 +52,9 @@
     listen::start(api, context, address, max_body_bytes)
 }
 
+/// The `Retry-After` of a call for which there is no room.
+const FULL_RETRY_AFTER: Millis = Millis(1_000);
+
 type HttpResult = Result<Response<Body>, HttpError>;
 
 macro_rules! call_endpoint {
@@ -86,10 +89,10 @@
         Ok(arrival) => arrival,
         Err(detail) => return malformed(&detail),
     };
-    let body = match listen::read_body(body, context.max_body_bytes).await {
+    let body = match listen::read_body(context, body, arrival.left).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => return refused(Kind::TooLarge),
         Err(BodyError::Incomplete) => return malformed("incomplete body"),
+        Err(error) => return refused(error.kind()),
     };
     let content = (parts.method.as_str(), &service, &path, &body[..]);
     let fingerprint = digest::of(&content);
@@ -119,6 +122,10 @@
 
 fn refused(kind: Kind) -> Response<Body> {
     let refusal = Refusal::new(kind, Ran::No);
+    let refusal = match kind {
+        Kind::Full => refusal.retry_after(FULL_RETRY_AFTER),
+        _ => refusal,
+    };
     listen::response(wire::refusal(&refusal, None))
 }
 
@@ -253,7 +260,7 @@
     request: RawRequest,
 ) -> HttpResult {
     let body = request.into_inner().into_body();
-    let body = match listen::read_body(body, MAX_ANNOUNCEMENT_BYTES).await {
+    let body = match listen::read_message(body, MAX_ANNOUNCEMENT_BYTES).await {
         Ok(body) => body,
         Err(_) => return Ok(malformed("the announcement is too long")),
     };
--- a/crates/walnutmoor/src/worker/listen.rs
+++ b/crates/walnutmoor/src/worker/listen.rs
@@ -9,6 +9,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -18,13 +19,18 @@
 };
 use http::{HeaderMap, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Body as _;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use tokio::{runtime::Handle, sync::oneshot};
 use walnutmoor_core::{error::Kind, node::Event};
 
-use super::driver::{self, Completion, Input, InputSender, Payload};
+use super::{
+    driver::{self, Completion, Input, InputSender, Payload},
+    transfer::{Room, Transfer},
+};
 use crate::{
+    memory,
     prelude::*,
     wire::{self, Answer, Head},
 };
@@ -42,9 +48,20 @@
     pub max_body_bytes: usize,
     /// The number of retries of one whole request.
     pub retries: u8,
+    /// The longest time that a caller may give a call.
+    pub max_time_left: Millis,
+    /// Where the bodies of requests count.
+    pub room: Room,
 }
 
 impl Context {
+    /// When a call with this time left is due.
+    pub fn due(&self, left: Option<Millis>) -> Instant {
+        let max = self.max_time_left;
+        let left = left.unwrap_or(max).min(max);
+        Instant::now() + Duration::from_millis(left.0)
+    }
+
     /// Returns a new call id.
     pub fn next_call(&self) -> CallId {
         CallId(self.call_counter.fetch_add(1, Ordering::Relaxed))
@@ -137,14 +154,82 @@
     TooLarge,
     /// The connection ended early, or the encoding is malformed.
     Incomplete,
+    /// The memory has no room for it.
+    NoRoom,
+    /// It was not complete by the deadline of its request.
+    Late,
+}
+
+impl BodyError {
+    /// The kind of the refusal.
+    pub fn kind(&self) -> Kind {
+        match self {
+            BodyError::TooLarge => Kind::TooLarge,
+            BodyError::Incomplete => Kind::Malformed,
+            BodyError::NoRoom => Kind::Full,
+            BodyError::Late => Kind::Incomplete,
+        }
+    }
 }
 
-/// Reads a complete body of at most `max_bytes` bytes.
+/// Reads the complete body of a request with this time left.
 ///
 /// # Errors
 ///
-/// If it is too long or incomplete.
+/// If it is too long, incomplete or late, or there is no room for it.
 pub async fn read_body(
+    context: &Context,
+    body: Body,
+    left: Option<Millis>,
+) -> Result<Bytes, BodyError> {
+    let due = context.due(left);
+    let room = &context.room;
+    let transfer = room.transfers.begin();
+    let read = read_counted(room, &transfer, body, context.max_body_bytes);
+    tokio::select! {
+        body = read => body,
+        () = transfer.given_up() => Err(BodyError::NoRoom),
+        () = tokio::time::sleep_until(due.into()) => Err(BodyError::Late),
+    }
+}
+
+async fn read_counted(
+    room: &Room,
+    transfer: &Transfer,
+    body: Body,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let max_len = body.size_hint().exact().map_or(max_bytes, |length| {
+        usize::try_from(length).unwrap_or(max_bytes).min(max_bytes)
+    });
+    let mut body = Limited::new(body, max_bytes);
+    let mut buffer = room.pool.buffer();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(BodyError::TooLarge);
+            }
+            Err(_) => return Err(BodyError::Incomplete),
+        };
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        transfer.record(data.len());
+        if !buffer.push(data, max_len) {
+            room.transfers.give_up_slowest();
+            return Err(BodyError::NoRoom);
+        }
+    }
+    Ok(memory::freeze(buffer))
+}
+
+/// Reads the complete body of a small message of at most `max_bytes` bytes.
+///
+/// # Errors
+///
+/// If it is too long or incomplete.
+pub async fn read_message(
     body: Body,
     max_bytes: usize,
 ) -> Result<Bytes, BodyError> {
--- a/crates/walnutmoor/src/worker/mod.rs
+++ b/crates/walnutmoor/src/worker/mod.rs
@@ -12,7 +12,8 @@
 | [`operator`] | serves the operator API and metrics |
 
 If a channel is full, a call is refused with `full`, a packet is dropped, and a
-request to the platform counts as unanswered. [`listen`] holds what the HTTP
+request to the platform counts as unanswered. [`transfer`] lists the bodies that
+are sent or read slowly. [`listen`] holds what the HTTP
 listeners share; [`echo`] is a built-in backend server.
 */
 
@@ -25,6 +26,7 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod transfer;
 
 use std::{future::Future, thread};
 
--- a/crates/walnutmoor/src/worker/operator.rs
+++ b/crates/walnutmoor/src/worker/operator.rs
@@ -251,7 +251,7 @@
         Ok(name) => name,
         Err(detail) => return Ok(malformed(&detail)),
     };
-    let Ok(body) = listen::read_body(body, MAX_BODY_BYTES).await else {
+    let Ok(body) = listen::read_message(body, MAX_BODY_BYTES).await else {
         return Ok(malformed("the body is too long or incomplete"));
     };
     let spec: ClassSpec = match serde_json::from_slice(&body) {
--- a/crates/walnutmoor/src/worker/peer.rs
+++ b/crates/walnutmoor/src/worker/peer.rs
@@ -13,7 +13,7 @@
 
 use super::{
     driver::{Completion, Input},
-    listen::{self, BodyError, Context, Wildcard},
+    listen::{self, Context, Wildcard},
 };
 use crate::{
     prelude::*,
@@ -55,7 +55,7 @@
             _wildcard: Path<Wildcard>,
             request: RawRequest,
         ) -> HttpResult {
-            Ok(listen::response(hop(context.context(), request).await))
+            Ok(hop(context.context(), request).await)
         }
     };
 }
@@ -66,18 +66,16 @@
 hop_endpoint!(hop_patch, PATCH);
 hop_endpoint!(hop_delete, DELETE);
 
-async fn hop(context: &Context, request: RawRequest) -> Answer {
+async fn hop(context: &Context, request: RawRequest) -> Response<Body> {
     let (parts, body) = request.into_inner().into_parts();
     let Some(envelope) = wire::envelope(&parts.headers) else {
-        return into_answer(refused(Kind::Malformed));
+        return listen::response(into_answer(refused(Kind::Malformed)));
     };
-    let body = match listen::read_body(body, context.max_body_bytes).await {
+    let left = Some(envelope.left);
+    let body = match listen::read_body(context, body, left).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => {
-            return into_answer(refused(Kind::TooLarge));
-        }
-        Err(BodyError::Incomplete) => {
-            return into_answer(refused(Kind::Malformed));
+        Err(error) => {
+            return listen::response(into_answer(refused(error.kind())));
         }
     };
     let call = context.next_call();
@@ -90,7 +88,7 @@
         payload,
         reply,
     });
-    into_answer(completion.await)
+    listen::response(into_answer(completion.await))
 }
 
 fn refused(kind: Kind) -> Completion {
--- a/crates/walnutmoor/tests/listen.rs
+++ b/crates/walnutmoor/tests/listen.rs
@@ -10,8 +10,9 @@
 use walnutmoor::worker::{
     driver::{self, Input},
     listen::{self, Context},
+    transfer::{Room, Transfers},
 };
-use walnutmoor_core::{id::CallId, node::Event};
+use walnutmoor_core::{id::CallId, memory::Pool, node::Event, time::Millis};
 use walnutmoor_standin::wait::{run, until};
 
 /// Guards against a cancellation that is lost, as the driver's channel is full
@@ -26,6 +27,11 @@
             tokens: Arc::default(),
             max_body_bytes: 1_000,
             retries: 0,
+            max_time_left: Millis(1_000),
+            room: Room {
+                pool: Pool::unlimited(),
+                transfers: Transfers::default(),
+            },
         };
         let call = context.next_call();
         let mut reply = None;
