walnutmoor node: bound the answers that callers and peers do not read

Cause: an answer was handed to the HTTP server as one buffer, and stayed until its caller had read it or left.

Change: answers count in a pool of `limits.memory`. A long one is passed on in pieces of 4 KB, and what is left of it stays with the node, which can take it back: from the slowest reader when there is no room for another answer, and from any reader 1 s after the call was due. The connection then ends mid-answer, which does not look complete. Answers that are kept for repeats are copies and do not count.

--- a/crates/walnutmoor/src/command/node.rs
+++ b/crates/walnutmoor/src/command/node.rs
@@ -183,6 +183,7 @@
         tokens: shared.tokens.clone(),
         backend,
         max_body_bytes: shared.max_body_bytes,
+        room: shared.room(&shared.memory.responses),
     };
     worker::spawn("forward", || forward::run(setup, commands))?;
     let sockets = gossip::Sockets::open(NodeId(settings.node.address))?;
--- a/crates/walnutmoor/src/wire.rs
+++ b/crates/walnutmoor/src/wire.rs
@@ -65,6 +65,14 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// A copy that does not share the memory of this one.
+    pub fn detached(&self) -> Answer {
+        let body = Bytes::copy_from_slice(&self.body);
+        Answer { body, ..self.clone() }
+    }
+}
+
 /// Encodes the bytes of an envelope or trailer as a header value.
 pub fn encode_header(bytes: &[u8]) -> HeaderValue {
     let text = STANDARD_NO_PAD.encode(bytes);
--- a/crates/walnutmoor/src/worker/caller.rs
+++ b/crates/walnutmoor/src/worker/caller.rs
@@ -89,6 +89,7 @@
         Ok(arrival) => arrival,
         Err(detail) => return malformed(&detail),
     };
+    let due = context.due(arrival.left);
     let body = match listen::read_body(context, body, arrival.left).await {
         Ok(body) => body,
         Err(BodyError::Incomplete) => return malformed("incomplete body"),
@@ -103,7 +104,8 @@
         payload,
         reply,
     });
-    listen::response(into_answer(completion.await, context.retries))
+    let answer = into_answer(completion.await, context.retries);
+    listen::deliver(context, answer, due)
 }
 
 /// Converts a completion to an answer and adds the number of the caller's
--- a/crates/walnutmoor/src/worker/driver.rs
+++ b/crates/walnutmoor/src/worker/driver.rs
@@ -398,7 +398,7 @@
             }
             Action::CacheAnswer { nonce } => {
                 if let Some(answer) = answer {
-                    self.cached_answers.insert(nonce, answer.clone());
+                    self.cached_answers.insert(nonce, answer.detached());
                 }
             }
             Action::EvictAnswer { nonce } => {
--- a/crates/walnutmoor/src/worker/forward.rs
+++ b/crates/walnutmoor/src/worker/forward.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -25,8 +26,10 @@
 use super::{
     driver::{self, Input, InputSender, Payload},
     listen::Tokens,
+    transfer::Room,
 };
 use crate::{
+    memory,
     prelude::*,
     wire::{self, Answer},
 };
@@ -76,6 +79,8 @@
     pub backend: Option<SocketAddr>,
     /// The maximum size of the body of an answer.
     pub max_body_bytes: usize,
+    /// Where the bodies of answers count.
+    pub room: Room,
 }
 
 struct Sender {
@@ -152,12 +157,14 @@
         };
         let (client, max_body_bytes) =
             (client.clone(), self.setup.max_body_bytes);
+        let room = self.setup.room.clone();
         let (inputs, in_flight) =
             (self.setup.inputs.clone(), self.in_flight.clone());
         let task = tokio::spawn(async move {
             let (reply, answer) = match request {
                 Some(request) => {
-                    exchange(client, request, max_body_bytes, to.is_some())
+                    let is_peer = to.is_some();
+                    exchange(client, request, max_body_bytes, room, is_peer)
                         .await
                 }
                 None => (Reply::Unreachable, None),
@@ -219,11 +226,37 @@
     }
 }
 
+/// Reads the complete body of an answer. `None` if it is incomplete or too
+/// long, or if there is no room for it.
+async fn read_body(
+    room: &Room,
+    body: Incoming,
+    max_bytes: usize,
+) -> Option<Bytes> {
+    let exact = body.size_hint().exact();
+    let max_len = exact.and_then(|length| usize::try_from(length).ok());
+    let max_len = max_len.unwrap_or(max_bytes).min(max_bytes);
+    let mut body = Limited::new(body, max_bytes);
+    let mut buffer = room.pool.buffer();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if !room.transfers.push(&mut buffer, &data, max_len) {
+            return None;
+        }
+    }
+    // It may be held for long.
+    buffer.shrink();
+    Some(memory::freeze(buffer))
+}
+
 /// Sends a request and reads the complete answer.
 async fn exchange(
     client: HttpClient,
     request: Request<Full<Bytes>>,
     max_body_bytes: usize,
+    room: Room,
     is_peer: bool,
 ) -> (Reply, Option<Answer>) {
     let response = match client.request(request).await {
@@ -234,10 +267,9 @@
         Err(_) => return (Reply::Broken, None),
     };
     let (parts, body) = response.into_parts();
-    let Ok(body) = Limited::new(body, max_body_bytes).collect().await else {
+    let Some(body) = read_body(&room, body, max_body_bytes).await else {
         return (Reply::Broken, None);
     };
-    let body = body.to_bytes();
     let trailer = match (is_peer, wire::trailer(&parts.headers)) {
         (true, None) => return (Reply::Broken, None),
         (true, Some(trailer)) => trailer,
--- a/crates/walnutmoor/src/worker/listen.rs
+++ b/crates/walnutmoor/src/worker/listen.rs
@@ -314,7 +314,20 @@
     }
 }
 
-/// Converts an answer to an HTTP response.
+/// Converts an answer to an HTTP response that is due at this time.
+pub fn deliver(
+    context: &Context,
+    answer: Answer,
+    due: Instant,
+) -> Response<Body> {
+    let Answer { status, headers, body } = answer;
+    let mut response =
+        response(Answer { status, headers, body: Bytes::new() });
+    *response.body_mut() = context.room.transfers.respond(body, due);
+    response
+}
+
+/// Converts a short answer to an HTTP response.
 pub fn response(answer: Answer) -> Response<Body> {
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = answer.status;
--- a/crates/walnutmoor/src/worker/peer.rs
+++ b/crates/walnutmoor/src/worker/peer.rs
@@ -72,6 +72,7 @@
         return listen::response(into_answer(refused(Kind::Malformed)));
     };
     let left = Some(envelope.left);
+    let due = context.due(left);
     let body = match listen::read_body(context, body, left).await {
         Ok(body) => body,
         Err(error) => {
@@ -88,7 +89,7 @@
         payload,
         reply,
     });
-    listen::response(into_answer(completion.await))
+    listen::deliver(context, into_answer(completion.await), due)
 }
 
 fn refused(kind: Kind) -> Completion {
--- a/crates/walnutmoor/src/worker/transfer.rs
+++ b/crates/walnutmoor/src/worker/transfer.rs
@@ -1,21 +1,36 @@
 /*!
-The bodies that callers and peers send at their own pace.
+The bodies that callers and peers send or read at their own pace.
 
 Each is listed while it is transferred. Where memory runs out, the slowest is
-given up.
+given up, and a response also some time after it was due.
 */
 
 use std::{
     collections::BTreeMap,
+    pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    task::{Context, Poll},
+    time::{Duration, Instant},
 };
 
+use bytes::{Buf, Bytes};
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
-use walnutmoor_core::{memory::Pool, progress::Meter};
+use walnutmoor_core::{
+    memory::{Buffer, Pool},
+    progress::Meter,
+};
 
 use crate::prelude::*;
 
+/// The bytes of a response that are passed on at a time. They are copied, so
+/// that what waits to be written does not keep the rest.
+const FRAME_BYTES: usize = 4 << 10;
+
+/// How long a caller may read a response after it was due. The caller has
+/// stopped waiting by then.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The bodies that are transferred. Clones refer to the same ones.
 #[derive(Clone, Debug)]
 pub struct Transfers(Arc<Shared>);
@@ -42,6 +57,8 @@
 struct State {
     meter: Meter,
     is_given_up: bool,
+    /// What is not passed on yet of a response.
+    rest: Bytes,
 }
 
 /// A body that is listed until this is dropped.
@@ -52,6 +69,11 @@
     entry: Arc<Entry>,
 }
 
+/// A transfer that was given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the transfer was given up")]
+pub struct GivenUp;
+
 impl Default for Transfers {
     fn default() -> Transfers {
         let entries = Mutex::default();
@@ -71,8 +93,29 @@
 
     /// Lists a request's body.
     pub fn begin(&self) -> Transfer {
+        self.add(Bytes::new())
+    }
+
+    /// The body of a response that is due at this time.
+    pub fn respond(&self, body: Bytes, due: Instant) -> dropshot::Body {
+        if body.len() <= FRAME_BYTES {
+            return dropshot::Body::from(body);
+        }
+        let transfer = self.add(body);
+        let entry = Arc::downgrade(&transfer.entry);
+        tokio::spawn(async move {
+            let limit = due.max(Instant::now()) + UNREAD_TIMEOUT;
+            tokio::time::sleep_until(limit.into()).await;
+            if let Some(entry) = entry.upgrade() {
+                entry.give_up();
+            }
+        });
+        dropshot::Body::wrap(Response(transfer))
+    }
+
+    fn add(&self, rest: Bytes) -> Transfer {
         let meter = Meter::new(self.now());
-        let state = Mutex::new(State { meter, is_given_up: false });
+        let state = Mutex::new(State { meter, is_given_up: false, rest });
         let entry = Arc::new(Entry { state, given_up: Notify::new() });
         let mut entries = lock(&self.0.entries);
         entries.last_key += 1;
@@ -94,12 +137,31 @@
         let slowest = rated.min_by_key(|(rate, _)| *rate);
         slowest.inspect(|(_, entry)| entry.give_up()).is_some()
     }
+
+    /// Appends bytes of a content that has at most `max_len` in all. Returns
+    /// false if there is no room, also after transfers were given up.
+    pub fn push(
+        &self,
+        buffer: &mut Buffer,
+        data: &[u8],
+        max_len: usize,
+    ) -> bool {
+        while !buffer.push(data, max_len) {
+            if !self.give_up_slowest() {
+                return false;
+            }
+        }
+        true
+    }
 }
 
 impl Entry {
-    /// Ends it.
+    /// Frees what is left of it and ends it.
     fn give_up(&self) {
-        lock(&self.state).is_given_up = true;
+        let mut state = lock(&self.state);
+        state.is_given_up = true;
+        state.rest = Bytes::new();
+        drop(state);
         self.given_up.notify_one();
     }
 }
@@ -123,6 +185,42 @@
     }
 }
 
+/// The body of a response.
+#[derive(Debug)]
+struct Response(Transfer);
+
+impl Body for Response {
+    type Data = Bytes;
+    type Error = GivenUp;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, GivenUp>>> {
+        let mut state = lock(&self.0.entry.state);
+        if state.is_given_up {
+            return Poll::Ready(Some(Err(GivenUp)));
+        }
+        let count = state.rest.len().min(FRAME_BYTES);
+        if count == 0 {
+            return Poll::Ready(None);
+        }
+        let piece = Bytes::copy_from_slice(&state.rest[..count]);
+        state.rest.advance(count);
+        state.meter.record(self.0.transfers.now(), count);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let state = lock(&self.0.entry.state);
+        state.rest.is_empty() && !state.is_given_up
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(lock(&self.0.entry.state).rest.len() as u64)
+    }
+}
+
 /// Where bodies count, and which of them give way.
 #[derive(Clone, Debug)]
 pub struct Room {
