Soak: crowds of clients that send or read as little as they can

Eight kinds (silent, dripping heads, bodies short of their end by length and in chunks, dripping bodies, unread, slowly read and pipelined responses), 4 to 8 crowds of 40 to 400 clients a run, drawn from a generator of their own, beside all other faults. Judged is what is judged of all runs: no process ends, none holds more than 64 MB, all nodes serve again.

--- a/crates/walnutmoor-standin/src/main.rs
+++ b/crates/walnutmoor-standin/src/main.rs
@@ -29,6 +29,7 @@
                      fetch, as JSON
   soak --seed N [--count N] [--seconds N] [--logs DIR]
        [--planned | --overload | --leaving] [--hot] [--departures] [--quirks]
+       [--crowds]
                      node processes under fault injection, for N seeds
   drive              replay a session: JSON events in, JSON actions out
   node ... | mesh ...  run the daemon, for measuring and soak runs
@@ -178,6 +179,11 @@
     options.optflag("", "overload", "bursts; promises of return are kept");
     options.optflag("", "leaving", "callers leave; the work for them ends");
     options.optflag("", "quirks", "instances reject and repeat themselves");
+    options.optflag(
+        "",
+        "crowds",
+        "clients send or read as little as they can",
+    );
     options.optflag("", "departures", "all nodes killed after departures");
     options.optflag("", "hot", "client accounts, one of which is hot");
     let usage_error = |e: getopts::Fail| Failure::usage(e.to_string());
@@ -201,6 +207,7 @@
         let config = config.poison(true).restores(true).notices(true);
         // Where requests go is judged only if no instance rejects them.
         let config = config.speeds(!quirks).quirks(quirks);
+        let config = config.crowds(matches.opt_present("crowds"));
         let config = config.departures(matches.opt_present("departures"));
         let config = config.hot_account(matches.opt_present("hot"));
         let config = config.planned_only(matches.opt_present("planned"));
--- a/crates/walnutmoor-standin/src/soak/mod.rs
+++ b/crates/walnutmoor-standin/src/soak/mod.rs
@@ -23,6 +23,7 @@
 ```
 */
 
+pub mod crowd;
 pub mod gone;
 pub mod load;
 pub mod notice;
@@ -83,6 +84,7 @@
     overload: bool,
     leaving: bool,
     quirks: bool,
+    crowds: bool,
 }
 
 impl Config {
@@ -103,6 +105,7 @@
             overload: false,
             leaving: false,
             quirks: false,
+            crowds: false,
         }
     }
 
@@ -174,6 +177,12 @@
         self
     }
 
+    /// Whether crowds of clients come that send or read as little as they can.
+    pub fn crowds(mut self, crowds: bool) -> Config {
+        self.crowds = crowds;
+        self
+    }
+
     /// The time during which new faults begin.
     pub fn length(mut self, length: Duration) -> Config {
         self.length = length;
@@ -266,6 +275,11 @@
             faults.spawn(world.clone().inject(event));
         }
     }
+    if config.crowds {
+        for crowd in crowd::draw(config.seed, nodes, config.length) {
+            faults.spawn(crowd::run(world.clone(), crowd));
+        }
+    }
     for event in &plan {
         faults.spawn(world.clone().inject(*event));
     }
--- a/crates/walnutmoor-standin/src/soak/verdict.rs
+++ b/crates/walnutmoor-standin/src/soak/verdict.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Duration, Instant};
 use walnutmoor_core::{id::Service, table::Effect};
 
-use super::notice::Said;
+use super::{crowd, notice::Said};
 use crate::mesh::instance::Arrival;
 
 /// The retry budget of a service, as a ratio of its requests.
@@ -121,7 +121,9 @@
         let is_known = |id: &str| {
             known.contains(id) || parent(id).is_some_and(|p| known.contains(p))
         };
-        let unknown = |id: &&&str| !is_known(id) && !is_probe(id);
+        let unknown = |id: &&&str| {
+            !is_known(id) && !is_probe(id) && !crowd::is_request(id)
+        };
         for id in runs.keys().filter(unknown) {
             let detail = format!("{id} ran but no caller sent it");
             violations.push(Violation { invariant: "asked for", detail });
--- a/crates/walnutmoor-standin/tests/soak.rs
+++ b/crates/walnutmoor-standin/tests/soak.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Guards against a node that exceeds its memory or does not recover, as
+/// clients send or read as little as they can beside the faults.
+#[test]
+fn nodes_bear_crowds_beside_faults() {
+    run_seed(67001, config(67001, 8).crowds(true));
+}
+
 /// Guards against work that goes on for callers that have left, with and
 /// without `keep_connections`.
 #[test]
