Let the slowest body give way also to one that is refused by its length

Cause: a request whose length does not fit was refused at its head, before the slowest body was asked to give way. So with long deadlines a crowd of bodies ten bytes short kept the room from every upload with a length.

Change: the slowest body gives way there, too.

Four tests, each for one part alone, as either part hides the lack of the other: slow bodies and unread answers with deadlines of ten minutes give way; a body that drips is answered 408 at its deadline while there is room, and has not run; an answer that is read slowly is not held after it.

--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -482,11 +482,14 @@
         return Err(Kind::TooLarge);
     }
     let requests = &state.memory.requests;
-    let head_hold = requests.hold(head_bytes(head)).ok_or(Kind::Full)?;
-    if length > requests.room() {
-        return Err(Kind::Full);
+    let head_hold = requests.hold(head_bytes(head));
+    match head_hold.filter(|_| length <= requests.room()) {
+        Some(head_hold) => Ok((route, origin, head_hold)),
+        None => {
+            state.callers.reject_slowest_body(state.now());
+            Err(Kind::Full)
+        }
     }
-    Ok((route, origin, head_hold))
 }
 
 /// The length of the body, if it is known.
--- a/crates/walnutmoor/tests/crowds/answers.rs
+++ b/crates/walnutmoor/tests/crowds/answers.rs
@@ -3,11 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use tokio::{io::AsyncReadExt, net::TcpStream, time::sleep};
+use walnutmoor_core::time::Millis;
 
 use crate::{
     client,
-    fixture::World,
-    world::{check, limits, request, run_alone, start},
+    fixture::{World, until},
+    world::{
+        LONG, ROUTE_TIMEOUT, TIME_LEFT, check, head_with_time, limits, metric,
+        request, run_alone, start_with_timeout,
+    },
 };
 
 /// The memory of a node, in megabytes: that of the target.
@@ -23,20 +27,27 @@
 const INSTANCE: usize = 1;
 
 async fn world(answer_bytes: usize) -> World {
+    world_with_timeout(answer_bytes, ROUTE_TIMEOUT).await
+}
+
+async fn world_with_timeout(answer_bytes: usize, timeout: Millis) -> World {
     let services = ["front", "desk"];
-    let world = start(&limits(1 << 20), MEMORY_MB, &services).await;
+    let limits = limits(1 << 20);
+    let world =
+        start_with_timeout(&limits, MEMORY_MB, &services, timeout).await;
     world.pairs[INSTANCE].instance.set_response_bytes(answer_bytes);
     world
 }
 
 /// Opens clients that request long answers and read only their first bytes.
-async fn crowd(address: SocketAddr) -> Vec<TcpStream> {
+async fn crowd(address: SocketAddr, time_left: Millis) -> Vec<TcpStream> {
     let mut readers = Vec::new();
     for n in 0..READERS {
         let Some(mut stream) = client::open(address).await else {
             continue;
         };
-        let text = request(&format!("reader-{n}"));
+        let attempt = format!("reader-{n}");
+        let text = head_with_time(&attempt, time_left, "content-length: 0");
         client::send(&mut stream, text.as_bytes()).await;
         client::await_first_bytes(&mut stream).await;
         readers.push(stream);
@@ -44,11 +55,18 @@
     readers
 }
 
+async fn read_slowly(mut stream: TcpStream) {
+    let mut bytes = [0; 2 << 10];
+    while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
 async fn check_unread(index: usize) {
     let mut world = world(ANSWER_BYTES).await;
     let address = world.pairs[index].node.addresses().callers;
 
-    let readers = crowd(address).await;
+    let readers = crowd(address, TIME_LEFT).await;
 
     world.pairs[INSTANCE].instance.set_response_bytes(0);
     check(&mut world).await;
@@ -75,15 +93,10 @@
         let mut world = world(ANSWER_BYTES).await;
         let address = world.pairs[CALLED].node.addresses().callers;
 
-        let readers = crowd(address).await;
-        let readers = readers.into_iter().map(|mut stream| {
-            tokio::spawn(async move {
-                let mut bytes = [0; 2 << 10];
-                while stream.read(&mut bytes).await.is_ok_and(|n| n > 0) {
-                    sleep(Duration::from_millis(200)).await;
-                }
-            })
-        });
+        let readers = crowd(address, TIME_LEFT).await;
+        let readers = readers
+            .into_iter()
+            .map(|stream| tokio::spawn(read_slowly(stream)));
         let readers: Vec<_> = readers.collect();
 
         world.pairs[INSTANCE].instance.set_response_bytes(0);
@@ -92,6 +105,45 @@
     });
 }
 
+/// Guards against a room for answers that is held as long as deadlines allow.
+#[test]
+fn unread_answers_with_long_deadlines_give_way_to_others() {
+    /// Longer than what is left beside answers that fill the room.
+    const ORDINARY_BYTES: usize = 2_000_000;
+    run_alone(async {
+        let mut world = world_with_timeout(ANSWER_BYTES, LONG).await;
+        let address = world.pairs[CALLED].node.addresses().callers;
+
+        let readers = crowd(address, LONG).await;
+
+        let desk = world.pairs[INSTANCE].instance.clone();
+        desk.set_response_bytes(ORDINARY_BYTES);
+        check(&mut world).await;
+        drop(readers);
+    });
+}
+
+/// Guards against a deadline that ends nothing while there is room.
+#[test]
+fn an_answer_that_is_read_slowly_is_not_held_after_its_deadline() {
+    run_alone(async {
+        let timeout = Millis(1_000);
+        let mut world = world_with_timeout(ANSWER_BYTES, timeout).await;
+        let address = world.pairs[CALLED].node.addresses().callers;
+
+        let mut stream = client::open(address).await.unwrap();
+        client::send(&mut stream, request("slow").as_bytes()).await;
+        client::await_first_bytes(&mut stream).await;
+        let reader = tokio::spawn(read_slowly(stream));
+
+        let held = || metric(&world, CALLED, "walnutmoor_held_bytes ");
+        until("it is not held", || async { held().await == Some(0.0) }).await;
+        world.pairs[INSTANCE].instance.set_response_bytes(0);
+        check(&mut world).await;
+        reader.abort();
+    });
+}
+
 /// Guards against a connection that is given all the answers to its pipelined
 /// requests at once.
 #[test]
--- a/crates/walnutmoor/tests/crowds/bodies.rs
+++ b/crates/walnutmoor/tests/crowds/bodies.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use tokio::{net::TcpStream, task::JoinHandle, time::sleep};
+use tokio::{io::AsyncReadExt, net::TcpStream, task::JoinHandle, time::sleep};
+use walnutmoor_core::time::Millis;
 use walnutmoor_standin::soak::proxy::Mode;
 
 use crate::{
     client,
     fixture::{World, until},
-    world::{check, empty, head, limits, run_alone, start},
+    world::{
+        LONG, check, empty, head, head_with_time, limits, run_alone, start,
+        start_with_timeout,
+    },
 };
 
 /// The memory of a node, in megabytes: that of the target.
@@ -195,6 +199,67 @@
     });
 }
 
+/// Guards against a room for bodies that is held as long as deadlines allow.
+#[test]
+fn slow_bodies_with_long_deadlines_give_way_to_an_upload() {
+    run_alone(async {
+        let limits = limits(1 << 20);
+        let services = ["front", "desk"];
+        let world = start_with_timeout(&limits, MEMORY_MB, &services, LONG);
+        let mut world = world.await;
+
+        let framing = format!("content-length: {BODY_BYTES}");
+        let clients = crowd(&world, 0, |n| {
+            let attempt = format!("long-{n}");
+            let head = head_with_time(&attempt, LONG, &framing);
+            let mut bytes = head.into_bytes();
+            bytes.resize(bytes.len() + BODY_BYTES - MISSING, b'b');
+            bytes
+        });
+        let clients = clients.await;
+
+        check_with_upload(&mut world, 0).await;
+        drop(clients);
+    });
+}
+
+/// Guards against a deadline that ends nothing while there is room.
+#[test]
+fn a_body_that_drips_is_refused_as_not_run_at_its_deadline() {
+    run_alone(async {
+        let limits = limits(1 << 20);
+        let services = ["front", "desk"];
+        let timeout = Millis(1_000);
+        let world = start_with_timeout(&limits, MEMORY_MB, &services, timeout);
+        let mut world = world.await;
+        let address = world.pairs[0].node.addresses().callers;
+
+        let mut stream = client::open(address).await.unwrap();
+        let mut bytes = short_by_length(0);
+        bytes.truncate(bytes.len() - 1_000);
+        client::send(&mut stream, &bytes).await;
+        let answer = tokio::spawn(async move {
+            let (mut read, write) = stream.into_split();
+            let mut status = [0; 12];
+            tokio::select! {
+                _ = read.read_exact(&mut status) => {}
+                () = async {
+                    while write.try_write(b"b").is_ok() {
+                        sleep(Duration::from_millis(200)).await;
+                    }
+                    std::future::pending().await
+                } => {}
+            }
+            String::from_utf8_lossy(&status).into_owned()
+        });
+
+        until("it is answered", || async { answer.is_finished() }).await;
+        assert_eq!(answer.await.unwrap(), "HTTP/1.1 408");
+        assert_eq!(world.runs("short-0"), 0);
+        check(&mut world).await;
+    });
+}
+
 /// Guards against limits that leave no room for a single upload.
 #[test]
 fn a_body_of_legal_length_is_served_by_small_nodes() {
