Answer the requests before a head that is late

Cause: since a connection whose next head is late was closed at once, also while earlier requests on it were in flight; their callers got no answer although the requests ran.

Change: with requests in flight the connection drains: they are answered, the last answer says that it closes, and the late head is not waited for.

--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -402,6 +402,7 @@
         let is_idle = self.pending.is_empty()
             && is_over(self.last_progress + timeouts.idle);
         let head = self.head_since.map(|since| since + timeouts.head);
+        let is_head_late = head.is_some_and(is_over);
         let unread = self.unwritten.front().map(|first| first.deadline);
         let is_body_late = match &self.reading {
             ReadState::Body(arrival) => is_over(arrival.deadline()),
@@ -415,11 +416,15 @@
         {
             self.drain();
         }
-        let is_late = head.is_some_and(is_over) || unread.is_some_and(is_over);
-        match is_idle || is_late {
-            true => Err(io::ErrorKind::TimedOut.into()),
-            false => Ok(()),
+        let is_unread = unread.is_some_and(is_over);
+        if is_idle || is_unread || (is_head_late && self.pending.is_empty()) {
+            return Err(io::ErrorKind::TimedOut.into());
         }
+        if is_head_late {
+            // The requests before it are answered.
+            self.drain();
+        }
+        Ok(())
     }
 
     /// Writes as much as the kernel takes.
--- a/crates/walnutmoor/tests/crowds/connections.rs
+++ b/crates/walnutmoor/tests/crowds/connections.rs
@@ -4,11 +4,12 @@
 
 use tokio::{net::TcpStream, time::sleep};
 use walnutmoor_core::{table::Limits, time::Millis};
+use walnutmoor_standin::mesh::caller::Connection;
 
 use crate::{
     client,
     fixture::{World, until},
-    world::{LONG, check, empty, head, limits, run_alone, start},
+    world::{LONG, check, empty, head, limits, request, run_alone, start},
 };
 
 /// The memory of a node, in megabytes: that of the target.
@@ -109,6 +110,34 @@
     });
 }
 
+/// Guards against a late head that cuts off the response to an earlier request
+/// on its connection.
+#[test]
+fn a_late_head_does_not_cut_off_a_request_in_flight() {
+    run_alone(async {
+        let limits = short_head_timeout();
+        let services = ["front", "desk"];
+        let mut world = start(&limits, MEMORY_MB, &services).await;
+        let address = world.pairs[0].node.addresses().callers;
+        let desk = world.pairs[1].instance.clone();
+        desk.hold("first");
+
+        let mut caller = Connection::open(address).await.unwrap();
+        let second = head("second", "x-long: ");
+        let text = request("first") + second.trim_end();
+        caller.write(&text).await.unwrap();
+        until("it runs", || async { desk.runs("first") == 1 }).await;
+        // The time for the second head passes.
+        sleep(Duration::from_secs(3)).await;
+        desk.release("first");
+
+        let answer = caller.read().await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(caller.is_closing());
+        check(&mut world).await;
+    });
+}
+
 /// Guards against connections that send nothing and stay open for the idle
 /// timeout, which is for callers between two requests.
 #[test]
