Spend less on each wake-up of a caller's connection

Cause: each pass of a connection read the clock up to five times, made a new waiter for orders, and set its timer for every response, also for one that the kernel takes at once, so that it woke again 1 s after its request was due. Each body took the lock of the account up to four times.

Change: one clock reading a pass; the waiter lives as long as the connection; the timer is set for a response only once the kernel has not taken all of it; the account is not locked for nothing.

--- a/crates/walnutmoor-core/src/memory.rs
+++ b/crates/walnutmoor-core/src/memory.rs
@@ -166,6 +166,9 @@
     /// Holds more bytes. Returns false if there is no room; nothing is added
     /// then.
     pub fn grow(&mut self, count: usize) -> bool {
+        if count == 0 {
+            return true;
+        }
         let has_grown = self.pool.set_used(|used| used.checked_add(count));
         if has_grown {
             self.bytes += count;
@@ -176,6 +179,9 @@
     /// Returns bytes, at most those that are held.
     pub fn shrink(&mut self, count: usize) {
         let count = count.min(self.bytes);
+        if count == 0 {
+            return;
+        }
         self.pool.set_used(|used| Some(used - count));
         self.bytes -= count;
     }
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -143,6 +143,8 @@
     paused_since: Option<Millis>,
     /// Since when a head is awaited that has begun, or the first one.
     head_since: Option<Millis>,
+    /// True if the kernel has not taken all that was to be written.
+    is_stuck: bool,
 }
 
 /// A response that is not completely written.
@@ -202,6 +204,11 @@
     }
 }
 
+/// The moment after this time.
+fn after(time: Millis) -> Instant {
+    Instant::now() + Duration::from_millis(time.0)
+}
+
 /// Closes the sending side and discards what the caller still sends.
 async fn linger(stream: &mut TcpStream) {
     if stream.shutdown().await.is_err() {
@@ -276,6 +283,7 @@
             last_progress: now,
             paused_since: None,
             head_since: Some(now),
+            is_stuck: false,
             state,
         }
     }
@@ -284,21 +292,23 @@
         let timeouts = Timeouts::of(&self.state);
         let (mut reader, writer) = stream.split();
         let mut timer = pin!(sleep(Duration::from_millis(timeouts.head.0)));
+        let mut next_check = self.state.now() + timeouts.head;
+        let caller = self.caller.clone();
+        let mut ordered = pin!(caller.ordered());
         loop {
             self.obey()?;
             self.advance();
-            self.update_stage();
+            let now = self.state.now();
+            self.update_stage(now);
             let has_output = self.caller.output().borrow().has_remaining();
             if self.pipeline.is_drained() && !has_output {
                 return Ok(());
             }
-            let now = self.state.now();
-            let due = self.next_deadline(timeouts);
-            let due = Instant::now() + Duration::from_millis(due.since(now).0);
-            if due < timer.deadline() {
-                timer.as_mut().reset(due);
+            let due = self.next_deadline(now, timeouts);
+            if due < next_check {
+                next_check = due;
+                timer.as_mut().reset(after(due.since(now)));
             }
-            let caller = self.caller.clone();
             let intake = self.intake();
             let stall_left = self.stall_left(intake);
             let buffer = self.decoder.buffer();
@@ -321,11 +331,12 @@
                 {
                     self.abandon_backlog();
                 }
-                () = caller.ordered() => {}
+                () = &mut ordered => ordered.set(caller.ordered()),
                 () = &mut timer => {
                     self.check_deadlines(timeouts)?;
-                    let left = Duration::from_millis(timeouts.idle.0 / 4);
-                    timer.as_mut().reset(Instant::now() + left);
+                    let left = Millis(timeouts.idle.0 / 4);
+                    next_check = self.state.now() + left;
+                    timer.as_mut().reset(after(left));
                 }
             }
             self.update_read_ahead();
@@ -349,8 +360,7 @@
     }
 
     /// Updates what the connection is listed with.
-    fn update_stage(&mut self) {
-        let now = self.state.now();
+    fn update_stage(&mut self, now: Millis) {
         let is_head = matches!(self.reading, ReadState::Head)
             && self.may_decode()
             && self.decoder.is_in_head();
@@ -374,17 +384,19 @@
     }
 
     /// When the connection is checked next.
-    fn next_deadline(&self, timeouts: Timeouts) -> Millis {
+    fn next_deadline(&self, now: Millis, timeouts: Timeouts) -> Millis {
         let head = self.head_since.map(|since| since + timeouts.head);
         let read = match &self.reading {
             ReadState::Body(arrival) => Some(arrival.deadline()),
             ReadState::Discard { deadline, .. } => Some(*deadline),
             ReadState::Head | ReadState::Blocked(_) => None,
         };
-        let unread = self.unwritten.front().map(|first| first.deadline);
+        // A response that the kernel takes at once needs no timer.
+        let unread = self.unwritten.front().filter(|_| self.is_stuck);
+        let unread = unread.map(|first| first.deadline);
         let active_at = match self.pending.is_empty() {
             true => self.last_progress,
-            false => self.state.now(),
+            false => now,
         };
         let idle = active_at + timeouts.idle;
         let deadlines = [head, read, unread].into_iter().flatten();
@@ -439,11 +451,13 @@
         let written = match writer.try_write_vectored(&slices[..filled]) {
             Ok(written) => written,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                self.is_stuck = true;
                 return Ok(());
             }
             Err(error) => return Err(error),
         };
         output.advance(written);
+        self.is_stuck = output.has_remaining();
         drop(output);
         let now = self.state.now();
         self.caller.record_progress(now, written);
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -299,18 +299,13 @@
     }
 
     /// Counts its body in a pool until it is dropped. Returns false if there
-    /// is no room; the body is dropped then.
+    /// is no room.
     fn count_body(&mut self, pool: &Pool) -> bool {
         let Some(body) = self.body() else {
             return true;
         };
-        match memory::count(pool, std::mem::take(body)) {
-            Some(counted) => {
-                *body = counted;
-                true
-            }
-            None => false,
-        }
+        let counted = memory::count(pool, body.clone());
+        counted.map(|counted| *body = counted).is_some()
     }
 }
 
@@ -495,12 +490,12 @@
     /// Counts a frame that was decoded whole.
     fn count(&self, frame: Frame) -> Received {
         let mut frame = frame;
-        let length = frame.body().map_or(0, |body| body.len());
-        while self.pool().room() < length && self.free() {}
-        match frame.count_body(self.pool()) {
-            true => Received::Complete(frame),
-            false => Received::NoRoom(frame),
+        while !frame.count_body(self.pool()) {
+            if !self.free() {
+                return Received::NoRoom(frame);
+            }
         }
+        Received::Complete(frame)
     }
 }
 
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -483,7 +483,7 @@
     }
     let requests = &state.memory.requests;
     let head_hold = requests.hold(head_bytes(head));
-    match head_hold.filter(|_| length <= requests.room()) {
+    match head_hold.filter(|_| length == 0 || length <= requests.room()) {
         Some(head_hold) => Ok((route, origin, head_hold)),
         None => {
             state.callers.reject_slowest_body(state.now());
