Count answers apart from the bodies of requests; one reader of bodies

Cause: in `walnutmoor node` room for an answer was sought by giving up the slowest transfer of any kind. If that was the body of a request, nothing became free where the answer counts, and an upload was lost for nothing. The node also had three loops that read a body into the account, and the soak passed over any request whose id begins with "crowd", so a body that never ended could have run unseen.

Change: `Requests` and `Answers` each have their own transfers; an answer gives way only to an answer. `memory::read` is the one loop, `memory::Room` the one trait. The soak records the ids that a crowd sends whole, and any other id is a violation again. The clients of the crowd tests and of the soak are the same (`mesh::slow`).

--- a/crates/walnutmoor-standin/src/mesh/mod.rs
+++ b/crates/walnutmoor-standin/src/mesh/mod.rs
@@ -6,5 +6,6 @@
 pub mod caller;
 pub mod instance;
 pub mod node;
+pub mod slow;
 pub mod store;
 pub mod window;
--- a/crates/walnutmoor-standin/src/soak/crowd.rs
+++ b/crates/walnutmoor-standin/src/soak/crowd.rs
@@ -1,10 +1,11 @@
 /*!
 Crowds of clients that send or read as little as they can, beside the faults.
 
-Their requests are not judged: what must hold is that no process ends, that
-each stays within its memory, and that the other callers are served again
-afterwards. The crowds of a run have their own generator, so that the faults of
-a seed don't depend on them.
+Their exchanges are not judged: what must hold is that no process ends, that
+each stays within its memory, that the other callers are served again
+afterwards, and that no request runs that a crowd has not sent whole. The crowds
+of a run have their own generator, so that the faults of a seed don't depend on
+them.
 */
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -14,14 +15,13 @@
     rand_core::{Rng, SeedableRng},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpSocket, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
-use walnutmoor_platform::header;
+use walnutmoor_core::time::Millis;
 
-use super::world::{HOST, World, caller_address};
+use super::world::{World, caller_address};
+use crate::mesh::slow;
 
 /// What the clients of a crowd do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,8 +91,12 @@
 /// The requests that are sent at once on a connection.
 const PIPELINED: usize = 8;
 
-/// The pause between two bytes that drip or two reads.
-const PAUSE: Duration = Duration::from_millis(200);
+/// The bytes that are missing at the end of a body. More than a dripping client
+/// sends while it stays.
+const MISSING: usize = 1_000;
+
+/// The time that crowds give their requests.
+const TIME_LEFT: Millis = Millis(30_000);
 
 /// Draws the crowds of a run.
 pub fn draw(seed: u64, nodes: usize, length: Duration) -> Vec<Crowd> {
@@ -110,14 +114,6 @@
     (0..count).map(draw).collect()
 }
 
-/// What the ids of a crowd's requests begin with.
-const ID_PREFIX: &str = "crowd";
-
-/// True if this is the id of a crowd's request.
-pub fn is_request(id: &str) -> bool {
-    id.starts_with(ID_PREFIX)
-}
-
 /// Lets a crowd come and go.
 pub async fn run(world: Arc<World>, crowd: Crowd) {
     sleep(crowd.at).await;
@@ -125,84 +121,79 @@
     let address = caller_address(&world.members[crowd.node]);
     let mut clients = JoinSet::new();
     for client in 0..crowd.clients {
-        let prefix = format!("{ID_PREFIX}{}-{client}", crowd.number);
+        let prefix = format!("crowd{}-{client}", crowd.number);
+        for id in crowd.kind.whole_requests(&prefix) {
+            world.record.record_unjudged(id);
+        }
         clients.spawn(behave(address, crowd.kind, prefix));
     }
     sleep_until(end).await;
     clients.shutdown().await;
 }
 
-/// Behaves as this kind of client until the connection ends.
-async fn behave(address: SocketAddr, kind: Kind, prefix: String) {
-    let Some(mut stream) = open(address).await else {
-        return;
-    };
-    let length = format!("content-length: {BODY_BYTES}");
-    let whole = || {
-        let mut bytes = head(&prefix, &length);
-        bytes.resize(bytes.len() + BODY_BYTES, b'b');
-        bytes
-    };
-    let bytes = match kind {
-        Kind::Silent => Vec::new(),
-        Kind::DrippingHead => {
-            let mut bytes = head(&prefix, "x-long: ");
-            bytes.truncate(bytes.len() - 4);
-            bytes
-        }
-        Kind::ShortBody | Kind::DrippingBody => {
-            let mut bytes = whole();
-            bytes.truncate(bytes.len() - 1_000);
-            bytes
-        }
-        Kind::ShortChunks => {
-            let mut bytes = head(&prefix, "transfer-encoding: chunked");
-            bytes.extend(format!("{BODY_BYTES:x}\r\n").as_bytes());
-            bytes.resize(bytes.len() + BODY_BYTES, b'b');
-            bytes
-        }
-        Kind::Unread | Kind::SlowReading => whole(),
-        Kind::Pipelined => {
-            let heads = (0..PIPELINED)
-                .map(|n| head(&format!("{prefix}-{n}"), "content-length: 0"));
-            heads.flatten().collect()
-        }
-    };
-    // The node may refuse the request and close the connection.
-    let _ = stream.write_all(&bytes).await;
-    match kind {
-        Kind::DrippingHead | Kind::DrippingBody => drip(&mut stream).await,
-        Kind::SlowReading => read_slowly(&mut stream).await,
-        _ => std::future::pending().await,
-    }
+/// The head of a request with the time that crowds give it.
+fn head(attempt: &str, framing: &str) -> Vec<u8> {
+    slow::head(attempt, TIME_LEFT, framing).into_bytes()
 }
 
-async fn open(address: SocketAddr) -> Option<TcpStream> {
-    /// The bytes that the kernel receives ahead.
-    const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
-    let socket = TcpSocket::new_v4().ok()?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).ok()?;
-    socket.connect(address).await.ok()
+/// A request whose body stops this many bytes short of its end.
+fn with_body(attempt: &str, missing: usize) -> Vec<u8> {
+    let mut bytes = head(attempt, &format!("content-length: {BODY_BYTES}"));
+    bytes.resize(bytes.len() + BODY_BYTES - missing, b'b');
+    bytes
 }
 
-fn head(attempt: &str, last: &str) -> Vec<u8> {
-    let (id, left) = (header::ATTEMPT, header::TIME_LEFT);
-    let text = format!(
-        "POST /browse/crowd HTTP/1.1\r\nhost: {HOST}\r\n{id}: {attempt}\r\n\
-         {left}: 30000\r\n{last}\r\n\r\n"
-    );
-    text.into_bytes()
-}
+impl Kind {
+    /// The ids of the requests that such a client sends whole.
+    fn whole_requests(self, prefix: &str) -> Vec<String> {
+        match self {
+            Kind::Unread | Kind::SlowReading => vec![prefix.to_string()],
+            Kind::Pipelined => {
+                (0..PIPELINED).map(|n| format!("{prefix}-{n}")).collect()
+            }
+            // Their requests never end, so instances must not run them.
+            _ => Vec::new(),
+        }
+    }
 
-async fn drip(stream: &mut TcpStream) {
-    while stream.write_all(b"x").await.is_ok() {
-        sleep(PAUSE).await;
+    /// What such a client sends first.
+    fn bytes(self, prefix: &str) -> Vec<u8> {
+        match self {
+            Kind::Silent => Vec::new(),
+            Kind::DrippingHead => {
+                let mut bytes = head(prefix, "x-long: ");
+                bytes.truncate(bytes.len() - 4);
+                bytes
+            }
+            Kind::ShortBody | Kind::DrippingBody => with_body(prefix, MISSING),
+            Kind::ShortChunks => {
+                let mut bytes = head(prefix, "transfer-encoding: chunked");
+                bytes.extend(format!("{BODY_BYTES:x}\r\n").as_bytes());
+                bytes.resize(bytes.len() + BODY_BYTES, b'b');
+                bytes
+            }
+            Kind::Unread | Kind::SlowReading => with_body(prefix, 0),
+            Kind::Pipelined => {
+                let ids = self.whole_requests(prefix);
+                ids.iter()
+                    .flat_map(|id| head(id, "content-length: 0"))
+                    .collect()
+            }
+        }
     }
 }
 
-async fn read_slowly(stream: &mut TcpStream) {
-    let mut bytes = [0; 2 << 10];
-    while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
-        sleep(PAUSE).await;
+/// Behaves as this kind of client until the connection ends.
+async fn behave(address: SocketAddr, kind: Kind, prefix: String) {
+    let Some(mut stream) = slow::open(address).await else {
+        return;
+    };
+    slow::send(&mut stream, &kind.bytes(&prefix)).await;
+    match kind {
+        Kind::DrippingHead | Kind::DrippingBody => {
+            slow::drip(&mut stream).await;
+        }
+        Kind::SlowReading => slow::read_slowly(stream).await,
+        _ => std::future::pending().await,
     }
 }
--- a/crates/walnutmoor-standin/src/soak/verdict.rs
+++ b/crates/walnutmoor-standin/src/soak/verdict.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Duration, Instant};
 use walnutmoor_core::{id::Service, table::Effect};
 
-use super::{crowd, notice::Said};
+use super::notice::Said;
 use crate::mesh::instance::Arrival;
 
 /// The retry budget of a service, as a ratio of its requests.
@@ -72,9 +72,18 @@
 pub struct Record {
     exchanges: Mutex<Vec<Exchange>>,
     violations: Mutex<Vec<Violation>>,
+    /// The ids of requests that were sent whole by clients whose exchanges are
+    /// not recorded.
+    unjudged: Mutex<BTreeSet<String>>,
 }
 
 impl Record {
+    /// Records a request that a client sends whole and whose exchange is not
+    /// judged.
+    pub fn record_unjudged(&self, id: String) {
+        self.unjudged.lock().expect("no holder panics").insert(id);
+    }
+
     /// Records a finished exchange.
     pub fn record_exchange(&self, exchange: Exchange) {
         self.exchanges.lock().expect("no holder panics").push(exchange);
@@ -121,8 +130,9 @@
         let is_known = |id: &str| {
             known.contains(id) || parent(id).is_some_and(|p| known.contains(p))
         };
+        let unjudged = self.unjudged.lock().expect("no holder panics");
         let unknown = |id: &&&str| {
-            !is_known(id) && !is_probe(id) && !crowd::is_request(id)
+            !is_known(id) && !is_probe(id) && !unjudged.contains(**id)
         };
         for id in runs.keys().filter(unknown) {
             let detail = format!("{id} ran but no caller sent it");
--- a/crates/walnutmoor/src/command/node.rs
+++ b/crates/walnutmoor/src/command/node.rs
@@ -27,7 +27,7 @@
         echo, forward, gossip,
         listen::{Context, Tokens},
         operator, peer, platform as platform_worker,
-        transfer::{Room, Transfers},
+        transfer::{Answers, Requests, Transfers},
     },
 };
 
@@ -40,7 +40,7 @@
     retries: u8,
     max_time_left: Millis,
     memory: memory::Memory,
-    transfers: Transfers,
+    answers: Answers,
 }
 
 impl Shared {
@@ -53,13 +53,13 @@
             max_body_bytes: self.max_body_bytes,
             retries: self.retries,
             max_time_left: self.max_time_left,
-            room: self.room(pool),
+            requests: Requests {
+                pool: pool.clone(),
+                transfers: Transfers::default(),
+            },
+            answers: self.answers.clone(),
         }
     }
-
-    fn room(&self, pool: &Pool) -> Room {
-        Room { pool: pool.clone(), transfers: self.transfers.clone() }
-    }
 }
 
 pub(super) fn run(settings: Settings) -> Result<(), Failure> {
@@ -68,6 +68,7 @@
     let started_at = Instant::now();
     let platform = Arc::new(platform(&settings));
     let (inputs, receiver) = driver::channel(settings.limits.ring);
+    let memory = memory::Memory::new(settings.limits.memory.0);
     let shared = Shared {
         inputs: inputs.clone(),
         call_counter: Arc::new(AtomicU64::new(1)),
@@ -75,8 +76,11 @@
         max_body_bytes: settings.limits.body.0,
         retries: settings.limits.retries,
         max_time_left: settings.limits.deadline.0,
-        memory: memory::Memory::new(settings.limits.memory.0),
-        transfers: Transfers::default(),
+        answers: Answers {
+            pool: memory.responses.clone(),
+            transfers: Transfers::default(),
+        },
+        memory,
     };
     let backend = start_echo(&settings)?;
     let outputs = start_outputs(&settings, &shared, &platform, backend)?;
@@ -183,7 +187,7 @@
         tokens: shared.tokens.clone(),
         backend,
         max_body_bytes: shared.max_body_bytes,
-        room: shared.room(&shared.memory.responses),
+        answers: shared.answers.clone(),
     };
     worker::spawn("forward", || forward::run(setup, commands))?;
     let sockets = gossip::Sockets::open(NodeId(settings.node.address))?;
--- a/crates/walnutmoor/src/memory.rs
+++ b/crates/walnutmoor/src/memory.rs
@@ -7,6 +7,8 @@
 */
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body;
 use walnutmoor_core::memory::{Budget, Buffer, Hold, Limit, Pool};
 
 /// The fraction of the memory that the pools may hold together.
@@ -79,3 +81,87 @@
         false => Bytes::from_owner(buffer),
     }
 }
+
+/// Where bytes count, and what gives way to them.
+pub trait Room {
+    /// The pool.
+    fn pool(&self) -> &Pool;
+
+    /// Frees some memory of the pool at once, if possible. Returns whether it
+    /// did.
+    fn free(&self) -> bool;
+
+    /// Allocates a buffer, if there is room.
+    fn buffer(&self, capacity: usize) -> Option<Buffer> {
+        let mut buffer = self.pool().buffer();
+        while !buffer.reserve(capacity) {
+            if !self.free() {
+                return None;
+            }
+        }
+        Some(buffer)
+    }
+
+    /// Appends bytes of a content that has at most `max_len` in all. Returns
+    /// false if there is no room.
+    fn push(&self, buffer: &mut Buffer, data: &[u8], max_len: usize) -> bool {
+        while !buffer.push(data, max_len) {
+            if !self.free() {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+impl Room for Pool {
+    fn pool(&self) -> &Pool {
+        self
+    }
+
+    fn free(&self) -> bool {
+        false
+    }
+}
+
+/// Why a body was not read.
+#[derive(Debug)]
+pub enum ReadError<E> {
+    /// There is no room for it.
+    NoRoom,
+    /// Its connection broke, or it is malformed or too long.
+    Broken(E),
+}
+
+/// Reads a complete body of at most `max_len` bytes. `admit` is asked for each
+/// piece by its length, and may refuse it.
+///
+/// # Errors
+///
+/// If the body cannot be read, a piece is refused, or there is no room.
+pub async fn read<B>(
+    body: B,
+    room: &impl Room,
+    max_len: usize,
+    mut admit: impl FnMut(usize) -> bool,
+) -> Result<Bytes, ReadError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let exact = body.size_hint().exact();
+    let exact = exact.and_then(|length| usize::try_from(length).ok());
+    let max_len = exact.map_or(max_len, |length| length.min(max_len));
+    let mut body = body;
+    let mut buffer = room.pool().buffer();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
+            continue;
+        };
+        if !admit(data.len()) || !room.push(&mut buffer, &data, max_len) {
+            return Err(ReadError::NoRoom);
+        }
+    }
+    // It may be held for long.
+    buffer.shrink();
+    Ok(freeze(buffer))
+}
--- a/crates/walnutmoor/src/mesh/callers.rs
+++ b/crates/walnutmoor/src/mesh/callers.rs
@@ -16,7 +16,8 @@
 use tokio::sync::Notify;
 use walnutmoor_core::{memory::Pool, progress::Meter, time::Millis};
 
-use super::{frame::Room, output::Output, state::State};
+use super::{output::Output, state::State};
+use crate::memory::Room;
 
 /// What a connection does.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -57,7 +57,7 @@
     time::Millis,
 };
 
-use crate::memory;
+use crate::memory::{self, Room};
 
 /// The longest frame: the longest body that the platform allows, with room
 /// for its headers.
@@ -390,7 +390,7 @@
     }
 
     /// Appends received bytes.
-    fn feed(&mut self, bytes: &[u8]) {
+    pub fn feed(&mut self, bytes: &[u8]) {
         let rest = match &mut self.detached {
             Some(detached) => detached.feed(bytes),
             None => bytes,
@@ -415,7 +415,7 @@
             match decode_message(&mut self.bytes)? {
                 None => return Ok(None),
                 Some((frame, None)) => {
-                    return Ok(Some(room.count(frame)));
+                    return Ok(Some(count(room, frame)));
                 }
                 Some((frame, Some(length))) => {
                     let body = room.buffer(length);
@@ -457,56 +457,15 @@
     }
 }
 
-/// Where the bodies of received frames count.
-pub trait Room {
-    /// The pool.
-    fn pool(&self) -> &Pool;
-
-    /// Frees some memory of the pool, if possible. Returns whether it did.
-    fn free(&self) -> bool;
-
-    /// Allocates a buffer, if there is room.
-    fn buffer(&self, capacity: usize) -> Option<Buffer> {
-        let mut buffer = self.pool().buffer();
-        while !buffer.reserve(capacity) {
-            if !self.free() {
-                return None;
-            }
-        }
-        Some(buffer)
-    }
-
-    /// Appends bytes of a content that has at most `max_len` in all. Returns
-    /// false if there is no room.
-    fn push(&self, buffer: &mut Buffer, data: &[u8], max_len: usize) -> bool {
-        while !buffer.push(data, max_len) {
-            if !self.free() {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Counts a frame that was decoded whole.
-    fn count(&self, frame: Frame) -> Received {
-        let mut frame = frame;
-        while !frame.count_body(self.pool()) {
-            if !self.free() {
-                return Received::NoRoom(frame);
-            }
+/// Counts a frame that was decoded whole.
+fn count(room: &impl Room, frame: Frame) -> Received {
+    let mut frame = frame;
+    while !frame.count_body(room.pool()) {
+        if !room.free() {
+            return Received::NoRoom(frame);
         }
-        Received::Complete(frame)
-    }
-}
-
-impl Room for Pool {
-    fn pool(&self) -> &Pool {
-        self
-    }
-
-    fn free(&self) -> bool {
-        false
     }
+    Received::Complete(frame)
 }
 
 /// Appends the available bytes, waiting for some if there are none. Returns
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -22,9 +22,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{
-    body::{Body, Incoming},
+    body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -39,8 +39,8 @@
 };
 use walnutmoor_platform::header::{self, Verdict};
 
-use super::{cancellation::increment, frame::Room};
-use crate::memory::freeze;
+use super::cancellation::increment;
+use crate::memory::{ReadError, Room, read};
 
 /// The timeout for connecting to the instance, which is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -344,28 +344,16 @@
     /// If the connection breaks, or there is no room for the body.
     async fn read_body(
         &self,
-        mut body: Incoming,
+        body: Incoming,
         room: &impl Room,
     ) -> Result<Bytes, String> {
         let mut share = self.intake.begin();
-        let mut buffer = room.pool().buffer();
-        let exact = body.size_hint().exact();
-        let max_len = exact.and_then(|length| usize::try_from(length).ok());
-        let max_len = max_len.unwrap_or(usize::MAX);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let has_room = share.grow(data.len())
-                && room.push(&mut buffer, &data, max_len);
-            if !has_room {
-                return Err("no room for the response".into());
-            }
-        }
-        // It may be held for long.
-        buffer.shrink();
-        Ok(freeze(buffer))
+        let admit = |count| share.grow(count);
+        let body = read(body, room, usize::MAX, admit);
+        body.await.map_err(|error| match error {
+            ReadError::NoRoom => "no room for the response".into(),
+            ReadError::Broken(error) => error.to_string(),
+        })
     }
 
     /// Keeps a connection after a response, unless a copy of the response
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -23,13 +23,14 @@
 
 use super::{
     callers::Responses,
-    frame::{Call, Reply, Room},
+    frame::{Call, Reply},
     instance::{Outcome, Response},
     journal::Event,
     serve::{MIN_RETRY_AFTER, Parent, Run, Sink},
     state::State,
     wire,
 };
+use crate::memory::Room;
 
 /// How long after its deadline a run may still be answered. Instances stop work
 /// at the deadline, and respond.
--- a/crates/walnutmoor/src/worker/forward.rs
+++ b/crates/walnutmoor/src/worker/forward.rs
@@ -14,8 +14,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::{Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -26,7 +25,7 @@
 use super::{
     driver::{self, Input, InputSender, Payload},
     listen::Tokens,
-    transfer::Room,
+    transfer::Answers,
 };
 use crate::{
     memory,
@@ -79,8 +78,8 @@
     pub backend: Option<SocketAddr>,
     /// The maximum size of the body of an answer.
     pub max_body_bytes: usize,
-    /// Where the bodies of answers count.
-    pub room: Room,
+    /// The bodies of answers.
+    pub answers: Answers,
 }
 
 struct Sender {
@@ -157,14 +156,14 @@
         };
         let (client, max_body_bytes) =
             (client.clone(), self.setup.max_body_bytes);
-        let room = self.setup.room.clone();
+        let answers = self.setup.answers.clone();
         let (inputs, in_flight) =
             (self.setup.inputs.clone(), self.in_flight.clone());
         let task = tokio::spawn(async move {
             let (reply, answer) = match request {
                 Some(request) => {
                     let is_peer = to.is_some();
-                    exchange(client, request, max_body_bytes, room, is_peer)
+                    exchange(client, request, max_body_bytes, answers, is_peer)
                         .await
                 }
                 None => (Reply::Unreachable, None),
@@ -226,37 +225,12 @@
     }
 }
 
-/// Reads the complete body of an answer. `None` if it is incomplete or too
-/// long, or if there is no room for it.
-async fn read_body(
-    room: &Room,
-    body: Incoming,
-    max_bytes: usize,
-) -> Option<Bytes> {
-    let exact = body.size_hint().exact();
-    let max_len = exact.and_then(|length| usize::try_from(length).ok());
-    let max_len = max_len.unwrap_or(max_bytes).min(max_bytes);
-    let mut body = Limited::new(body, max_bytes);
-    let mut buffer = room.pool.buffer();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        if !room.transfers.push(&mut buffer, &data, max_len) {
-            return None;
-        }
-    }
-    // It may be held for long.
-    buffer.shrink();
-    Some(memory::freeze(buffer))
-}
-
 /// Sends a request and reads the complete answer.
 async fn exchange(
     client: HttpClient,
     request: Request<Full<Bytes>>,
     max_body_bytes: usize,
-    room: Room,
+    answers: Answers,
     is_peer: bool,
 ) -> (Reply, Option<Answer>) {
     let response = match client.request(request).await {
@@ -267,7 +241,9 @@
         Err(_) => return (Reply::Broken, None),
     };
     let (parts, body) = response.into_parts();
-    let Some(body) = read_body(&room, body, max_body_bytes).await else {
+    let limited = Limited::new(body, max_body_bytes);
+    let read = memory::read(limited, &answers, max_body_bytes, |_| true);
+    let Ok(body) = read.await else {
         return (Reply::Broken, None);
     };
     let trailer = match (is_peer, wire::trailer(&parts.headers)) {
--- a/crates/walnutmoor/src/worker/listen.rs
+++ b/crates/walnutmoor/src/worker/listen.rs
@@ -19,7 +19,6 @@
 };
 use http::{HeaderMap, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Body as _;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use tokio::{runtime::Handle, sync::oneshot};
@@ -27,10 +26,10 @@
 
 use super::{
     driver::{self, Completion, Input, InputSender, Payload},
-    transfer::{Room, Transfer},
+    transfer::{Answers, Requests},
 };
 use crate::{
-    memory,
+    memory::{self, ReadError},
     prelude::*,
     wire::{self, Answer, Head},
 };
@@ -50,8 +49,10 @@
     pub retries: u8,
     /// The longest time that a caller may give a call.
     pub max_time_left: Millis,
-    /// Where the bodies of requests count.
-    pub room: Room,
+    /// The bodies of requests that are being read.
+    pub requests: Requests,
+    /// The bodies of answers that are being delivered.
+    pub answers: Answers,
 }
 
 impl Context {
@@ -148,6 +149,9 @@
     error.to_string()
 }
 
+/// The error of a body, of any of its layers.
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Why a body could not be read.
 pub enum BodyError {
     /// It is longer than the limit.
@@ -183,45 +187,31 @@
     left: Option<Millis>,
 ) -> Result<Bytes, BodyError> {
     let due = context.due(left);
-    let room = &context.room;
-    let transfer = room.transfers.begin();
-    let read = read_counted(room, &transfer, body, context.max_body_bytes);
+    let requests = &context.requests;
+    let transfer = requests.transfers.begin();
+    let max_bytes = context.max_body_bytes;
+    let limited = Limited::new(body, max_bytes);
+    let read = memory::read(limited, requests, max_bytes, |count| {
+        transfer.record(count);
+        true
+    });
     tokio::select! {
-        body = read => body,
+        body = read => body.map_err(BodyError::from),
         () = transfer.given_up() => Err(BodyError::NoRoom),
         () = tokio::time::sleep_until(due.into()) => Err(BodyError::Late),
     }
 }
 
-async fn read_counted(
-    room: &Room,
-    transfer: &Transfer,
-    body: Body,
-    max_bytes: usize,
-) -> Result<Bytes, BodyError> {
-    let max_len = body.size_hint().exact().map_or(max_bytes, |length| {
-        usize::try_from(length).unwrap_or(max_bytes).min(max_bytes)
-    });
-    let mut body = Limited::new(body, max_bytes);
-    let mut buffer = room.pool.buffer();
-    while let Some(frame) = body.frame().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(error) if error.is::<LengthLimitError>() => {
-                return Err(BodyError::TooLarge);
+impl From<ReadError<BoxError>> for BodyError {
+    fn from(error: ReadError<BoxError>) -> BodyError {
+        match error {
+            ReadError::NoRoom => BodyError::NoRoom,
+            ReadError::Broken(error) if error.is::<LengthLimitError>() => {
+                BodyError::TooLarge
             }
-            Err(_) => return Err(BodyError::Incomplete),
-        };
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        transfer.record(data.len());
-        if !buffer.push(data, max_len) {
-            room.transfers.give_up_slowest();
-            return Err(BodyError::NoRoom);
+            ReadError::Broken(_) => BodyError::Incomplete,
         }
     }
-    Ok(memory::freeze(buffer))
 }
 
 /// Reads the complete body of a small message of at most `max_bytes` bytes.
@@ -323,7 +313,7 @@
     let Answer { status, headers, body } = answer;
     let mut response =
         response(Answer { status, headers, body: Bytes::new() });
-    *response.body_mut() = context.room.transfers.respond(body, due);
+    *response.body_mut() = context.answers.transfers.respond(body, due);
     response
 }
 
--- a/crates/walnutmoor/src/worker/transfer.rs
+++ b/crates/walnutmoor/src/worker/transfer.rs
@@ -16,12 +16,9 @@
 use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
-use walnutmoor_core::{
-    memory::{Buffer, Pool},
-    progress::Meter,
-};
+use walnutmoor_core::{memory::Pool, progress::Meter};
 
-use crate::prelude::*;
+use crate::{memory::Room, prelude::*};
 
 /// The bytes of a response that are passed on at a time. They are copied, so
 /// that what waits to be written does not keep the rest.
@@ -137,22 +134,6 @@
         let slowest = rated.min_by_key(|(rate, _)| *rate);
         slowest.inspect(|(_, entry)| entry.give_up()).is_some()
     }
-
-    /// Appends bytes of a content that has at most `max_len` in all. Returns
-    /// false if there is no room, also after transfers were given up.
-    pub fn push(
-        &self,
-        buffer: &mut Buffer,
-        data: &[u8],
-        max_len: usize,
-    ) -> bool {
-        while !buffer.push(data, max_len) {
-            if !self.give_up_slowest() {
-                return false;
-            }
-        }
-        true
-    }
 }
 
 impl Entry {
@@ -221,11 +202,43 @@
     }
 }
 
-/// Where bodies count, and which of them give way.
+/// The bodies of requests that are being read. Without room the slowest is
+/// given up, which frees its memory a little later.
+#[derive(Clone, Debug)]
+pub struct Requests {
+    /// The memory.
+    pub pool: Pool,
+    /// The transfers in that memory.
+    pub transfers: Transfers,
+}
+
+impl Room for Requests {
+    fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    fn free(&self) -> bool {
+        self.transfers.give_up_slowest();
+        false
+    }
+}
+
+/// The bodies of answers. Without room the one that is read slowest is given
+/// up.
 #[derive(Clone, Debug)]
-pub struct Room {
+pub struct Answers {
     /// The memory.
     pub pool: Pool,
     /// The transfers in that memory.
     pub transfers: Transfers,
 }
+
+impl Room for Answers {
+    fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    fn free(&self) -> bool {
+        self.transfers.give_up_slowest()
+    }
+}
--- a/crates/walnutmoor/tests/crowds/answers.rs
+++ b/crates/walnutmoor/tests/crowds/answers.rs
@@ -1,16 +1,16 @@
 //! Clients that do not read their answers, or read them slowly.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
-use tokio::{io::AsyncReadExt, net::TcpStream, time::sleep};
+use tokio::net::TcpStream;
 use walnutmoor_core::time::Millis;
+use walnutmoor_standin::mesh::slow;
 
 use crate::{
-    client,
     fixture::{World, until},
     world::{
-        LONG, ROUTE_TIMEOUT, TIME_LEFT, check, head_with_time, limits, metric,
-        request, run_alone, start_with_timeout,
+        LONG, ROUTE_TIMEOUT, TIME_LEFT, check, limits, request, run_alone,
+        start_with_timeout,
     },
 };
 
@@ -43,25 +43,18 @@
 async fn crowd(address: SocketAddr, time_left: Millis) -> Vec<TcpStream> {
     let mut readers = Vec::new();
     for n in 0..READERS {
-        let Some(mut stream) = client::open(address).await else {
+        let Some(mut stream) = slow::open(address).await else {
             continue;
         };
         let attempt = format!("reader-{n}");
-        let text = head_with_time(&attempt, time_left, "content-length: 0");
-        client::send(&mut stream, text.as_bytes()).await;
-        client::await_first_bytes(&mut stream).await;
+        let text = slow::head(&attempt, time_left, "content-length: 0");
+        slow::send(&mut stream, text.as_bytes()).await;
+        slow::await_first_bytes(&mut stream).await;
         readers.push(stream);
     }
     readers
 }
 
-async fn read_slowly(mut stream: TcpStream) {
-    let mut bytes = [0; 2 << 10];
-    while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
-        sleep(Duration::from_millis(200)).await;
-    }
-}
-
 async fn check_unread(index: usize) {
     let mut world = world(ANSWER_BYTES).await;
     let address = world.pairs[index].node.addresses().callers;
@@ -96,7 +89,7 @@
         let readers = crowd(address, TIME_LEFT).await;
         let readers = readers
             .into_iter()
-            .map(|stream| tokio::spawn(read_slowly(stream)));
+            .map(|stream| tokio::spawn(slow::read_slowly(stream)));
         let readers: Vec<_> = readers.collect();
 
         world.pairs[INSTANCE].instance.set_response_bytes(0);
@@ -118,6 +111,9 @@
 
         let desk = world.pairs[INSTANCE].instance.clone();
         desk.set_response_bytes(ORDINARY_BYTES);
+        // Their deadlines would free the room later.
+        let first = world.send(CALLED, "order", "first").await;
+        assert_eq!(first.map(|answer| answer.status), Some(200));
         check(&mut world).await;
         drop(readers);
     });
@@ -131,12 +127,12 @@
         let mut world = world_with_timeout(ANSWER_BYTES, timeout).await;
         let address = world.pairs[CALLED].node.addresses().callers;
 
-        let mut stream = client::open(address).await.unwrap();
-        client::send(&mut stream, request("slow").as_bytes()).await;
-        client::await_first_bytes(&mut stream).await;
-        let reader = tokio::spawn(read_slowly(stream));
+        let mut stream = slow::open(address).await.unwrap();
+        slow::send(&mut stream, request("slow").as_bytes()).await;
+        slow::await_first_bytes(&mut stream).await;
+        let reader = tokio::spawn(slow::read_slowly(stream));
 
-        let held = || metric(&world, CALLED, "walnutmoor_held_bytes ");
+        let held = || world.metric(CALLED, "walnutmoor_held_bytes ");
         until("it is not held", || async { held().await == Some(0.0) }).await;
         world.pairs[INSTANCE].instance.set_response_bytes(0);
         check(&mut world).await;
@@ -156,12 +152,12 @@
 
         let mut readers = Vec::new();
         for n in 0..CONNECTIONS {
-            let mut stream = client::open(address).await.unwrap();
+            let mut stream = slow::open(address).await.unwrap();
             let requests =
                 (0..PIPELINED).map(|k| request(&format!("p{n}-{k}")));
             let requests: String = requests.collect();
-            client::send(&mut stream, requests.as_bytes()).await;
-            client::await_first_bytes(&mut stream).await;
+            slow::send(&mut stream, requests.as_bytes()).await;
+            slow::await_first_bytes(&mut stream).await;
             readers.push(stream);
         }
 
--- a/crates/walnutmoor/tests/crowds/bodies.rs
+++ b/crates/walnutmoor/tests/crowds/bodies.rs
@@ -4,14 +4,12 @@
 
 use tokio::{io::AsyncReadExt, net::TcpStream, task::JoinHandle, time::sleep};
 use walnutmoor_core::time::Millis;
-use walnutmoor_standin::soak::proxy::Mode;
+use walnutmoor_standin::{mesh::slow, soak::proxy::Mode};
 
 use crate::{
-    client,
     fixture::{World, until},
     world::{
-        LONG, check, empty, head, head_with_time, limits, run_alone, start,
-        start_with_timeout,
+        LONG, check, empty, head, limits, run_alone, start, start_with_timeout,
     },
 };
 
@@ -35,10 +33,10 @@
     let address = world.pairs[index].node.addresses().callers;
     let mut clients = Vec::new();
     for n in 0..CLIENTS {
-        let mut stream = client::open(address).await.unwrap();
+        let mut stream = slow::open(address).await.unwrap();
         let bytes = request(n);
         clients.push(tokio::spawn(async move {
-            client::send(&mut stream, &bytes).await;
+            slow::send(&mut stream, &bytes).await;
             stream
         }));
     }
@@ -143,11 +141,7 @@
         });
         let drips = clients.await.into_iter().map(|client| {
             tokio::spawn(async move {
-                let mut stream = client.await.unwrap();
-                loop {
-                    client::send(&mut stream, b"b").await;
-                    sleep(Duration::from_millis(500)).await;
-                }
+                slow::drip(&mut client.await.unwrap()).await;
             })
         });
         let drips: Vec<JoinHandle<()>> = drips.collect();
@@ -179,12 +173,12 @@
         for n in 0..FRONTS * CLIENTS_EACH {
             let index = n % FRONTS;
             let address = world.pairs[index].node.addresses().callers;
-            let mut stream = client::open(address).await.unwrap();
+            let mut stream = slow::open(address).await.unwrap();
             let mut bytes = head(&format!("long-{n}"), &framing).into_bytes();
             bytes.resize(bytes.len() + LONG_BODY_BYTES, b'b');
             clients.push(tokio::spawn(async move {
-                client::send(&mut stream, &bytes).await;
-                client::await_first_bytes(&mut stream).await;
+                slow::send(&mut stream, &bytes).await;
+                slow::await_first_bytes(&mut stream).await;
                 stream
             }));
         }
@@ -211,7 +205,7 @@
         let framing = format!("content-length: {BODY_BYTES}");
         let clients = crowd(&world, 0, |n| {
             let attempt = format!("long-{n}");
-            let head = head_with_time(&attempt, LONG, &framing);
+            let head = slow::head(&attempt, LONG, &framing);
             let mut bytes = head.into_bytes();
             bytes.resize(bytes.len() + BODY_BYTES - MISSING, b'b');
             bytes
@@ -234,10 +228,10 @@
         let mut world = world.await;
         let address = world.pairs[0].node.addresses().callers;
 
-        let mut stream = client::open(address).await.unwrap();
+        let mut stream = slow::open(address).await.unwrap();
         let mut bytes = short_by_length(0);
         bytes.truncate(bytes.len() - 1_000);
-        client::send(&mut stream, &bytes).await;
+        slow::send(&mut stream, &bytes).await;
         let answer = tokio::spawn(async move {
             let (mut read, write) = stream.into_split();
             let mut status = [0; 12];
--- a/crates/walnutmoor/tests/crowds/connections.rs
+++ b/crates/walnutmoor/tests/crowds/connections.rs
@@ -4,10 +4,9 @@
 
 use tokio::{net::TcpStream, time::sleep};
 use walnutmoor_core::{table::Limits, time::Millis};
-use walnutmoor_standin::mesh::caller::Connection;
+use walnutmoor_standin::mesh::{caller::Connection, slow};
 
 use crate::{
-    client,
     fixture::{World, until},
     world::{LONG, check, empty, head, limits, request, run_alone, start},
 };
@@ -40,7 +39,7 @@
 
     let mut silent: Vec<TcpStream> = Vec::new();
     for _ in 0..SILENT {
-        silent.extend(client::open(address).await);
+        silent.extend(slow::open(address).await);
     }
 
     until("the node is ready", || world.is_ready(index)).await;
@@ -81,11 +80,11 @@
 
         let mut dripping = Vec::new();
         for n in 0..HEADS {
-            let mut stream = client::open(address).await.unwrap();
+            let mut stream = slow::open(address).await.unwrap();
             dripping.push(tokio::spawn(async move {
                 let head = head(&format!("head-{n}"), "x-long: ");
                 let head = head.trim_end();
-                client::send(&mut stream, head.as_bytes()).await;
+                slow::send(&mut stream, head.as_bytes()).await;
                 let (mut read, write) = stream.split();
                 let drip = async {
                     while write.try_write(b"x").is_ok() {
@@ -150,9 +149,9 @@
 
         let mut silent = Vec::new();
         for _ in 0..HEADS {
-            let mut stream = client::open(address).await.unwrap();
+            let mut stream = slow::open(address).await.unwrap();
             silent.push(tokio::spawn(async move {
-                client::await_close(&mut stream).await;
+                slow::await_close(&mut stream).await;
             }));
         }
 
--- a/crates/walnutmoor/tests/crowds/main.rs
+++ b/crates/walnutmoor/tests/crowds/main.rs
@@ -7,7 +7,6 @@
 mod answers;
 mod bodies;
 mod calm;
-mod client;
 mod connections;
 #[path = "../mesh/fixture.rs"]
 #[allow(dead_code)]
--- a/crates/walnutmoor/tests/crowds/node.rs
+++ b/crates/walnutmoor/tests/crowds/node.rs
@@ -19,10 +19,10 @@
 use walnutmoor_standin::{
     child,
     client::{Attempt, Client, Outcome},
-    mesh::caller,
+    mesh::{caller, slow},
 };
 
-use crate::{client, fixture::until, world::run_alone};
+use crate::{fixture::until, world::run_alone};
 
 /// The memory of a machine, in megabytes.
 const MEMORY_MB: u64 = 260;
@@ -71,11 +71,11 @@
     }
 }
 
-async fn start_with(program: Vec<PathBuf>) -> World {
+async fn start_with(program: Vec<PathBuf>, deadline: &str) -> World {
     let (backend, answer_bytes) = start_backend().await;
     let extra = format!(
         "server: {{ service: desk, address: '{backend}', slots: 64, \
-         connections: 64 }}\nlimits: {{ body: 1MB, deadline: 5s }}\n\
+         connections: 64 }}\nlimits: {{ body: 1MB, deadline: {deadline} }}\n\
          classes: [{{ name: browse, kind: browse, share: 99%, \
          within: 5s }}]\n"
     );
@@ -88,9 +88,16 @@
     world
 }
 
+/// The longest time that a caller may give a call, unless a test needs another.
+const DEADLINE: &str = "5s";
+
 async fn start() -> World {
+    start_with_deadline(DEADLINE).await
+}
+
+async fn start_with_deadline(deadline: &str) -> World {
     let program = Path::new(env!("CARGO_BIN_EXE_walnutmoor"));
-    start_with(vec![program.to_path_buf()]).await
+    start_with(vec![program.to_path_buf()], deadline).await
 }
 
 /// The head of a call whose body has this length.
@@ -115,7 +122,7 @@
     }
 
     async fn open(&self) -> Option<TcpStream> {
-        client::open(self.node.caller_address()).await
+        slow::open(self.node.caller_address()).await
     }
 
     /// Checks that the process lives, stays within its memory and answers.
@@ -148,7 +155,7 @@
             let text = head(&format!("short-{n}"), BODY_BYTES);
             let mut bytes = text.into_bytes();
             bytes.resize(bytes.len() + BODY_BYTES - 10, b'b');
-            client::send(&mut stream, &bytes).await;
+            slow::send(&mut stream, &bytes).await;
             clients.push(stream);
         }
 
@@ -157,28 +164,63 @@
     });
 }
 
+/// Opens clients that request long answers in a pipeline and read only the
+/// first bytes.
+async fn open_unread(world: &World) -> Vec<TcpStream> {
+    const CLIENTS: usize = 400;
+    const PIPELINED: usize = 8;
+    world.answer_bytes.store(BODY_BYTES, Ordering::Relaxed);
+    let mut clients = Vec::new();
+    for n in 0..CLIENTS {
+        let mut stream = world.open().await.unwrap();
+        let calls = (0..PIPELINED).map(|k| head(&format!("p{n}-{k}"), 0));
+        let calls: String = calls.collect();
+        slow::send(&mut stream, calls.as_bytes()).await;
+        slow::await_first_bytes(&mut stream).await;
+        clients.push(stream);
+    }
+    clients
+}
+
 /// Guards against a node that holds the answers of all clients that do not
 /// read them.
 #[test]
 fn node_unread_answers_to_pipelined_calls_do_not_take_the_memory() {
-    const CLIENTS: usize = 400;
-    const PIPELINED: usize = 8;
     run_alone(async {
         let mut world = start().await;
-        world.answer_bytes.store(BODY_BYTES, Ordering::Relaxed);
 
-        let mut clients = Vec::new();
-        for n in 0..CLIENTS {
-            let mut stream = world.open().await.unwrap();
-            let calls = (0..PIPELINED).map(|k| head(&format!("p{n}-{k}"), 0));
-            let calls: String = calls.collect();
-            client::send(&mut stream, calls.as_bytes()).await;
-            client::await_first_bytes(&mut stream).await;
-            clients.push(stream);
-        }
+        let _clients = open_unread(&world).await;
 
         world.check().await;
-        drop(clients);
+    });
+}
+
+/// Guards against answers that are held as long as deadlines allow.
+#[test]
+fn node_unread_answers_with_long_deadlines_do_not_take_the_memory() {
+    run_alone(async {
+        let mut world = start_with_deadline("60s").await;
+
+        let _clients = open_unread(&world).await;
+
+        world.check().await;
+    });
+}
+
+/// Guards against a body that is awaited after its caller has stopped waiting.
+#[test]
+fn node_a_body_that_is_not_complete_by_its_deadline_is_refused() {
+    run_alone(async {
+        let mut world = start_with_deadline("1s").await;
+        let mut stream = world.open().await.unwrap();
+        let text = head("late", BODY_BYTES) + "begun";
+
+        slow::send(&mut stream, text.as_bytes()).await;
+
+        let mut caller = caller::Connection::from(stream);
+        let answer = timeout(ANSWER_TIMEOUT, caller.read()).await.unwrap();
+        assert_eq!(answer.map(|answer| answer.status), Some(408));
+        world.check().await;
     });
 }
 
@@ -197,8 +239,8 @@
             let mut bytes = text.into_bytes();
             bytes.resize(bytes.len() + BODY_BYTES, b'b');
             clients.push(tokio::spawn(async move {
-                client::send(&mut stream, &bytes).await;
-                client::await_first_bytes(&mut stream).await;
+                slow::send(&mut stream, &bytes).await;
+                slow::await_first_bytes(&mut stream).await;
                 stream
             }));
         }
@@ -219,7 +261,7 @@
     run_alone(async {
         let program = Path::new(env!("CARGO_BIN_EXE_walnutmoor"));
         let program = child::limit_descriptors(program, DESCRIPTORS);
-        let mut world = start_with(program).await;
+        let mut world = start_with(program, DEADLINE).await;
         // The next call needs a connection of its own.
         world.client = Client::new();
 
--- a/crates/walnutmoor/tests/crowds/world.rs
+++ b/crates/walnutmoor/tests/crowds/world.rs
@@ -2,15 +2,14 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use http::Method;
 use walnutmoor_core::{
     table::{Effect, Limits, Route, Spec},
     time::Millis,
 };
 use walnutmoor_platform::standin;
-use walnutmoor_standin::mesh::caller;
+use walnutmoor_standin::mesh::slow;
 
-use crate::fixture::{World, headers, route, run};
+use crate::fixture::{World, route, run};
 
 /// Held by the test that runs, so that no other loads the machine.
 static ALONE: Mutex<()> = Mutex::new(());
@@ -93,32 +92,9 @@
 /// The time that the clients of these tests give a request.
 pub const TIME_LEFT: Millis = Millis(30_000);
 
-/// The value of a metric of a node.
-pub async fn metric(world: &World, index: usize, name: &str) -> Option<f64> {
-    let address = world.pairs[index].node.addresses().metrics;
-    let body = String::new();
-    let sent = caller::send(address, Method::GET, "/metrics", &[], body);
-    let text = sent.await?.body;
-    let value = |line: &str| line.strip_prefix(name)?.trim().parse().ok();
-    text.lines().find_map(value)
-}
-
 /// The head of a request whose body has this framing.
 pub fn head(attempt: &str, framing: &str) -> String {
-    head_with_time(attempt, TIME_LEFT, framing)
-}
-
-/// Like [`head`], with this time left.
-pub fn head_with_time(
-    attempt: &str,
-    time_left: Millis,
-    framing: &str,
-) -> String {
-    let mut text = "POST /browse/x HTTP/1.1\r\n".to_string();
-    for (name, value) in headers(attempt, time_left.0) {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    text + framing + "\r\n\r\n"
+    slow::head(attempt, TIME_LEFT, framing)
 }
 
 /// A complete request without a body.
--- a/crates/walnutmoor/tests/listen.rs
+++ b/crates/walnutmoor/tests/listen.rs
@@ -10,7 +10,7 @@
 use walnutmoor::worker::{
     driver::{self, Input},
     listen::{self, Context},
-    transfer::{Room, Transfers},
+    transfer::{Answers, Requests, Transfers},
 };
 use walnutmoor_core::{id::CallId, memory::Pool, node::Event, time::Millis};
 use walnutmoor_standin::wait::{run, until};
@@ -28,7 +28,11 @@
             max_body_bytes: 1_000,
             retries: 0,
             max_time_left: Millis(1_000),
-            room: Room {
+            requests: Requests {
+                pool: Pool::unlimited(),
+                transfers: Transfers::default(),
+            },
+            answers: Answers {
                 pool: Pool::unlimited(),
                 transfers: Transfers::default(),
             },
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -282,6 +282,16 @@
         .await;
     }
 
+    /// The value of a metric of a node.
+    pub async fn metric(&self, index: usize, name: &str) -> Option<f64> {
+        let address = self.pairs[index].node.addresses().metrics;
+        let body = String::new();
+        let sent = caller::send(address, Method::GET, "/metrics", &[], body);
+        let text = sent.await?.body;
+        let value = |line: &str| line.strip_prefix(name)?.trim().parse().ok();
+        text.lines().find_map(value)
+    }
+
     /// Whether a node watches the store, by its last log line about it.
     pub fn watches(&self, index: usize) -> Option<bool> {
         let log = self.pairs[index].node.log();
--- a/crates/walnutmoor/tests/mesh/retention.rs
+++ b/crates/walnutmoor/tests/mesh/retention.rs
@@ -29,16 +29,6 @@
 /// a node may.
 const REPLY_BYTES: usize = 256 << 10;
 
-/// The value of a metric of a node.
-async fn metric(world: &World, index: usize, name: &str) -> Option<f64> {
-    let address = world.pairs[index].node.addresses().metrics;
-    let body = String::new();
-    let sent = caller::send(address, Method::GET, "/metrics", &[], body);
-    let text = sent.await?.body;
-    let value = |line: &str| line.strip_prefix(name)?.trim().parse().ok();
-    text.lines().find_map(value)
-}
-
 /// Fetches replies from the last node through this one.
 async fn fetch(world: &World, index: usize) {
     let address = world.pairs[index].node.addresses().callers;
@@ -67,7 +57,7 @@
 
         let peak = desk.node.peak_memory_mb().unwrap();
         assert!(peak < MAX_MEMORY_MB, "{peak} MB");
-        let held = || metric(&world, CALLERS, "walnutmoor_retained_bytes ");
+        let held = || world.metric(CALLERS, "walnutmoor_retained_bytes ");
         until("no reply is held", || async { held().await == Some(0.0) })
             .await;
     });
@@ -155,7 +145,7 @@
         }
         let retained = |count: f64| {
             let name = "walnutmoor_retained_replies ";
-            let value = metric(&world, 0, name);
+            let value = world.metric(0, name);
             async move { value.await == Some(count) }
         };
         until("three are retained", || retained(3.0)).await;
@@ -219,7 +209,7 @@
         path.reset();
         first.release("once");
         until("its session is forgotten", || async {
-            let sessions = metric(&world, 1, "walnutmoor_sessions ").await;
+            let sessions = world.metric(1, "walnutmoor_sessions ").await;
             sessions == Some(0.0)
         })
         .await;
