Count a caller's connection before the next one is accepted

Cause: a connection was counted by its task, which runs after the accept loop has yielded. Connections that are in the backlog together are accepted without a yield, up to the runtime's budget of 128, so all of them passed the bound of half the descriptors; then accepting fails, and nothing closes a connection any more: the node is not ready again while the callers stay.

Change: the accept loop counts it, and waits until the connection that gives way is closed.

--- a/crates/walnutmoor/src/mesh/callers.rs
+++ b/crates/walnutmoor/src/mesh/callers.rs
@@ -51,6 +51,7 @@
     entries: Entries,
     key: u64,
     entry: Rc<Entry>,
+    closed: Rc<Notify>,
 }
 
 /// A listed connection.
@@ -73,6 +74,8 @@
 pub struct Callers {
     entries: Entries,
     last_key: Cell<u64>,
+    /// Notified each time that a connection is closed.
+    closed: Rc<Notify>,
 }
 
 impl Callers {
@@ -89,7 +92,13 @@
             ordered: Notify::new(),
         });
         self.entries.borrow_mut().insert(key, entry.clone());
-        Caller { entries: self.entries.clone(), key, entry }
+        let (entries, closed) = (self.entries.clone(), self.closed.clone());
+        Caller { entries, key, entry, closed }
+    }
+
+    /// Waits until a connection is closed.
+    pub async fn closed(&self) {
+        self.closed.notified().await;
     }
 
     /// The number of connections.
@@ -211,6 +220,7 @@
 impl Drop for Caller {
     fn drop(&mut self) {
         self.entries.borrow_mut().remove(&self.key);
+        self.closed.notify_waiters();
     }
 }
 
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -187,10 +187,10 @@
 }
 
 /// Serves a connection until either side closes it.
-pub async fn serve(state: Rc<State>, mut stream: TcpStream) {
+pub async fn serve(state: Rc<State>, mut stream: TcpStream, caller: Caller) {
     // A failure only costs latency.
     let _ = stream.set_nodelay(true);
-    let mut connection = Connection::new(state.clone());
+    let mut connection = Connection::new(state.clone(), caller);
     // A connection that the caller breaks is not an error of this node.
     if connection.run(&mut stream).await.is_err() {
         return;
@@ -265,7 +265,7 @@
 }
 
 impl Connection {
-    fn new(state: Rc<State>) -> Connection {
+    fn new(state: Rc<State>, caller: Caller) -> Connection {
         let limits = state.table().map(|table| table.limits);
         let max_head_bytes = limits.unwrap_or_default().max_head_bytes;
         let settings = &state.settings.read_ahead;
@@ -275,7 +275,7 @@
             reading: ReadState::Head,
             pipeline: Pipeline::new(settings.requests),
             pending: FuturesOrdered::new(),
-            caller: Rc::new(state.callers.add(now)),
+            caller: Rc::new(caller),
             queued: 0,
             unwritten: VecDeque::new(),
             read_ahead: 0,
--- a/crates/walnutmoor/src/mesh/ingress.rs
+++ b/crates/walnutmoor/src/mesh/ingress.rs
@@ -72,7 +72,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 if has_descriptor(&state).await {
-                    let serve = connection::serve(state.clone(), stream);
+                    // Counted before the next one is accepted.
+                    let caller = state.callers.add(state.now());
+                    let state = state.clone();
+                    let serve = connection::serve(state, stream, caller);
                     tokio::task::spawn_local(serve);
                 }
             }
@@ -90,14 +93,14 @@
 async fn has_descriptor(state: &State) -> bool {
     let all = state.settings.descriptors as f64;
     let max = (all * MAX_DESCRIPTORS_FRACTION) as usize;
-    if state.callers.len() < max {
-        return true;
-    }
-    metrics::counter!("walnutmoor_surplus_connections_total").increment(1);
-    let has_closed = state.callers.close_unused();
-    // Lets the other connection close.
-    tokio::task::yield_now().await;
-    has_closed
+    while state.callers.len() >= max {
+        metrics::counter!("walnutmoor_surplus_connections_total").increment(1);
+        if !state.callers.close_unused() {
+            return false;
+        }
+        state.callers.closed().await;
+    }
+    true
 }
 
 /// Decides the requests that wait at this node until the process ends.
--- a/crates/walnutmoor/tests/crowds/connections.rs
+++ b/crates/walnutmoor/tests/crowds/connections.rs
@@ -33,33 +33,78 @@
     world
 }
 
-async fn check_silent(index: usize) {
-    let mut world = world().await;
+async fn open_silent(world: &World, index: usize) -> Vec<TcpStream> {
     let address = world.pairs[index].node.addresses().callers;
-
-    let mut silent: Vec<TcpStream> = Vec::new();
+    let mut silent = Vec::new();
     for _ in 0..SILENT {
         silent.extend(slow::open(address).await);
     }
+    silent
+}
+
+/// Opens them while the node is suspended, so that it finds all at once.
+async fn open_silent_at_once(world: &World, index: usize) -> Vec<TcpStream> {
+    let node = &world.pairs[index].node;
+    node.signal("STOP");
+    let silent = open_silent(world, index).await;
+    node.signal("CONT");
+    silent
+}
 
+async fn check_silent(world: &mut World, index: usize) {
     until("the node is ready", || world.is_ready(index)).await;
-    check(&mut world).await;
+    check(world).await;
     let open = world.pairs[index].node.descriptors().unwrap();
     assert!(open < DESCRIPTORS, "{open} of {DESCRIPTORS} descriptors");
-    drop(silent);
 }
 
 /// Guards against silent connections that take the descriptors with which the
 /// node reaches the other nodes, the store and its instance.
 #[test]
 fn silent_connections_leave_descriptors_to_the_node_called() {
-    run_alone(check_silent(0));
+    run_alone(async {
+        let mut world = world().await;
+
+        let _silent = open_silent(&world, 0).await;
+
+        check_silent(&mut world, 0).await;
+    });
 }
 
 /// Guards against the same at the node of the instance.
 #[test]
 fn silent_connections_leave_descriptors_to_the_instances_node() {
-    run_alone(check_silent(1));
+    run_alone(async {
+        let mut world = world().await;
+
+        let _silent = open_silent(&world, 1).await;
+
+        check_silent(&mut world, 1).await;
+    });
+}
+
+/// Guards against connections that are accepted faster than they are counted.
+#[test]
+fn silent_connections_at_once_leave_descriptors_to_the_node_called() {
+    run_alone(async {
+        let mut world = world().await;
+
+        let _silent = open_silent_at_once(&world, 0).await;
+
+        check_silent(&mut world, 0).await;
+    });
+}
+
+/// Guards against the same at the node of the instance.
+#[test]
+fn silent_connections_at_once_leave_descriptors_to_the_instances_node() {
+    run_alone(async {
+        let mut world = world().await;
+
+        let _silent = open_silent_at_once(&world, 1).await;
+
+        check_silent(&mut world, 1).await;
+    });
 }
 
 /// Limits with a short time for heads.
