--- a/crates/walnutmoor/tests/mesh/retention.rs
+++ b/crates/walnutmoor/tests/mesh/retention.rs
@@ -7,7 +7,7 @@
 use walnutmoor::mesh::frame::{Frame, Reply};
 use walnutmoor_core::{id::CallId, table::Effect, time::Millis};
 use walnutmoor_standin::{
-    mesh::caller::{self, Connection, Response},
+    mesh::caller::{Connection, Response},
     soak::proxy::Mode,
 };
 
