Install the handlers of signals before anything else

Cause: SIGHUP ends a process that has no handler for it. A node installed that handler last, in a task of its own, after it had read its settings, opened its ports and started all else.

Why this works: both handlers are installed before the settings are read, and signals that arrive until they are awaited are kept.

What is left is the time before the first instruction of the program, in which SIGHUP ends any process. The soak therefore sends it as soon as the process handles it, which it reads from /proc; it is sent at the same time as before to all others. The violation now says how a process has exited.

--- a/crates/walnutmoor-standin/src/child.rs
+++ b/crates/walnutmoor-standin/src/child.rs
@@ -85,10 +85,16 @@
 /// A field of the memory of a process, in mebibytes, such as `VmHWM:`. `None`
 /// where the system doesn't tell, or after its exit.
 pub fn status_mb(pid: u32, field: &str) -> Option<u64> {
+    let kib: u64 = status(pid, field)?.parse().ok()?;
+    Some(kib / 1_024)
+}
+
+/// The first word of a field of the status of a process, such as `SigCgt:`.
+/// `None` where the system doesn't tell, or after its exit.
+pub fn status(pid: u32, field: &str) -> Option<String> {
     let text = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let line = text.lines().find(|line| line.starts_with(field))?;
-    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-    Some(kib / 1_024)
+    line.split_whitespace().nth(1).map(str::to_string)
 }
 
 /// The ports of one node.
--- a/crates/walnutmoor-standin/src/mesh/node.rs
+++ b/crates/walnutmoor-standin/src/mesh/node.rs
@@ -8,7 +8,7 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
 };
 
@@ -122,14 +122,26 @@
 
     /// Sends a signal by its name, such as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &pid]).status();
-        debug_assert!(status.is_ok());
+        signal(self.child.id(), name);
+    }
+
+    /// True if the process handles SIGHUP. `None` where the system doesn't
+    /// tell, or after its exit.
+    pub fn handles_hangup(&self) -> Option<bool> {
+        const HANGUP: u64 = 1;
+        let caught = child::status(self.child.id(), "SigCgt:")?;
+        let caught = u64::from_str_radix(&caught, 16).ok()?;
+        Some(caught & HANGUP != 0)
     }
 
     /// True if the process has exited.
     pub fn has_exited(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        self.exit_status().is_some()
+    }
+
+    /// How the process has exited; `None` if it has not.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
     }
 
     /// True if the process has exited with success.
@@ -171,6 +183,13 @@
     }
 }
 
+/// Sends a signal to a process by its name, such as `STOP`, `CONT` or `TERM`.
+pub fn signal(pid: u32, name: &str) {
+    let pid = pid.to_string();
+    let status = Command::new("kill").args(["-s", name, &pid]).status();
+    debug_assert!(status.is_ok());
+}
+
 fn spawn(program: &[PathBuf], file: &Path, dir: &Path) -> Child {
     let log = fs::OpenOptions::new()
         .create(true)
--- a/crates/walnutmoor-standin/src/soak/load.rs
+++ b/crates/walnutmoor-standin/src/soak/load.rs
@@ -226,9 +226,10 @@
     let (mut incarnation, mut applied) = (member.incarnation(), 0);
     while !stop.load(Ordering::Relaxed) {
         sleep(Duration::from_millis(150)).await;
-        if member.has_exited_unexpectedly() {
-            let detail =
-                format!("the process of node {node} exited unexpectedly");
+        if let Some(status) = member.unexpected_exit() {
+            let detail = format!(
+                "the process of node {node} exited unexpectedly: {status}"
+            );
             return world.record.record_violation("runs on", detail);
         }
         if member.incarnation() != incarnation {
--- a/crates/walnutmoor-standin/src/soak/world.rs
+++ b/crates/walnutmoor-standin/src/soak/world.rs
@@ -7,6 +7,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     path::Path,
+    process::ExitStatus,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -121,10 +122,11 @@
         self.incarnation.load(Ordering::SeqCst)
     }
 
-    /// True if the process has exited without a fault that takes it down.
-    pub fn has_exited_unexpectedly(&self) -> bool {
+    /// How the process has exited without a fault that takes it down; `None`
+    /// if it has not.
+    pub fn unexpected_exit(&self) -> Option<ExitStatus> {
         let mut node = self.lock();
-        self.up.load(Ordering::SeqCst) && node.has_exited()
+        self.is_up().then(|| node.exit_status()).flatten()
     }
 
     /// The log of the node.
@@ -132,6 +134,15 @@
         self.lock().log()
     }
 
+    fn is_up(&self) -> bool {
+        self.up.load(Ordering::SeqCst)
+    }
+
+    /// True if the process handles SIGHUP, or if that is unknown.
+    fn handles_hangup(&self) -> bool {
+        self.lock().handles_hangup().unwrap_or(true)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Node> {
         self.node.lock().expect("no holder panics")
     }
@@ -144,7 +155,7 @@
     /// Signals the process, unless it is down.
     fn signal(&self, name: &str) {
         let node = self.lock();
-        if self.up.load(Ordering::SeqCst) {
+        if self.is_up() {
             node.signal(name);
         }
     }
@@ -364,7 +375,7 @@
             }
             Fault::Pause(node) => self.pause(node, span).await,
             Fault::Term(node) => self.term(node, span).await,
-            Fault::Reload(node) => self.members[node].signal("HUP"),
+            Fault::Reload(node) => self.reload(node).await,
             Fault::DegradeLink(link, mode) => {
                 self.degrade_link(link, mode, span).await
             }
@@ -583,6 +594,19 @@
         self.apply_for(&format!("pause {node}"), span, stop).await;
     }
 
+    /// Sends SIGHUP to a process, once it handles the signal. Before that it
+    /// ends any process, also one that has not run its first instruction yet.
+    async fn reload(&self, node: usize) {
+        let member = &self.members[node];
+        let incarnation = member.incarnation();
+        while member.incarnation() == incarnation && member.is_up() {
+            if member.handles_hangup() {
+                return member.signal("HUP");
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     async fn term(&self, node: usize, span: Duration) {
         let member = &self.members[node];
         member.signal("TERM");
--- a/crates/walnutmoor/src/command/mod.rs
+++ b/crates/walnutmoor/src/command/mod.rs
@@ -104,11 +104,10 @@
 }
 
 fn mesh(args: &[String]) -> Result<(), Failure> {
-    let Some(path) = settings_path("mesh", args)? else {
-        return Ok(());
-    };
-    let settings = mesh::settings::Settings::read(&path)?;
-    mesh::node::run(settings, path)
+    match settings_path("mesh", args)? {
+        Some(path) => mesh::node::run(path),
+        None => Ok(()),
+    }
 }
 
 fn with_settings(
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -37,6 +37,7 @@
 | [`instance`] | pools HTTP connections to the local instance |
 | [`control`] | serves heartbeats, readiness and metrics |
 | [`store`] | syncs desired state and directory with the platform's store |
+| `signals` | receives the signals that end and reload the node |
 | `shutdown` | shuts the node down gracefully |
 | [`journal`] | writes the log |
 
@@ -76,6 +77,7 @@
 pub mod settings;
 pub mod shares;
 mod shutdown;
+mod signals;
 pub mod speed;
 pub mod state;
 pub mod store;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 use tokio::{
     net::{TcpListener, TcpSocket},
-    signal::unix::{SignalKind, signal},
+    signal::unix::Signal,
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
@@ -26,6 +26,7 @@
     serve::Serve,
     settings::Settings,
     shutdown,
+    signals::Signals,
     state::State,
     store,
     suspicion::SWEEP_INTERVAL,
@@ -53,22 +54,34 @@
 /// The maximum pause between health checks.
 const MAX_HEALTH_CHECK_PAUSE: Duration = Duration::from_millis(1_600);
 
-/// Runs a node until it receives SIGTERM.
+/// Runs a node with the settings of a file until it receives SIGTERM.
 ///
 /// # Errors
 ///
-/// If a port can't be opened or the runtime can't be started.
-pub fn run(settings: Settings, path: PathBuf) -> Result<(), Failure> {
-    crate::telemetry::install_metrics()?;
+/// If the settings are invalid, a port can't be opened or the runtime can't be
+/// started.
+pub fn run(path: PathBuf) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| Failure::Internal(error.to_string()))?;
     let local = LocalSet::new();
-    local.block_on(&runtime, start(settings, path))
+    local.block_on(&runtime, async {
+        // First, as the platform may send them to a process that has just
+        // been started.
+        let signals = Signals::install()?;
+        let settings = Settings::read(&path)?;
+        crate::telemetry::install_metrics()?;
+        start(settings, path, signals).await
+    })
 }
 
-async fn start(settings: Settings, path: PathBuf) -> Result<(), Failure> {
+async fn start(
+    settings: Settings,
+    path: PathBuf,
+    signals: Signals,
+) -> Result<(), Failure> {
+    let Signals { mut terminate, reload: reloads } = signals;
     let journal = Journal::stdout(&settings.name);
     let state = State::new(settings, journal);
     let settings = &state.settings;
@@ -107,8 +120,8 @@
     spawn_local(ingress::decide_waiting(state.clone()));
     let expiry = state.clone();
     spawn_local(async move { expiry.serve.expire_queued(&expiry).await });
-    spawn_local(reload(state.clone(), path));
-    wait_for_sigterm().await?;
+    spawn_local(reload(state.clone(), path, reloads));
+    terminate.recv().await;
     shutdown::run(&state).await;
     // Exits without dropping the remaining tasks one by one, which could
     // exceed the grace period on a slow host.
@@ -131,21 +144,10 @@
     })
 }
 
-async fn wait_for_sigterm() -> Result<(), Failure> {
-    let stream = signal(SignalKind::terminate());
-    let mut stream =
-        stream.map_err(|error| Failure::Internal(error.to_string()))?;
-    stream.recv().await;
-    Ok(())
-}
-
 /// Validates the settings file on SIGHUP. Settings take effect only at the
 /// next start; the result is logged.
-async fn reload(state: Rc<State>, path: PathBuf) {
-    let Ok(mut stream) = signal(SignalKind::hangup()) else {
-        return;
-    };
-    while stream.recv().await.is_some() {
+async fn reload(state: Rc<State>, path: PathBuf, mut signals: Signal) {
+    while signals.recv().await.is_some() {
         let outcome = match Settings::read(&path) {
             Ok(_) => "valid; takes effect at the next start",
             Err(_) => "unreadable or invalid; current settings stay in force",
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 mod peer;
 mod pipeline;
 mod poison;
+mod reload;
 mod restore;
 mod resume;
 mod retention;
