Read a long response whose length is known if there is room for it

That limit is older than the account of memory and guards against bytes without end. Replies that wait to be written to another node had a tenth of their own, so lifting the first alone does not help: with only the second in force the test gets 502 for the caller at the other node.

Change: a response that states a length beyond the tenth is read if the pool that it counts in has room for all of it, which is reserved before the first byte; so nothing is read in vain, and the pools bound it as before. One that does not state its length, or a length beyond its pool, is bounded by the tenth as before. A reply may always wait to be written if no other waits; it counts in the pool of replies meanwhile.

--- a/crates/walnutmoor-core/src/intake.rs
+++ b/crates/walnutmoor-core/src/intake.rs
@@ -49,6 +49,11 @@
         Intake(Rc::new(Total { max_bytes, bytes, holders }))
     }
 
+    /// The limit, in bytes.
+    pub fn max_bytes(&self) -> usize {
+        self.0.max_bytes
+    }
+
     /// The bytes that are held.
     pub fn bytes(&self) -> usize {
         self.0.bytes.get()
@@ -88,6 +93,18 @@
         true
     }
 
+    /// Like [`Share::grow`], but if nothing is held, there is room for any
+    /// number of bytes.
+    pub fn grow_alone(&mut self, count: usize) -> bool {
+        let bytes = &self.total.bytes;
+        if bytes.get() > 0 {
+            return self.grow(count);
+        }
+        self.bytes += count;
+        bytes.set(count);
+        true
+    }
+
     /// Returns bytes, at most those that are held.
     pub fn shrink(&mut self, count: usize) {
         let count = count.min(self.bytes);
--- a/crates/walnutmoor-core/src/session.rs
+++ b/crates/walnutmoor-core/src/session.rs
@@ -210,7 +210,7 @@
         }
         let holds_queue = position.is_some();
         let has_room = match holds_queue {
-            true => grow(&mut self.queued, &self.memory.queued, size),
+            true => enqueue(&mut self.queued, &self.memory.queued, size),
             false => self.make_room(size),
         };
         if !has_room {
@@ -435,6 +435,15 @@
     has_room
 }
 
+/// Like [`grow`], for a reply that waits to be written. There is room for a
+/// reply of any length if no other waits.
+fn enqueue(share: &mut Option<Share>, intake: &Intake, size: usize) -> bool {
+    let queued = share.get_or_insert_with(|| intake.begin());
+    let has_room = queued.grow_alone(size);
+    shrink(share, 0);
+    has_room
+}
+
 /// Returns bytes of a share, which ends with the last.
 fn shrink(share: &mut Option<Share>, count: usize) {
     if let Some(held) = share {
--- a/crates/walnutmoor-core/tests/intake.rs
+++ b/crates/walnutmoor-core/tests/intake.rs
@@ -62,3 +62,18 @@
     assert_eq!((first.bytes(), second.bytes()), (0, MAX));
     assert_eq!(intake.bytes(), MAX);
 }
+
+/// Guards against a long reply that is never sent although no other waits.
+#[test]
+fn a_holder_finds_room_for_any_length_if_nothing_is_held() {
+    let intake = Intake::new(MAX);
+    let (mut long, mut short) = (intake.begin(), intake.begin());
+
+    assert!(long.grow_alone(3 * MAX));
+    assert!(!short.grow_alone(MAX));
+    drop(long);
+    assert!(short.grow_alone(1));
+    assert!(!short.grow_alone(MAX));
+
+    assert_eq!(intake.bytes(), 1);
+}
--- a/crates/walnutmoor-core/tests/session.rs
+++ b/crates/walnutmoor-core/tests/session.rs
@@ -462,6 +462,27 @@
     assert_eq!(session.find(CallId(2)), Found::Ended(2));
 }
 
+/// Guards against a reply that can never be sent as it is longer than the
+/// memory of those that wait, and against several of them.
+#[test]
+fn one_reply_longer_than_the_memory_waits_to_be_written() {
+    let memory = memory(300);
+    let mut session = Session::new(CallId(0)).share(&memory);
+    session.link(CallId(0));
+    for id in 1..=3 {
+        session.receive(CallId(id), ());
+    }
+
+    let ended = [1, 2].map(|id| session.end(Millis(0), CallId(id), id, 400));
+
+    assert_eq!(ended, [Ended::Retained, Ended::NoRoom]);
+    session.record_written(CallId(1));
+    assert_eq!(memory.queued.bytes(), 0);
+    assert_eq!(memory.kept.bytes(), 0, "it is too long to be retained");
+    let third = session.end(Millis(0), CallId(3), 3, 400);
+    assert_eq!(third, Ended::Retained);
+}
+
 /// Guards against replies of many sessions that exceed the memory together,
 /// and against one session that leaves no room for the others.
 #[test]
--- a/crates/walnutmoor/src/memory.rs
+++ b/crates/walnutmoor/src/memory.rs
@@ -18,7 +18,7 @@
 const RESERVED_FRACTION: f64 = 0.1;
 
 /// The greatest fraction of one pool.
-const MAX_FRACTION: f64 = 0.3;
+pub const MAX_FRACTION: f64 = 0.3;
 
 /// The pools of a node.
 #[derive(Clone, Debug)]
@@ -151,8 +151,37 @@
     let exact = body.size_hint().exact();
     let exact = exact.and_then(|length| usize::try_from(length).ok());
     let max_len = exact.map_or(max_len, |length| length.min(max_len));
-    let mut body = body;
-    let mut buffer = room.pool().buffer();
+    let buffer = room.pool().buffer();
+    read_into(buffer, body, room, max_len, &mut admit).await
+}
+
+/// Reads a complete body of this length, after its room was reserved.
+///
+/// # Errors
+///
+/// If the body cannot be read, or there is no room for it.
+pub async fn read_reserved<B>(
+    body: B,
+    room: &impl Room,
+    length: usize,
+) -> Result<Bytes, ReadError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let buffer = room.buffer(length).ok_or(ReadError::NoRoom)?;
+    read_into(buffer, body, room, length, &mut |_| true).await
+}
+
+async fn read_into<B>(
+    mut buffer: Buffer,
+    mut body: B,
+    room: &impl Room,
+    max_len: usize,
+    admit: &mut impl FnMut(usize) -> bool,
+) -> Result<Bytes, ReadError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
             continue;
--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -24,7 +24,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -40,7 +40,7 @@
 use walnutmoor_platform::header::{self, Verdict};
 
 use super::cancellation::increment;
-use crate::memory::{ReadError, Room, read};
+use crate::memory::{ReadError, Room, read, read_reserved};
 
 /// The timeout for connecting to the instance, which is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -127,6 +127,7 @@
     address: SocketAddr,
     policy: Policy,
     intake: Intake,
+    max_response: usize,
     idle: RefCell<VecDeque<Connection>>,
     opened: [Cell<u64>; Reason::ALL.len()],
     closings: [Cell<u64>; Closing::ALL.len()],
@@ -139,6 +140,7 @@
             address,
             policy: Policy::default(),
             intake: Intake::new(DEFAULT_MAX_INTAKE),
+            max_response: DEFAULT_MAX_INTAKE,
             idle: RefCell::new(VecDeque::new()),
             opened: Default::default(),
             closings: Default::default(),
@@ -146,12 +148,20 @@
     }
 
     /// Sets how many bytes of responses are read at a time. A response for
-    /// which there is no room is given up.
+    /// which there is no room is given up, unless it states its length.
     pub fn max_intake(mut self, bytes: usize) -> Pool {
         self.intake = Intake::new(bytes);
         self
     }
 
+    /// Sets the length of the longest response that is read although it
+    /// exceeds [`Pool::max_intake`]. It must state its length, for which there
+    /// must be room before it is read.
+    pub fn max_response(mut self, bytes: usize) -> Pool {
+        self.max_response = bytes;
+        self
+    }
+
     /// The number of connections opened since the start.
     pub fn opened(&self) -> u64 {
         self.opened.iter().map(Cell::get).sum()
@@ -347,15 +357,28 @@
         body: Incoming,
         room: &impl Room,
     ) -> Result<Bytes, String> {
-        let mut share = self.intake.begin();
-        let admit = |count| share.grow(count);
-        let body = read(body, room, usize::MAX, admit);
-        body.await.map_err(|error| match error {
+        let body = match self.long_length(&body) {
+            Some(length) => read_reserved(body, room, length).await,
+            None => {
+                let mut share = self.intake.begin();
+                let admit = |count| share.grow(count);
+                read(body, room, usize::MAX, admit).await
+            }
+        };
+        body.map_err(|error| match error {
             ReadError::NoRoom => "no room for the response".into(),
             ReadError::Broken(error) => error.to_string(),
         })
     }
 
+    /// The stated length of a response that exceeds what is read at a time,
+    /// and may do so.
+    fn long_length(&self, body: &Incoming) -> Option<usize> {
+        let length = usize::try_from(body.size_hint().exact()?).ok()?;
+        let is_long = length > self.intake.max_bytes();
+        (is_long && length <= self.max_response).then_some(length)
+    }
+
     /// Keeps a connection after a response, unless a copy of the response
     /// could be taken for the response to a later request on it.
     fn reuse(
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -267,7 +267,9 @@
             draining: Cell::new(false),
             last_call: Cell::new(0),
             queued: Notify::new(),
-            pool: Pool::new(settings.server).max_intake(settings.max_intake()),
+            pool: Pool::new(settings.server)
+                .max_intake(settings.max_intake())
+                .max_response(settings.max_response()),
             cancellations: Cancellations::new(
                 settings.overload.keep_connections,
             ),
--- a/crates/walnutmoor/src/mesh/settings.rs
+++ b/crates/walnutmoor/src/mesh/settings.rs
@@ -16,7 +16,7 @@
 };
 use walnutmoor_platform::bound::Bounds;
 
-use crate::failure::Failure;
+use crate::{failure::Failure, memory::MAX_FRACTION};
 
 /// Time between the termination signal and the kill by the platform, unless
 /// the settings specify it.
@@ -166,6 +166,12 @@
         self.fraction_of_memory(MAX_INTAKE_FRACTION)
     }
 
+    /// The length of the longest response of the instance that is read, in
+    /// bytes.
+    pub fn max_response(&self) -> usize {
+        self.fraction_of_memory(MAX_FRACTION)
+    }
+
     /// The memory of the replies that are retained for other nodes.
     pub fn reply_memory(&self) -> session::Memory {
         let kept = self.fraction_of_memory(MAX_KEPT_FRACTION);
