walnutmoor node: bound the connections of callers and peers

Cause: dropshot accepts connections without a bound and hands none out, so the node could neither count nor close them. A connection that has sent nothing is not under hyper's time for heads either, as the version of HTTP is still awaited.

Change: the listeners for callers and peers accept by themselves and serve HTTP with hyper-util, as dropshot did; operators stay with dropshot. Callers take half of the descriptors, peers a fifth. Beyond that the connection that has been unused for the longest closes for a new one, first those that have sent no request; if all are in use, the new one is closed. `limits.descriptors` sets the number, by default the limit of the process, which no caller inside the limits on calls meets sooner than before. Paths with dot segments are still rejected with 400, other methods with 405. Responses have no `x-request-id` of dropshot any more, and those of unknown paths no body.

New: a body and an answer of the greatest length are served in calm.

--- a/crates/walnutmoor/src/command/node.rs
+++ b/crates/walnutmoor/src/command/node.rs
@@ -31,6 +31,13 @@
     },
 };
 
+/// The fraction of the descriptors that the connections of callers may take.
+const MAX_CALLERS_FRACTION: f64 = 0.5;
+
+/// The fraction of the descriptors that the connections of peers may take. The
+/// rest is for the backend server, the operators and calls to peers.
+const MAX_PEERS_FRACTION: f64 = 0.2;
+
 /// State that the listeners and the forwarder share.
 struct Shared {
     inputs: InputSender,
@@ -208,12 +215,15 @@
     shared: &Shared,
     platform: &Arc<Platform>,
 ) -> Result<(), Failure> {
+    let descriptors = settings.limits.descriptors() as f64;
+    let max = (descriptors * MAX_CALLERS_FRACTION) as usize;
     let context = shared.context(&shared.memory.requests);
     let address = settings.caller.address;
-    listener("caller", move || worker::caller::start(context, address))?;
+    listener("caller", move || worker::caller::start(context, address, max))?;
+    let max = (descriptors * MAX_PEERS_FRACTION) as usize;
     let context = shared.context(&shared.memory.calls);
     let address = settings.node.address;
-    listener("peer", move || peer::start(context, address))?;
+    listener("peer", move || peer::start(context, address, max))?;
     let address = settings.operator.address;
     let (inputs, platform) = (shared.inputs.clone(), platform.clone());
     let context = operator::Context { inputs, platform };
@@ -221,10 +231,10 @@
 }
 
 /// Starts one listener and waits until it listens or fails to.
-fn listener<C, F>(name: &str, start: F) -> Result<(), Failure>
+fn listener<S, F>(name: &str, start: F) -> Result<(), Failure>
 where
-    C: dropshot::ServerContext,
-    F: FnOnce() -> Result<dropshot::HttpServer<C>, Failure> + Send + 'static,
+    S: Future,
+    F: FnOnce() -> Result<S, Failure> + Send + 'static,
 {
     let (sender, receiver) = std::sync::mpsc::channel();
     worker::spawn(name, move || async move {
--- a/crates/walnutmoor/src/settings.rs
+++ b/crates/walnutmoor/src/settings.rs
@@ -20,6 +20,7 @@
 use std::{fmt, net::SocketAddr, path::Path, str::FromStr, sync::Arc};
 
 use miette::{NamedSource, SourceSpan};
+use rustix::process::{Resource, getrlimit};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use walnutmoor_core::{class::Class, id::ParseError, node::Mode, server};
 
@@ -222,6 +223,9 @@
     pub body: Size,
     /// The memory that the process may take.
     pub memory: Size,
+    /// The files and sockets that the process may open; `None` for the limit
+    /// of the operating system.
+    pub descriptors: Option<usize>,
     /// The size of one answer that is cached for repeated calls.
     pub kept_answer: Size,
     /// The longest deadline that a caller may request.
@@ -244,6 +248,7 @@
             ring: 4_096,
             body: Size(1 << 20),
             memory: Size(256 << 20),
+            descriptors: None,
             kept_answer: Size(64 << 10),
             deadline: Span(Millis(30_000)),
             ticket: Span(Millis(60_000)),
@@ -253,6 +258,18 @@
     }
 }
 
+/// The fewest descriptors that a node may be limited to.
+const MIN_DESCRIPTORS: usize = 64;
+
+impl Limits {
+    /// The files and sockets that the process may open.
+    pub fn descriptors(&self) -> usize {
+        let limit = || getrlimit(Resource::Nofile).current;
+        let limit = || limit().and_then(|limit| usize::try_from(limit).ok());
+        self.descriptors.or_else(limit).unwrap_or(usize::MAX)
+    }
+}
+
 /// Settings of the log.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -378,6 +395,11 @@
             ),
             (limits.ring == 0, "ring", "limits.ring must be at least 1"),
             (limits.calls == 0, "calls", "limits.calls must be at least 1"),
+            (
+                limits.descriptors.is_some_and(|n| n < MIN_DESCRIPTORS),
+                "descriptors",
+                "limits.descriptors must be at least 64",
+            ),
             (
                 limits.body > Size(16 << 20),
                 "body",
--- a/crates/walnutmoor/src/worker/caller.rs
+++ b/crates/walnutmoor/src/worker/caller.rs
@@ -5,13 +5,11 @@
 A nested call carries the token of its parent call.
 */
 
-use std::{net::SocketAddr, str::FromStr};
+use std::{net::SocketAddr, str::FromStr, sync::Arc};
 
-use dropshot::{
-    ApiDescription, Body, HttpError, HttpServer, Path, RawRequest,
-    RequestContext, endpoint,
-};
-use http::{HeaderMap, Response, StatusCode};
+use dropshot::Body;
+use futures_util::{FutureExt, future::BoxFuture};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::Serialize;
 use walnutmoor_core::{
     call::Arrival, digest, error::Kind, node::Event, retry::Budget,
@@ -19,15 +17,17 @@
 };
 
 use super::{
+    connection,
     driver::{Completion, Input},
-    listen::{self, BodyError, Context, Name, Wildcard},
+    listen::{self, BodyError, Context},
 };
 use crate::{
     prelude::*,
     wire::{self, Answer},
 };
 
-/// Starts the listener.
+/// Starts the listener, which serves this many connections at a time. The
+/// future never ends.
 ///
 /// # Errors
 ///
@@ -35,53 +35,66 @@
 pub fn start(
     context: Context,
     address: SocketAddr,
-) -> Result<HttpServer<Context>, Failure> {
-    let max_body_bytes = context.max_body_bytes;
-    let mut api = ApiDescription::new();
-    let registered = api
-        .register(call_get)
-        .and_then(|()| api.register(call_put))
-        .and_then(|()| api.register(call_post))
-        .and_then(|()| api.register(call_patch))
-        .and_then(|()| api.register(call_delete))
-        .and_then(|()| api.register(ticket_issue))
-        .and_then(|()| api.register(ticket_inspect))
-        .and_then(|()| api.register(server_announce))
-        .and_then(|()| api.register(server_leave));
-    registered.map_err(|error| Failure::Internal(error.to_string()))?;
-    listen::start(api, context, address, max_body_bytes)
+    max_connections: usize,
+) -> Result<impl Future<Output = ()>, Failure> {
+    let listener = connection::listen(address)?;
+    let handler = Handler(Arc::new(context));
+    Ok(connection::serve(listener, max_connections, handler))
 }
 
-/// The `Retry-After` of a call for which there is no room.
-const FULL_RETRY_AFTER: Millis = Millis(1_000);
+/// Handles the requests of callers.
+#[derive(Clone)]
+struct Handler(Arc<Context>);
+
+impl connection::Handler for Handler {
+    fn handle(
+        &self,
+        request: Request<Body>,
+    ) -> BoxFuture<'static, Response<Body>> {
+        let context = self.0.clone();
+        async move { route(&context, request).await }.boxed()
+    }
+}
 
-type HttpResult = Result<Response<Body>, HttpError>;
+/// The path of requests for tickets.
+const TICKETS_PATH: &str = "/v1/tickets";
 
-macro_rules! call_endpoint {
-    ($name:ident, $method:ident) => {
-        #[endpoint {
-                                            method = $method,
-                                            path = "/v1/call/{path:.*}",
-                                            unpublished = true,
-                                        }]
-        async fn $name(
-            context: RequestContext<Context>,
-            _wildcard: Path<Wildcard>,
-            request: RawRequest,
-        ) -> HttpResult {
-            Ok(call(context.context(), request).await)
+/// The path at which the backend server announces itself.
+const SERVER_PATH: &str = "/v1/server";
+
+async fn route(context: &Context, request: Request<Body>) -> Response<Body> {
+    let path = request.uri().path();
+    if path.starts_with(wire::CALL_PATH) {
+        return match listen::check(&request) {
+            Ok(()) => call(context, request).await,
+            Err(status) => listen::empty(status),
+        };
+    }
+    let ticket = path.strip_prefix(TICKETS_PATH);
+    let ticket = ticket.and_then(|path| path.strip_prefix('/'));
+    match (request.method(), path, ticket) {
+        (&Method::POST, TICKETS_PATH, _) => ticket_issue(context).await,
+        (&Method::GET, _, Some(ticket)) => {
+            ticket_inspect(context, ticket).await
         }
-    };
+        (&Method::PUT, SERVER_PATH, _) => {
+            server_announce(context, request.into_body()).await
+        }
+        (&Method::DELETE, SERVER_PATH, _) => {
+            submit_event(context, Event::Leave)
+        }
+        (_, TICKETS_PATH | SERVER_PATH, _) | (_, _, Some(_)) => {
+            listen::empty(StatusCode::METHOD_NOT_ALLOWED)
+        }
+        _ => listen::empty(StatusCode::NOT_FOUND),
+    }
 }
 
-call_endpoint!(call_get, GET);
-call_endpoint!(call_put, PUT);
-call_endpoint!(call_post, POST);
-call_endpoint!(call_patch, PATCH);
-call_endpoint!(call_delete, DELETE);
+/// The `Retry-After` of a call for which there is no room.
+const FULL_RETRY_AFTER: Millis = Millis(1_000);
 
-async fn call(context: &Context, request: RawRequest) -> Response<Body> {
-    let (parts, body) = request.into_inner().into_parts();
+async fn call(context: &Context, request: Request<Body>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
     let call = context.next_call();
     let (service, path) = listen::split_path(&parts.uri, wire::CALL_PATH);
     let arrival = match parse_arrival(context, call, &service, &parts.headers)
@@ -197,24 +210,22 @@
     valid_ms: u64,
 }
 
-#[endpoint { method = POST, path = "/v1/tickets", unpublished = true }]
-async fn ticket_issue(context: RequestContext<Context>) -> HttpResult {
+async fn ticket_issue(context: &Context) -> Response<Body> {
     let (sender, receiver) = tokio::sync::oneshot::channel();
-    let inputs = &context.context().inputs;
-    if inputs.try_send(Input::Issue(sender)).is_err() {
-        return Ok(refused(Kind::Full));
+    if context.inputs.try_send(Input::Issue(sender)).is_err() {
+        return refused(Kind::Full);
     }
     let result = receiver
         .await
         .unwrap_or_else(|_| Err(Refusal::new(Kind::Leaving, Ran::No)));
-    Ok(match result {
+    match result {
         Ok(ticket) => {
             let valid_ms = ticket.span.0;
             let ticket = ticket.to_string();
             json(StatusCode::CREATED, &Issued { ticket, valid_ms })
         }
         Err(refusal) => listen::response(wire::refusal(&refusal, None)),
-    })
+    }
 }
 
 /// The response to a query about the outcome of a ticket.
@@ -224,61 +235,40 @@
     settled: bool,
 }
 
-#[endpoint {
-    method = GET,
-    path = "/v1/tickets/{name}",
-    unpublished = true,
-}]
-async fn ticket_inspect(
-    context: RequestContext<Context>,
-    _name: Path<Name>,
-    request: RawRequest,
-) -> HttpResult {
-    let uri = request.into_inner().uri().clone();
-    let text = uri.path().strip_prefix("/v1/tickets/").unwrap_or("");
-    let Ok(ticket) = text.parse::<Ticket>() else {
-        return Ok(malformed("the ticket is malformed"));
+async fn ticket_inspect(context: &Context, name: &str) -> Response<Body> {
+    let Ok(ticket) = name.parse::<Ticket>() else {
+        return malformed("the ticket is malformed");
     };
     let (sender, receiver) = tokio::sync::oneshot::channel();
-    let inputs = &context.context().inputs;
-    if inputs.try_send(Input::Inspect(ticket, sender)).is_err() {
-        return Ok(refused(Kind::Full));
+    let input = Input::Inspect(ticket, sender);
+    if context.inputs.try_send(input).is_err() {
+        return refused(Kind::Full);
     }
     let result = receiver
         .await
         .unwrap_or_else(|_| Err(Refusal::new(Kind::Broken, Ran::Unknown)));
-    Ok(match result {
+    match result {
         Ok(outcome) => {
             let (ran, settled) = (outcome.ran, !outcome.pending);
             json(StatusCode::OK, &Inspected { ran, settled })
         }
         Err(refusal) => listen::response(wire::refusal(&refusal, None)),
-    })
+    }
 }
 
-#[endpoint { method = PUT, path = "/v1/server", unpublished = true }]
-async fn server_announce(
-    context: RequestContext<Context>,
-    request: RawRequest,
-) -> HttpResult {
-    let body = request.into_inner().into_body();
+async fn server_announce(context: &Context, body: Body) -> Response<Body> {
     let body = match listen::read_message(body, MAX_ANNOUNCEMENT_BYTES).await {
         Ok(body) => body,
-        Err(_) => return Ok(malformed("the announcement is too long")),
+        Err(_) => return malformed("the announcement is too long"),
     };
     match serde_json::from_slice::<Announcement>(&body) {
         Ok(announcement) => {
-            Ok(submit_event(context.context(), Event::Announce(announcement)))
+            submit_event(context, Event::Announce(announcement))
         }
-        Err(error) => Ok(malformed(&error.to_string())),
+        Err(error) => malformed(&error.to_string()),
     }
 }
 
-#[endpoint { method = DELETE, path = "/v1/server", unpublished = true }]
-async fn server_leave(context: RequestContext<Context>) -> HttpResult {
-    Ok(submit_event(context.context(), Event::Leave))
-}
-
 /// The maximum size of an announcement.
 const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
 
--- a/crates/walnutmoor/src/worker/listen.rs
+++ b/crates/walnutmoor/src/worker/listen.rs
@@ -17,7 +17,7 @@
     ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpServer,
     ServerBuilder, ServerContext,
 };
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -99,16 +99,9 @@
     }
 }
 
-/// The wildcard parameter of a path. dropshot requires handlers to declare it;
+/// The name parameter of a path. dropshot requires handlers to declare it;
 /// they read the raw path instead, which is not percent-decoded.
 #[derive(Deserialize, JsonSchema)]
-pub struct Wildcard {
-    #[serde(rename = "path")]
-    _path: Vec<String>,
-}
-
-/// The name parameter of a path, which is likewise unused.
-#[derive(Deserialize, JsonSchema)]
 pub struct Name {
     #[serde(rename = "name")]
     _name: String,
@@ -232,6 +225,46 @@
     }
 }
 
+/// Checks the method and the path of a call.
+///
+/// # Errors
+///
+/// The status if it is rejected.
+pub fn check(request: &Request<Body>) -> Result<(), StatusCode> {
+    const METHODS: [Method; 5] = [
+        Method::GET,
+        Method::PUT,
+        Method::POST,
+        Method::PATCH,
+        Method::DELETE,
+    ];
+    if !METHODS.contains(request.method()) {
+        return Err(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let mut segments = request.uri().path().split('/');
+    match segments.any(is_dot_segment) {
+        true => Err(StatusCode::BAD_REQUEST),
+        false => Ok(()),
+    }
+}
+
+/// True if a segment of a path refers to another one, also if it is encoded.
+fn is_dot_segment(segment: &str) -> bool {
+    const MAX_LEN: usize = "%2e%2e".len();
+    if segment.len() > MAX_LEN {
+        return false;
+    }
+    let decoded = segment.to_ascii_lowercase().replace("%2e", ".");
+    matches!(decoded.as_str(), "." | "..")
+}
+
+/// A response of this status without a body.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
 /// Splits the path after `prefix` into the service and the rest, which
 /// includes the query.
 pub fn split_path(uri: &http::Uri, prefix: &str) -> (String, String) {
--- a/crates/walnutmoor/src/worker/mod.rs
+++ b/crates/walnutmoor/src/worker/mod.rs
@@ -13,11 +13,13 @@
 
 If a channel is full, a call is refused with `full`, a packet is dropped, and a
 request to the platform counts as unanswered. [`transfer`] lists the bodies that
-are sent or read slowly. [`listen`] holds what the HTTP
+are sent or read slowly, and [`connection`] bounds the connections that bodies
+arrive on. [`listen`] holds what the HTTP
 listeners share; [`echo`] is a built-in backend server.
 */
 
 pub mod caller;
+pub mod connection;
 pub mod driver;
 pub mod echo;
 pub mod forward;
--- a/crates/walnutmoor/src/worker/peer.rs
+++ b/crates/walnutmoor/src/worker/peer.rs
@@ -2,25 +2,25 @@
 The HTTP listener for calls that peers forward.
 */
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
-use dropshot::{
-    ApiDescription, Body, HttpError, HttpServer, Path, RawRequest,
-    RequestContext, endpoint,
-};
-use http::Response;
+use dropshot::Body;
+use futures_util::{FutureExt, future::BoxFuture};
+use http::{Request, Response, StatusCode};
 use walnutmoor_core::{call::Trailer, error::Kind};
 
 use super::{
+    connection,
     driver::{Completion, Input},
-    listen::{self, Context, Wildcard},
+    listen::{self, Context},
 };
 use crate::{
     prelude::*,
     wire::{self, Answer},
 };
 
-/// Starts the listener.
+/// Starts the listener, which serves this many connections at a time. The
+/// future never ends.
 ///
 /// # Errors
 ///
@@ -28,46 +28,39 @@
 pub fn start(
     context: Context,
     address: SocketAddr,
-) -> Result<HttpServer<Context>, Failure> {
-    let max_body_bytes = context.max_body_bytes;
-    let mut api = ApiDescription::new();
-    let registered = api
-        .register(hop_get)
-        .and_then(|()| api.register(hop_put))
-        .and_then(|()| api.register(hop_post))
-        .and_then(|()| api.register(hop_patch))
-        .and_then(|()| api.register(hop_delete));
-    registered.map_err(|error| Failure::Internal(error.to_string()))?;
-    listen::start(api, context, address, max_body_bytes)
+    max_connections: usize,
+) -> Result<impl Future<Output = ()>, Failure> {
+    let listener = connection::listen(address)?;
+    let handler = Handler(Arc::new(context));
+    Ok(connection::serve(listener, max_connections, handler))
 }
 
-type HttpResult = Result<Response<Body>, HttpError>;
+/// Handles the requests of peers.
+#[derive(Clone)]
+struct Handler(Arc<Context>);
 
-macro_rules! hop_endpoint {
-    ($name:ident, $method:ident) => {
-        #[endpoint {
-                                                    method = $method,
-                                                    path = "/v1/hop/{path:.*}",
-                                                    unpublished = true,
-                                                }]
-        async fn $name(
-            context: RequestContext<Context>,
-            _wildcard: Path<Wildcard>,
-            request: RawRequest,
-        ) -> HttpResult {
-            Ok(hop(context.context(), request).await)
-        }
-    };
+impl connection::Handler for Handler {
+    fn handle(
+        &self,
+        request: Request<Body>,
+    ) -> BoxFuture<'static, Response<Body>> {
+        let context = self.0.clone();
+        async move { route(&context, request).await }.boxed()
+    }
 }
 
-hop_endpoint!(hop_get, GET);
-hop_endpoint!(hop_put, PUT);
-hop_endpoint!(hop_post, POST);
-hop_endpoint!(hop_patch, PATCH);
-hop_endpoint!(hop_delete, DELETE);
+async fn route(context: &Context, request: Request<Body>) -> Response<Body> {
+    if !request.uri().path().starts_with(wire::HOP_PATH) {
+        return listen::empty(StatusCode::NOT_FOUND);
+    }
+    match listen::check(&request) {
+        Ok(()) => hop(context, request).await,
+        Err(status) => listen::empty(status),
+    }
+}
 
-async fn hop(context: &Context, request: RawRequest) -> Response<Body> {
-    let (parts, body) = request.into_inner().into_parts();
+async fn hop(context: &Context, request: Request<Body>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
     let Some(envelope) = wire::envelope(&parts.headers) else {
         return listen::response(into_answer(refused(Kind::Malformed)));
     };
--- a/crates/walnutmoor/tests/crowds/node.rs
+++ b/crates/walnutmoor/tests/crowds/node.rs
@@ -142,6 +142,28 @@
     }
 }
 
+/// Guards against limits that leave no room for a single call.
+#[test]
+fn node_a_body_and_an_answer_of_the_greatest_length_are_served_in_calm() {
+    const GREATEST: usize = 1 << 20;
+    run_alone(async {
+        let mut world = start().await;
+        world.answer_bytes.store(GREATEST, Ordering::Relaxed);
+
+        let call = Attempt::post("/v1/call/desk/it")
+            .header(wire::CLASS, "browse")
+            .header(wire::REQUEST, "longest")
+            .body(vec![b'b'; GREATEST]);
+        let sent = world.client.send(world.node.caller_address(), call).await;
+
+        let Outcome::Response { status, body, .. } = sent else {
+            panic!("{sent:?}");
+        };
+        assert_eq!((status, body.len()), (200, GREATEST));
+        world.check().await;
+    });
+}
+
 /// Guards against a node that holds all bodies that stop short of their end.
 #[test]
 fn node_bodies_short_of_their_length_do_not_take_the_memory() {
