walnutmoor node: bound the buffers of connections

Cause, suspected there and now shown: hyper's buffers, which the account does not count. A read buffer grows to some 400 KB on each connection, and dropshot does not let its size be set.

Change: 32 KB are read ahead on a connection, which also bounds a head; 32 KB of a response wait to be written on an HTTP/2 connection, which sends 64 KB of bodies ahead. A legal head of the platform has 16 KB.

The HTTP/2 windows have no test.

--- a/crates/walnutmoor/src/worker/connection.rs
+++ b/crates/walnutmoor/src/worker/connection.rs
@@ -38,6 +38,16 @@
 /// The listen backlog.
 const LISTEN_BACKLOG: u32 = 1_024;
 
+/// The longest head of a request, and the most bytes that are read ahead on a
+/// connection.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// The most bytes of a response that wait to be written on a connection.
+const MAX_UNWRITTEN_BYTES: usize = 32 << 10;
+
+/// The bytes of bodies that an HTTP/2 connection may send ahead.
+const MAX_WINDOW_BYTES: u32 = 64 << 10;
+
 /// How long a head may take, and how long a connection may be idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -179,8 +189,17 @@
 
 fn builder() -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    builder.http2().timer(TokioTimer::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .initial_connection_window_size(MAX_WINDOW_BYTES)
+        .initial_stream_window_size(MAX_WINDOW_BYTES)
+        .max_send_buf_size(MAX_UNWRITTEN_BYTES);
     builder
 }
 
