walnutmoor node: see a caller's close behind bytes that are not read

Seen: work went on until its deadline of 30 s for a caller that had closed its connection behind a request that was not read yet (calls::a_caller_that_leaves_a_request_behind_frees_its_slots, red each time).

Cause: hyper looks for a close only while it holds no unread bytes.

Change: the listener keeps a reference to the socket and waits for the close that the kernel reports, as connections of the mesh do; the connection is dropped then, which cancels its calls.

--- a/crates/walnutmoor/src/worker/connection.rs
+++ b/crates/walnutmoor/src/worker/connection.rs
@@ -8,10 +8,11 @@
 
 use std::{
     collections::BTreeMap,
+    io,
     net::SocketAddr,
     pin::{Pin, pin},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
@@ -28,6 +29,7 @@
     server::conn::auto,
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::Notify,
     time::{sleep, timeout},
@@ -129,7 +131,7 @@
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
     };
-    listen().map_err(|cause: std::io::Error| Failure::Listen {
+    listen().map_err(|cause: io::Error| Failure::Listen {
         address: address.to_string(),
         cause: cause.to_string(),
     })
@@ -176,17 +178,114 @@
         }
     });
     let builder = builder();
-    let mut served =
-        pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let stream = Arc::new(stream);
+    let socket = TokioIo::new(Socket(stream.clone()));
+    let mut served = pin!(builder.serve_connection(socket, service));
     // A connection that the caller breaks is not an error of this node.
     tokio::select! {
         _ = &mut served => return,
+        // Cancels the requests in flight.
+        () = closed(&stream) => return,
         () = connection.entry.ordered_to_close.notified() => {}
     }
     served.as_mut().graceful_shutdown();
     let _ = timeout(CLOSE_TIMEOUT, served).await;
 }
 
+/// Waits until the other side has closed the connection, also if bytes before
+/// that are unread.
+#[cfg(any(target_os = "linux", target_os = "android"))]
+async fn closed(stream: &TcpStream) {
+    // Unlike `READABLE`, this is not ready while there are bytes to read.
+    let ready = stream.ready(Interest::PRIORITY).await;
+    if !ready.is_ok_and(|ready| ready.is_read_closed()) {
+        std::future::pending().await
+    }
+}
+
+/// Never returns: without support by the kernel a close is seen once the bytes
+/// before it are read.
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
+async fn closed(_stream: &TcpStream) {
+    std::future::pending().await
+}
+
+/// A stream that is read and written by one task, and watched by another.
+struct Socket(Arc<TcpStream>);
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl Socket {
+    fn poll_write_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match write(&self.0) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |s| s.try_write_vectored(slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        let socket = socket2::SockRef::from(&*self.0);
+        Poll::Ready(socket.shutdown(std::net::Shutdown::Write))
+    }
+}
+
 fn builder() -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
