walnutmoor node: a response is in flight until it is written

Cause: the request counted as in flight while the body of its response was polled, not while it was written.

Change: a connection is unused again once all that was buffered has been written, which hyper tells the socket by a flush. The trait of what a listener serves is simpler: one asynchronous function.

--- a/crates/walnutmoor/src/worker/caller.rs
+++ b/crates/walnutmoor/src/worker/caller.rs
@@ -5,10 +5,9 @@
 A nested call carries the token of its parent call.
 */
 
-use std::{net::SocketAddr, str::FromStr, sync::Arc};
+use std::{net::SocketAddr, str::FromStr};
 
 use dropshot::Body;
-use futures_util::{FutureExt, future::BoxFuture};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::Serialize;
 use walnutmoor_core::{
@@ -38,21 +37,15 @@
     max_connections: usize,
 ) -> Result<impl Future<Output = ()>, Failure> {
     let listener = connection::listen(address)?;
-    let handler = Handler(Arc::new(context));
-    Ok(connection::serve(listener, max_connections, handler))
+    Ok(connection::serve(listener, max_connections, Handler(context)))
 }
 
 /// Handles the requests of callers.
-#[derive(Clone)]
-struct Handler(Arc<Context>);
+struct Handler(Context);
 
 impl connection::Handler for Handler {
-    fn handle(
-        &self,
-        request: Request<Body>,
-    ) -> BoxFuture<'static, Response<Body>> {
-        let context = self.0.clone();
-        async move { route(&context, request).await }.boxed()
+    async fn handle(&self, request: Request<Body>) -> Response<Body> {
+        route(&self.0, request).await
     }
 }
 
--- a/crates/walnutmoor/src/worker/connection.rs
+++ b/crates/walnutmoor/src/worker/connection.rs
@@ -18,7 +18,6 @@
 
 use bytes::Bytes;
 use dropshot::Body;
-use futures_util::future::BoxFuture;
 use http::{Request, Response};
 use hyper::{
     body::{Frame, Incoming, SizeHint},
@@ -59,13 +58,13 @@
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Handles a request.
-pub trait Handler: Clone + Send + Sync + 'static {
-    /// The response to a request.
+/// What a listener serves.
+pub trait Handler: Send + Sync + 'static {
+    /// Handles a request. If the future is dropped, the connection is closed.
     fn handle(
         &self,
         request: Request<Body>,
-    ) -> BoxFuture<'static, Response<Body>>;
+    ) -> impl Future<Output = Response<Body>> + Send;
 }
 
 /// The open connections of a listener. Clones refer to the same ones.
@@ -94,6 +93,8 @@
 struct State {
     /// The requests whose responses are not complete.
     in_flight: usize,
+    /// Whether a part of a response is not written yet.
+    is_unwritten: bool,
     has_sent: bool,
     unused_since: Instant,
     is_closing: bool,
@@ -139,6 +140,7 @@
 
 /// Serves at most `max` connections at a time, until the process ends.
 pub async fn serve(listener: TcpListener, max: usize, handler: impl Handler) {
+    let handler = Arc::new(handler);
     let entries = Mutex::default();
     let shared = Shared { entries, closed: Notify::new() };
     let connections = Connections(Arc::new(shared));
@@ -162,16 +164,15 @@
 async fn run(
     stream: TcpStream,
     connection: Connection,
-    handler: impl Handler,
+    handler: Arc<impl Handler>,
 ) {
     // A failure only costs latency.
     let _ = stream.set_nodelay(true);
     let entry = connection.entry.clone();
     let service = service_fn(|request: Request<Incoming>| {
-        let in_flight = entry.begin();
-        let response = handler.handle(request.map(Body::wrap));
+        let (handler, in_flight) = (handler.clone(), entry.begin());
         async move {
-            let response = response.await;
+            let response = handler.handle(request.map(Body::wrap)).await;
             let track =
                 |body| Body::wrap(Tracked { body, _in_flight: in_flight });
             Ok::<_, std::convert::Infallible>(response.map(track))
@@ -179,7 +180,8 @@
     });
     let builder = builder();
     let stream = Arc::new(stream);
-    let socket = TokioIo::new(Socket(stream.clone()));
+    let socket = Socket { stream: stream.clone(), entry: entry.clone() };
+    let socket = TokioIo::new(socket);
     let mut served = pin!(builder.serve_connection(socket, service));
     // A connection that the caller breaks is not an error of this node.
     tokio::select! {
@@ -211,7 +213,10 @@
 }
 
 /// A stream that is read and written by one task, and watched by another.
-struct Socket(Arc<TcpStream>);
+struct Socket {
+    stream: Arc<TcpStream>,
+    entry: Arc<Entry>,
+}
 
 impl AsyncRead for Socket {
     fn poll_read(
@@ -220,8 +225,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
@@ -240,8 +245,8 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
+            ready!(self.stream.poll_write_ready(context))?;
+            match write(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
             }
@@ -270,10 +275,12 @@
         true
     }
 
+    /// Called once all that was buffered has been written.
     fn poll_flush(
         self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
+        lock(&self.entry.state).is_unwritten = false;
         Poll::Ready(Ok(()))
     }
 
@@ -281,7 +288,7 @@
         self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
-        let socket = socket2::SockRef::from(&*self.0);
+        let socket = socket2::SockRef::from(&*self.stream);
         Poll::Ready(socket.shutdown(std::net::Shutdown::Write))
     }
 }
@@ -306,6 +313,7 @@
     fn add(&self) -> Connection {
         let state = State {
             in_flight: 0,
+            is_unwritten: false,
             has_sent: false,
             unused_since: Instant::now(),
             is_closing: false,
@@ -345,9 +353,8 @@
         let entries = lock(&self.0.entries);
         let unused = entries.by_key.values().filter_map(|entry| {
             let state = lock(&entry.state);
-            let is_unused = state.in_flight == 0 && !state.is_closing;
             let order = (state.has_sent, state.unused_since);
-            is_unused.then_some((order, entry))
+            state.is_unused().then_some((order, entry))
         });
         let first = unused.min_by_key(|(order, _)| *order);
         first.inspect(|(_, entry)| entry.close()).is_some()
@@ -368,10 +375,17 @@
     }
 }
 
+impl State {
+    fn is_unused(&self) -> bool {
+        self.in_flight == 0 && !self.is_unwritten && !self.is_closing
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = lock(&self.0.state);
         state.in_flight -= 1;
+        state.is_unwritten = true;
         state.unused_since = Instant::now();
     }
 }
--- a/crates/walnutmoor/src/worker/peer.rs
+++ b/crates/walnutmoor/src/worker/peer.rs
@@ -2,10 +2,9 @@
 The HTTP listener for calls that peers forward.
 */
 
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use dropshot::Body;
-use futures_util::{FutureExt, future::BoxFuture};
 use http::{Request, Response, StatusCode};
 use walnutmoor_core::{call::Trailer, error::Kind};
 
@@ -31,21 +30,15 @@
     max_connections: usize,
 ) -> Result<impl Future<Output = ()>, Failure> {
     let listener = connection::listen(address)?;
-    let handler = Handler(Arc::new(context));
-    Ok(connection::serve(listener, max_connections, handler))
+    Ok(connection::serve(listener, max_connections, Handler(context)))
 }
 
 /// Handles the requests of peers.
-#[derive(Clone)]
-struct Handler(Arc<Context>);
+struct Handler(Context);
 
 impl connection::Handler for Handler {
-    fn handle(
-        &self,
-        request: Request<Body>,
-    ) -> BoxFuture<'static, Response<Body>> {
-        let context = self.0.clone();
-        async move { route(&context, request).await }.boxed()
+    async fn handle(&self, request: Request<Body>) -> Response<Body> {
+        route(&self.0, request).await
     }
 }
 
--- a/crates/walnutmoor/tests/listen.rs
+++ b/crates/walnutmoor/tests/listen.rs
@@ -1,12 +1,14 @@
-//! The listeners of `walnutmoor node`: the cancellation of calls whose callers
-//! have left.
+//! The listeners of `walnutmoor node`: which calls are rejected, and the
+//! cancellation of those whose callers have left.
 
 use std::{
     sync::{Arc, atomic::AtomicU64},
     time::Duration,
 };
 
+use dropshot::Body;
 use futures_util::poll;
+use http::{Method, Request, StatusCode};
 use walnutmoor::worker::{
     driver::{self, Input},
     listen::{self, Context},
@@ -57,6 +59,26 @@
     });
 }
 
+fn call(method: Method, path: &str) -> Request<Body> {
+    let request = Request::builder().method(method).uri(path);
+    request.body(Body::empty()).unwrap()
+}
+
+/// Guards against a path that a backend server resolves to another one.
+#[test]
+fn calls_with_dot_segments_or_other_methods_are_rejected() {
+    let rejected = |path| listen::check(&call(Method::GET, path)).is_err();
+
+    for path in ["/v1/call/a/..", "/v1/call/a/./b", "/v1/call/a/%2E./b"] {
+        assert!(rejected(path), "{path}");
+    }
+    for path in ["/v1/call/a/...", "/v1/call/a/.b", "/v1/call/a/x%2e"] {
+        assert!(!rejected(path), "{path}");
+    }
+    let traced = listen::check(&call(Method::TRACE, "/v1/call/a"));
+    assert_eq!(traced, Err(StatusCode::METHOD_NOT_ALLOWED));
+}
+
 fn is_cancel(input: &Input, call: CallId) -> bool {
     let Input::Event(event) = input else {
         return false;
