walnutmoor node: leave the HTTP/2 windows as they were

The handlers read bodies at once into memory that is counted, or drop them, so hyper's windows are kept; the bound on what waits to be written stays.

The 23 process tests and the tests of the listener pass.

--- a/crates/walnutmoor/src/worker/connection.rs
+++ b/crates/walnutmoor/src/worker/connection.rs
@@ -43,12 +43,10 @@
 /// connection.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
-/// The most bytes of a response that wait to be written on a connection.
+/// The most bytes of a response that wait to be written on an HTTP/2
+/// connection.
 const MAX_UNWRITTEN_BYTES: usize = 32 << 10;
 
-/// The bytes of bodies that an HTTP/2 connection may send ahead.
-const MAX_WINDOW_BYTES: u32 = 64 << 10;
-
 /// How long a head may take, and how long a connection may be idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -303,8 +301,6 @@
     builder
         .http2()
         .timer(TokioTimer::new())
-        .initial_connection_window_size(MAX_WINDOW_BYTES)
-        .initial_stream_window_size(MAX_WINDOW_BYTES)
         .max_send_buf_size(MAX_UNWRITTEN_BYTES);
     builder
 }
