walnutmoor node: keep the listener's times in milliseconds

One clock type, as everywhere; reads append to hyper's buffer without clearing it first; a lint in the drawn events of callers. No change of behaviour.

--- a/crates/walnutmoor/src/worker/connection.rs
+++ b/crates/walnutmoor/src/worker/connection.rs
@@ -71,6 +71,7 @@
 
 #[derive(Debug)]
 struct Shared {
+    started: Instant,
     entries: Mutex<Entries>,
     closed: Notify,
 }
@@ -83,6 +84,8 @@
 
 #[derive(Debug)]
 struct Entry {
+    /// The start of the listener's clock.
+    started: Instant,
     state: Mutex<State>,
     ordered_to_close: Notify,
 }
@@ -94,7 +97,7 @@
     /// Whether a part of a response is not written yet.
     is_unwritten: bool,
     has_sent: bool,
-    unused_since: Instant,
+    unused_since: Millis,
     is_closing: bool,
 }
 
@@ -115,6 +118,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The time since a moment.
+fn since(moment: Instant) -> Millis {
+    Millis(moment.elapsed().as_millis() as u64)
+}
+
 /// Listens at an address.
 ///
 /// # Errors
@@ -140,7 +148,8 @@
 pub async fn serve(listener: TcpListener, max: usize, handler: impl Handler) {
     let handler = Arc::new(handler);
     let entries = Mutex::default();
-    let shared = Shared { entries, closed: Notify::new() };
+    let (started, closed) = (Instant::now(), Notify::new());
+    let shared = Shared { started, entries, closed };
     let connections = Connections(Arc::new(shared));
     loop {
         match listener.accept().await {
@@ -224,13 +233,9 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(count) => {
-                    buffer.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
+            match self.stream.try_read_buf(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                result => return Poll::Ready(result.map(drop)),
             }
         }
     }
@@ -311,11 +316,15 @@
             in_flight: 0,
             is_unwritten: false,
             has_sent: false,
-            unused_since: Instant::now(),
+            unused_since: since(self.0.started),
             is_closing: false,
         };
         let state = Mutex::new(state);
-        let entry = Arc::new(Entry { state, ordered_to_close: Notify::new() });
+        let entry = Arc::new(Entry {
+            started: self.0.started,
+            state,
+            ordered_to_close: Notify::new(),
+        });
         let mut entries = lock(&self.0.entries);
         entries.last_key += 1;
         let key = entries.last_key;
@@ -382,7 +391,7 @@
         let mut state = lock(&self.0.state);
         state.in_flight -= 1;
         state.is_unwritten = true;
-        state.unused_since = Instant::now();
+        state.unused_since = since(self.0.started);
     }
 }
 
--- a/crates/walnutmoor/tests/callers.rs
+++ b/crates/walnutmoor/tests/callers.rs
@@ -80,7 +80,7 @@
 
     /// Opens, closes or changes a connection.
     fn disturb(&mut self) {
-        self.now = self.now + Millis(self.rng.random_range(0..300));
+        self.now += Millis(self.rng.random_range(0..300));
         let now = self.now;
         let open = self.entries.is_empty() || self.rng.random_range(0..4) == 0;
         if open {
