Read responses to health checks within the intake

Cause: the choice was made for all responses, and a health check has a pool without a limit.

Change: health checks are read within the bytes that are read at a time, as before.

a_long_response_to_a_health_check_is_given_up fails before (read whole, 48 MB) and passes now, as do the other tests of endless and pool; a response to a request that states its length is read, in the same file.

--- a/crates/walnutmoor/src/mesh/instance.rs
+++ b/crates/walnutmoor/src/mesh/instance.rs
@@ -21,7 +21,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode, response::Parts};
 use http_body_util::Full;
 use hyper::{
     body::{Body, Incoming},
@@ -271,11 +271,10 @@
         let carrier = connection.carrier;
         let response = connection.sender.send_request(request).await.ok()?;
         self.record_closing(Closing::HealthCheck);
+        let (head, body) = response.into_parts();
         let room = memory::Pool::unlimited();
-        match self.read(response, "", carrier, &room).await {
-            Outcome::Response(response) => Some(response),
-            Outcome::Unreachable | Outcome::Broken(_) => None,
-        }
+        let body = self.read_within_intake(body, &room).await.ok()?;
+        Some(complete(head, body, "", carrier))
     }
 
     /// True if the instance's address refuses connections: its process has
@@ -338,13 +337,17 @@
         room: &impl Room,
     ) -> Outcome {
         let (head, body) = response.into_parts();
-        let body = match self.read_body(body, room).await {
-            Ok(body) => body,
-            Err(why) => return Outcome::Broken(why),
-        };
-        let (status, headers) = (head.status, head.headers);
-        let verdict = header::classify(status.as_u16(), &headers, attempt);
-        Outcome::Response(Response { verdict, status, headers, body, carrier })
+        match self.read_body(body, room).await {
+            Ok(body) => {
+                Outcome::Response(complete(head, body, attempt, carrier))
+            }
+            Err(ReadError::NoRoom) => {
+                Outcome::Broken("no room for the response".into())
+            }
+            Err(ReadError::Broken(error)) => {
+                Outcome::Broken(error.to_string())
+            }
+        }
     }
 
     /// Reads a complete body.
@@ -356,19 +359,23 @@
         &self,
         body: Incoming,
         room: &impl Room,
-    ) -> Result<Bytes, String> {
-        let body = match self.long_length(&body) {
+    ) -> Result<Bytes, ReadError<hyper::Error>> {
+        match self.long_length(&body) {
             Some(length) => read_reserved(body, room, length).await,
-            None => {
-                let mut share = self.intake.begin();
-                let admit = |count| share.grow(count);
-                read(body, room, usize::MAX, admit).await
-            }
-        };
-        body.map_err(|error| match error {
-            ReadError::NoRoom => "no room for the response".into(),
-            ReadError::Broken(error) => error.to_string(),
-        })
+            None => self.read_within_intake(body, room).await,
+        }
+    }
+
+    /// Reads a complete body, as far as the bytes that are read at a time
+    /// allow.
+    async fn read_within_intake(
+        &self,
+        body: Incoming,
+        room: &impl Room,
+    ) -> Result<Bytes, ReadError<hyper::Error>> {
+        let mut share = self.intake.begin();
+        let admit = |count| share.grow(count);
+        read(body, room, usize::MAX, admit).await
     }
 
     /// The stated length of a response that exceeds what is read at a time,
@@ -472,6 +479,18 @@
     }
 }
 
+/// The response to an attempt.
+fn complete(
+    head: Parts,
+    body: Bytes,
+    attempt: &str,
+    carrier: Carrier,
+) -> Response {
+    let (status, headers) = (head.status, head.headers);
+    let verdict = header::classify(status.as_u16(), &headers, attempt);
+    Response { verdict, status, headers, body, carrier }
+}
+
 fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(http::header::CONNECTION);
     values.iter().any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
--- a/crates/walnutmoor/tests/endless.rs
+++ b/crates/walnutmoor/tests/endless.rs
@@ -182,6 +182,72 @@
     });
 }
 
+/// Starts an instance whose responses state this length. Returns its address,
+/// and the number of bytes of the longest body that it has sent.
+async fn start_long(length: usize) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counter = sent.clone();
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let attempt = read_attempt(&mut stream).await.unwrap();
+        let stated = format!("content-length: {length}\r\n\r\n");
+        let head =
+            response(&attempt).replace("content-length: 0\r\n\r\n", &stated);
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let block = vec![b'x'; 64 << 10];
+        let mut own = 0;
+        while own < length {
+            let next = &block[..block.len().min(length - own)];
+            match stream.write(next).await {
+                Ok(count) => own += count,
+                Err(_) => return,
+            };
+            counter.store(own, Ordering::Relaxed);
+        }
+    });
+    (address, sent)
+}
+
+/// A length that only responses to requests may state.
+const LONG: usize = 48 << 20;
+
+fn small_pool(address: SocketAddr) -> Pool {
+    Pool::new(address).max_intake(1 << 20).max_response(LONG)
+}
+
+/// Guards against a response that is given up although there is room for it.
+#[test]
+fn a_response_that_states_its_length_is_read_beyond_the_intake() {
+    run(async {
+        let (address, _) = start_long(LONG).await;
+
+        let outcome = send(&small_pool(address), "a-1").await;
+
+        let Outcome::Response(response) = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(response.body.len(), LONG);
+    });
+}
+
+/// Guards against a response to a health check that is not counted in any
+/// pool, and long.
+#[test]
+fn a_long_response_to_a_health_check_is_given_up() {
+    run(async {
+        let (address, sent) = start_long(LONG).await;
+        let pool = small_pool(address);
+
+        let checked = pool.check_health(Millis(0), order("health")).await;
+
+        assert!(checked.is_none());
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < MAX_READ, "{sent} bytes were read");
+    });
+}
+
 /// Guards against a request that the instance has begun to read, and that is
 /// reported as unsent after its connection closed.
 #[test]
