Tests: an instance that reports and gets no work, by the model and by processes

The process tests check the runs of each instance, for late reports (ready or draining, with a goodbye, of two former lifetimes) after a loss of power, and for slow 421s while instances crash and return. That is why neither the mesh tests nor the soak have seen late reports win.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -66,6 +66,17 @@
     ResetsIdle,
 }
 
+/// How an instance starts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Startup {
+    /// Whether it leaves its start time out of what it says of itself.
+    pub omits_start_time: bool,
+    /// The time from listening to its first heartbeat.
+    pub silence: Duration,
+    /// How long it takes to reject a request for another instance.
+    pub rejection_delay: Duration,
+}
+
 /// An instance of a service. Dropping it doesn't stop its tasks; see
 /// [`Instance::stop`].
 #[derive(Debug)]
@@ -75,6 +86,7 @@
     slots: u32,
     address: SocketAddr,
     control: SocketAddr,
+    startup: Startup,
     behavior: Mutex<Behavior>,
     run_ms: AtomicU64,
     /// The length of a padded response body, in bytes.
@@ -170,17 +182,31 @@
         service: &str,
         address: SocketAddr,
         control: SocketAddr,
+    ) -> Arc<Instance> {
+        let startup = Startup::default();
+        Instance::start_as(id, service, address, control, startup).await
+    }
+
+    /// Like [`Instance::start`], in this way.
+    ///
+    /// # Panics
+    ///
+    /// If the address stays in use.
+    pub async fn start_as(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        control: SocketAddr,
+        startup: Startup,
     ) -> Arc<Instance> {
         let listener = listen(address).await;
         let instance = Arc::new(Instance {
-            lifetime: Mutex::new(Lifetime::new(
-                id,
-                Some(StartTime(unix_millis())),
-            )),
+            lifetime: Mutex::new(startup.lifetime(id)),
             service: service.parse().expect("a service name"),
             slots: 8,
             address,
             control,
+            startup,
             behavior: Mutex::new(Behavior::Healthy),
             run_ms: AtomicU64::new(5),
             response_bytes: AtomicUsize::new(0),
@@ -541,6 +567,14 @@
     }
 }
 
+impl Startup {
+    /// The lifetime of an instance that starts now.
+    fn lifetime(self, id: &str) -> Lifetime {
+        let started_at = StartTime(unix_millis());
+        Lifetime::new(id, (!self.omits_start_time).then_some(started_at))
+    }
+}
+
 fn unix_millis() -> u64 {
     let elapsed = std::time::UNIX_EPOCH.elapsed();
     elapsed.expect("a time after 1970").as_millis() as u64
@@ -566,6 +600,7 @@
 }
 
 async fn send_heartbeats(instance: Arc<Instance>) {
+    tokio::time::sleep(instance.startup.silence).await;
     while !instance.heartbeats_stopped.load(Ordering::Relaxed) {
         instance.send_heartbeat().await;
         let interval_ms = instance.heartbeat_ms.load(Ordering::Relaxed);
@@ -639,6 +674,7 @@
         return respond_health(instance, stream).await;
     }
     if instance.is_misdirected(&request.headers) {
+        tokio::time::sleep(instance.startup.rejection_delay).await;
         return write_response(stream, "421 Misdirected Request", "", "")
             .await;
     }
--- a/crates/walnutmoor-standin/src/mesh/instance/fault.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance/fault.rs
@@ -13,9 +13,8 @@
 };
 
 use tokio::time::Instant;
-use walnutmoor_core::lifetime::{Lifetime, StartTime};
 
-use super::{Instance, caller, listen, unix_millis};
+use super::{Instance, caller, listen};
 
 /// The requests that crash an instance, and its crashes so far.
 #[derive(Debug, Default)]
@@ -102,7 +101,7 @@
         let base = self.id();
         let base = base.split('.').next().unwrap_or_default();
         let id = format!("{base}.{restarts}");
-        let lifetime = Lifetime::new(&id, Some(StartTime(unix_millis())));
+        let lifetime = self.startup.lifetime(&id);
         *self.lifetime.lock().expect("no holder panics") = lifetime;
         self.sequence.store(0, Ordering::Relaxed);
         self.clone().spawn_tasks(listener);
--- a/crates/walnutmoor/tests/mesh/fixture.rs
+++ b/crates/walnutmoor/tests/mesh/fixture.rs
@@ -16,7 +16,7 @@
     child,
     mesh::{
         caller::{self, Response},
-        instance::Instance,
+        instance::{Instance, Startup},
         node::{Addresses, Node, Setup},
         store::Store,
     },
@@ -45,6 +45,8 @@
     pub pairs: Vec<Pair>,
     /// The parts of overload control that are enabled on its nodes.
     pub overload: Vec<String>,
+    /// How its instances start.
+    pub startup: Startup,
     /// The limit of memory in the settings of its nodes, in megabytes.
     pub memory: u64,
     /// The limit of file descriptors in the settings of its nodes.
@@ -112,6 +114,7 @@
             store,
             pairs,
             overload,
+            startup: Startup::default(),
             memory: MEMORY_MB,
             descriptors: DESCRIPTORS,
             limits_processes: false,
@@ -195,7 +198,9 @@
         };
         let id = format!("i-{}", self.pairs.len());
         let Addresses { server, control, .. } = addresses;
-        let instance = Instance::start(&id, service, server, control).await;
+        let startup = self.startup;
+        let instance =
+            Instance::start_as(&id, service, server, control, startup).await;
         let node = Node::start(&setup);
         self.pairs.push(Pair { node, store, instance });
     }
@@ -209,6 +214,16 @@
         pair.instance = Instance::start(&id, &service, server, control).await;
     }
 
+    /// Starts a new instance in a pair, under this id.
+    #[allow(dead_code)] // the tests of crowds don't use it
+    pub async fn replace_instance(&mut self, index: usize, id: &str) {
+        let pair = &mut self.pairs[index];
+        let Addresses { server, control, .. } = pair.node.addresses();
+        let (service, startup) = (pair.instance.service(), self.startup);
+        pair.instance =
+            Instance::start_as(id, &service, server, control, startup).await;
+    }
+
     /// Waits until all nodes are ready, know their instance, and know that the
     /// instances of all others accept work.
     pub async fn wait_until_connected(&self) {
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod gone;
 mod handover;
 mod leaving;
+mod lifetimes;
 mod limits;
 mod path;
 mod peer;
