walnutmoor node: let the address decide which lifetime is there

Callers saw: after a loss of power one late report of each former instance, and no request of the service was served any more; with siblings that lived, one machine got nothing for good.

Cause: two beliefs were formed from indirect evidence, and nothing took them back. Without a start time, the order in which reports arrived was taken for the order of lifetimes, so a late report displaced the living lifetime. And a displaced lifetime was a former one for ever: each of its reports was acknowledged and ignored, until it or the node restarted.

The model finds it with two reports.

Only its own word makes a lifetime depart now. One that reports and is not the current one is a candidate; the current one serves on, and the address is asked: by the requests, which expect one lifetime and are rejected by all others, and by one health check for each such report, one a second at most. An answer counts if its request was sent after the doubt arose. Silence and refusals decide nothing; then the third report of the candidate makes it the current one, unless it is known to have started earlier. A candidate takes over at once if it started later, or if the address has refused connections.

Nothing that was acknowledged is lost: a draining report of a lifetime that is not current is announced to the peers and the store like a goodbye.

What is not covered: of two lifetimes with the same id the address can't tell which it is; there the start times decide as before.

--- a/crates/walnutmoor-core/tests/lifetime.rs
+++ b/crates/walnutmoor-core/tests/lifetime.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use walnutmoor_core::{
-    lifetime::{Lifetime, Report, StartTime, Tracker},
+    lifetime::{Change, Lifetime, Report, StartTime, Tracker},
     time::Millis,
 };
 
@@ -184,3 +184,77 @@
         }
     }
 }
+
+// Guards against a clock that was set back between two starts, after which the
+// living lifetime looks like the earlier one.
+#[test]
+fn a_lifetime_that_seems_older_takes_work_once_the_address_names_it() {
+    let (former, living) = (life("i-1", 900), life("i-2", 400));
+    let mut tracker = Tracker::new();
+    tracker.report(NOW, &report(&former, 7, true));
+
+    tracker.report(NOW, &report(&living, 1, true));
+    let is_doubted = tracker.is_doubted();
+    let sent = tracker.mark();
+    tracker.identify(NOW, "i-2", sent);
+
+    assert!(is_doubted);
+    assert_eq!(tracker.current().unwrap().lifetime, living);
+}
+
+#[test]
+fn a_late_report_raises_no_doubt_once_the_address_has_answered_itself() {
+    let living = Lifetime::new("i-2", None);
+    let mut tracker = Tracker::new();
+    tracker.report(NOW, &report(&living, 1, true));
+    let before = tracker.expectation();
+    tracker.report(NOW, &report(&Lifetime::new("i-1", None), 9, true));
+
+    tracker.confirm(&before);
+    let is_doubted = tracker.is_doubted();
+    tracker.confirm(&tracker.expectation());
+
+    assert!(is_doubted, "answered before the doubt arose");
+    assert!(!tracker.is_doubted());
+    assert_eq!(tracker.current().unwrap().lifetime, living);
+}
+
+#[test]
+fn a_health_check_that_was_sent_to_a_former_lifetime_decides_nothing() {
+    let (first, second) = (life("i-1", 100), life("i-2", 200));
+    let mut tracker = Tracker::new();
+    tracker.report(NOW, &report(&first, 1, true));
+    let sent = tracker.mark();
+    tracker.report(NOW, &report(&second, 1, true));
+
+    let change = tracker.identify(NOW, "i-1", sent);
+
+    assert!(!change.has_changed());
+    assert_eq!(tracker.current().unwrap().lifetime, second);
+}
+
+#[test]
+fn an_address_that_names_a_stranger_has_no_current_lifetime() {
+    let mut tracker = Tracker::new();
+    tracker.report(NOW, &report(&life("i-1", 100), 1, true));
+    let sent = tracker.mark();
+
+    let change = tracker.identify(NOW, "i-other", sent);
+
+    assert_eq!(change, Change::Lifetime);
+    assert_eq!(tracker.current(), None);
+}
+
+#[test]
+fn a_rejection_for_a_former_lifetime_does_not_end_the_current_one() {
+    let (first, second) = (life("i-1", 100), life("i-2", 200));
+    let mut tracker = Tracker::new();
+    tracker.report(NOW, &report(&first, 1, true));
+    let expected = tracker.expectation();
+    tracker.report(NOW, &report(&second, 1, true));
+
+    let change = tracker.reject(NOW, &expected);
+
+    assert!(!change.has_changed());
+    assert_eq!(tracker.current().unwrap().lifetime, second);
+}
--- a/crates/walnutmoor-core/tests/lifetime_model.rs
+++ b/crates/walnutmoor-core/tests/lifetime_model.rs
@@ -12,12 +12,15 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use walnutmoor_core::{
-    lifetime::{Expectation, Lifetime, Report, StartTime, Tracker},
+    lifetime::{
+        Expectation, Lifetime, MAX_UNANSWERED_REPORTS, Mark, Report,
+        StartTime, Tracker,
+    },
     time::Millis,
 };
 
 /// The reports after which the instance takes work, once nothing late arrives.
-const MAX_REPORTS: u64 = 3;
+const MAX_REPORTS: u32 = MAX_UNANSWERED_REPORTS;
 
 /// The time between two events.
 const STEP: Millis = Millis(100);
@@ -70,17 +73,23 @@
     }
 
     fn on_answer(&mut self, request: &Request, answer: Answer) {
-        if answer == Answer::Misdirected {
-            self.tracker.reject(self.now, request);
+        match answer {
+            Answer::Own => self.tracker.confirm(request),
+            Answer::Misdirected => {
+                self.tracker.reject(self.now, request);
+            }
+            Answer::Lost => {}
         }
     }
 
     /// Begins a health check, if there is a doubt that it could settle.
-    fn check(&self) -> Option<()> {
-        None
+    fn check(&self) -> Option<Mark> {
+        self.tracker.is_doubted().then(|| self.tracker.mark())
     }
 
-    fn on_check(&mut self, _check: &(), _id: &str) {}
+    fn on_check(&mut self, check: Mark, id: &str) {
+        self.tracker.identify(self.now, id, check);
+    }
 
     /// The lifetime that takes work.
     fn open(&self) -> Option<&Lifetime> {
@@ -118,6 +127,8 @@
     Next,
     /// An instance of another service has the address.
     Stranger,
+    /// The address refuses a connection of the node.
+    Refuse,
 }
 
 /// How the last lifetime is found once nothing late arrives any more.
@@ -146,7 +157,7 @@
     next: usize,
     departed: Vec<Lifetime>,
     answers: VecDeque<(Request, Answer)>,
-    checks: VecDeque<((), String)>,
+    checks: VecDeque<(Mark, String)>,
 }
 
 impl World {
@@ -238,7 +249,7 @@
             }
             Event::CheckReceive => {
                 if let Some((check, id)) = self.checks.pop_front() {
-                    self.node.on_check(&check, &id);
+                    self.node.on_check(check, &id);
                 }
             }
             Event::Restart => {
@@ -253,6 +264,7 @@
                 self.next = (self.next + 1).min(self.lifetimes.len() - 1);
             }
             Event::Stranger => self.occupant = None,
+            Event::Refuse => self.node.tracker.record_vacancy(),
         }
     }
 
@@ -341,12 +353,12 @@
 // messages of a former lifetime arrive late.
 #[test]
 fn an_instance_takes_work_whatever_arrives_late() {
-    play_all(&LATE, 5, false);
+    play_all(&LATE, 6, false);
 }
 
 #[test]
 fn an_instance_with_a_start_time_takes_work_whatever_arrives_late() {
-    play_all(&LATE, 5, true);
+    play_all(&LATE, 6, true);
 }
 
 // Guards against answers in the name of a former lifetime that end the current
@@ -367,7 +379,7 @@
 
 fn draw(rng: &mut ChaCha8Rng, count: usize) -> Event {
     let of = rng.random_range(0..count);
-    match rng.random_range(0..24) {
+    match rng.random_range(0..25) {
         0..=5 => Event::Report(of),
         6 => Event::Repeat(of),
         // The last one stays, so that it has to take work in the end.
@@ -380,6 +392,7 @@
         20 => Event::CheckReceive,
         21 => Event::Restart,
         22 => Event::Next,
+        23 => Event::Refuse,
         _ => Event::Stranger,
     }
 }
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -11,12 +11,13 @@
 use std::rc::Rc;
 
 use walnutmoor_core::{
-    lifetime::{Belief, Change, Expectation, Lifetime, Report},
+    lifetime::{Belief, Change, Expectation, Lifetime, Mark, Report},
     time::Millis,
 };
 
 use super::{
-    cancellation::increment, journal::Event, serve::Serve, state::State,
+    cancellation::increment, identity, journal::Event, serve::Serve,
+    state::State,
 };
 
 /// The pause between connection attempts to an instance that refuses them.
@@ -26,6 +27,8 @@
     /// Handles a heartbeat of the instance.
     pub fn report(&self, state: &Rc<State>, report: &Report) {
         let before = self.tracker.borrow().current().cloned();
+        let had_departed =
+            self.tracker.borrow().has_departed(&report.lifetime);
         let change = self.tracker.borrow_mut().report(state.now(), report);
         let belief = self.tracker.borrow().belief(&report.lifetime);
         if let Some(belief) = belief.filter(|_| report.ready) {
@@ -36,7 +39,12 @@
         {
             self.record_crash(state, &before.lifetime, "another lifetime");
         }
+        if !change.has_changed() && !report.ready && !had_departed {
+            // It is acknowledged, although another lifetime is current.
+            state.announce_departure(&report.lifetime);
+        }
         self.apply(state, change, "heartbeat");
+        identity::resolve_doubt(state);
     }
 
     /// Counts and logs a report of an instance that says it accepts work and
@@ -143,6 +151,24 @@
         self.apply(state, change, "another instance answered");
     }
 
+    /// Handles the id with which the address has answered a health check that
+    /// was sent at this point.
+    pub(super) fn handle_identity(
+        &self,
+        state: &Rc<State>,
+        id: &str,
+        sent: Mark,
+    ) {
+        let before = self.tracker.borrow().current().cloned();
+        let change = self.tracker.borrow_mut().identify(state.now(), id, sent);
+        if let Some(before) = before.filter(|before| before.ready)
+            && change == Change::Lifetime
+        {
+            self.record_crash(state, &before.lifetime, "health check");
+        }
+        self.apply(state, change, "health check");
+    }
+
     /// Stops taking new work, so that calls in flight finish before the node
     /// exits.
     pub fn drain(&self, state: &Rc<State>) {
@@ -156,7 +182,7 @@
         if !change.has_changed() {
             return;
         }
-        if change == Change::Lifetime {
+        if change.is_lifetime() {
             self.pool.clear();
             self.named_limit.borrow_mut().start_lifetime();
             self.malformed_logged.set(false);
@@ -212,6 +238,7 @@
 
     /// Stops taking work until the instance accepts connections again.
     pub(super) fn suspend(&self, state: &Rc<State>) {
+        self.tracker.borrow_mut().record_vacancy();
         self.bulkhead.borrow_mut().close();
         if !self.suspended.replace(true) {
             let fields = [("why", "no connection".into())];
--- a/crates/walnutmoor/src/mesh/mod.rs
+++ b/crates/walnutmoor/src/mesh/mod.rs
@@ -14,6 +14,7 @@
 | [`connection`] | serves a caller's connection, with pipelining |
 | [`callers`] | lists the connections of callers, and selects those that give way |
 | [`output`] | buffers bytes to be written to a caller |
+| `identity` | asks the address of the local instance which lifetime is there |
 | [`ingress`] | handles callers' requests at the entry node |
 | [`requests`] | lists the callers' requests without a complete response |
 | [`dispatch`] | selects instances for a request, and retries it |
@@ -61,6 +62,7 @@
 mod feasibility;
 pub mod frame;
 pub mod handover;
+mod identity;
 pub mod ingress;
 pub mod instance;
 pub mod journal;
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -4,8 +4,6 @@
 
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
-use http::Request;
-use http_body_util::Full;
 use serde_json::Value;
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -18,7 +16,7 @@
 
 use super::{
     control::{self, Endpoint},
-    departure, ingress,
+    departure, identity, ingress,
     instance::Response,
     journal::{Event, Journal},
     link::{self, CHECK_INTERVAL},
@@ -302,28 +300,15 @@
             pause = MAX_HEALTH_CHECK_PAUSE;
             continue;
         }
-        if let Some(table) = state.table() {
-            let service = table.service(&state.settings.service);
-            let path = service.map(|spec| spec.health_path.clone());
-            check_health(&state, &path.unwrap_or("/health".into())).await;
-        }
+        check_health(&state).await;
     }
 }
 
-async fn check_health(state: &Rc<State>, path: &str) {
-    let mut request = Request::new(Full::default());
-    let Ok(uri) = path.parse() else {
-        return;
-    };
-    *request.uri_mut() = uri;
-    let host = state.settings.server.to_string();
-    if let Ok(host) = host.parse() {
-        request.headers_mut().insert(http::header::HOST, host);
-    }
-    let sent = state.serve.pool.check_health(state.now(), request);
-    let Some(Response { status, headers, .. }) = sent.await else {
+async fn check_health(state: &Rc<State>) {
+    let Some(response) = identity::check_health(state).await else {
         return;
     };
+    let Response { status, headers, .. } = response;
     if let (Some(id), Some(load)) =
         (header::instance(&headers), header::load(&headers))
     {
--- a/crates/walnutmoor/src/mesh/run.rs
+++ b/crates/walnutmoor/src/mesh/run.rs
@@ -92,6 +92,11 @@
         Outcome::Broken("no complete response by the deadline".into())
     });
     serve.observe_response(&state, now, lifetime, &attempt, &outcome);
+    if let Outcome::Response(response) = &outcome
+        && response.verdict == Verdict::Trusted
+    {
+        serve.tracker.borrow_mut().confirm(&expected);
+    }
     let mut crash = None;
     match outcome {
         Outcome::Broken(_) => {
--- a/crates/walnutmoor/src/mesh/serve.rs
+++ b/crates/walnutmoor/src/mesh/serve.rs
@@ -45,6 +45,7 @@
     crash::Detector,
     feasibility,
     frame::{Call, Reply},
+    identity,
     instance::Pool,
     journal::Event,
     peer::Session,
@@ -203,6 +204,8 @@
     pub(super) detector: Detector,
     /// The current lifetime of the instance.
     pub(super) tracker: RefCell<Tracker>,
+    /// The health checks that ask which lifetime is at the address.
+    pub(super) inquiry: identity::Inquiry,
     /// The reports that were set aside, by reason.
     pub(super) set_aside: [Cell<u64>; lifetime::Reason::ALL.len()],
     /// The rate limit that the instance names.
@@ -262,6 +265,7 @@
             isolation: RefCell::new(Isolation::new()),
             detector: Detector::default(),
             tracker: RefCell::new(Tracker::new()),
+            inquiry: identity::Inquiry::default(),
             set_aside: Default::default(),
             named_limit: RefCell::default(),
             speeds: Speeds::default(),
