walnutmoor node: trust a health check only of the lifetime that a peer knows

Callers saw: an order was run by an instance of another service, and answered with 200, after the address of a crashed instance had been used again beside a node that was restarted once.

A peer told the restarted node that 'its instance' had served, without saying which, and the node trusted health checks for the rest of its life. When its instance was gone, it adopted by a health check whoever had the address.

Nodes now tell the nodes that are linked to them the lifetime of their instance, when it changes and when a link opens; the testimony names it. Only an instance with that id is adopted by a health check, and an answer with another id ends the trust. The protocol version is 11.

--- a/crates/walnutmoor-core/src/departure.rs
+++ b/crates/walnutmoor-core/src/departure.rs
@@ -3,7 +3,8 @@
 who can testify that an instance has not departed.
 
 A node that restarts knows nothing of its instance. A peer is a [`Witness`] if
-it knows the instance from an earlier incarnation of the node. The departures of an instance are kept in the directory record of the node
+it knows the instance from an earlier incarnation of the node, by its lifetime:
+the address may belong to another instance by now. The departures of an instance are kept in the directory record of the node
 beside it, so that they outlive all nodes. A [`Ledger`] says what is still to
 be written, also after the store was restored from an older copy.
 
@@ -76,15 +77,27 @@
 
 /// What a node knows of the instance beside a peer, which it tells the peer's
 /// next incarnation.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Witness {
-    /// Whether the instance has accepted work under this incarnation.
+    /// The lifetime that the peer has named last.
+    named: Option<Lifetime>,
+    /// Whether it has accepted work under this incarnation.
     has_served: bool,
-    /// Whether it had under the last one, with no departure missed since.
-    has_served_formerly: bool,
+    /// The lifetime that had under the last one, with no departure missed
+    /// since.
+    has_served_formerly: Option<Lifetime>,
 }
 
 impl Witness {
+    /// Records the current lifetime of the instance, if any.
+    pub fn name(&mut self, lifetime: Option<Lifetime>) {
+        // The first load of a link comes before the lifetime that it is of.
+        if self.named.is_some() && self.named != lifetime {
+            self.has_served = false;
+        }
+        self.named = lifetime;
+    }
+
     /// Records a report of the instance's load.
     pub fn observe(&mut self, accepting: bool) {
         self.has_served |= accepting;
@@ -98,12 +111,14 @@
 
     /// Records that the peer has a new incarnation.
     pub fn on_restart(&mut self) {
-        self.has_served_formerly = std::mem::take(&mut self.has_served);
+        let served = self.named.take();
+        let has_served = std::mem::take(&mut self.has_served);
+        self.has_served_formerly = served.filter(|_| has_served);
     }
 
-    /// Whether to testify to the new incarnation, which is done once.
-    pub fn take_testimony(&mut self) -> bool {
-        std::mem::take(&mut self.has_served_formerly)
+    /// The lifetime to testify of to the new incarnation, which is done once.
+    pub fn take_testimony(&mut self) -> Option<Lifetime> {
+        self.has_served_formerly.take()
     }
 }
 
--- a/crates/walnutmoor-core/tests/departure_replay.rs
+++ b/crates/walnutmoor-core/tests/departure_replay.rs
@@ -29,7 +29,8 @@
 struct Node {
     tracker: Tracker,
     ledger: Ledger,
-    has_witness: bool,
+    /// The lifetimes that peers have testified of.
+    witnessed: Vec<Lifetime>,
     /// What it knows of each peer.
     witnesses: BTreeMap<usize, Witness>,
     departed: BTreeMap<usize, Lifetimes>,
@@ -206,9 +207,13 @@
                 continue;
             };
             let accepting = node.tracker.is_ready();
+            let current = node.tracker.current();
+            let current = current.map(|current| current.lifetime.clone());
             for peer in self.peers(at) {
                 if let Some(peer) = &mut self.nodes[peer] {
-                    peer.witnesses.entry(at).or_default().observe(accepting);
+                    let witness = peer.witnesses.entry(at).or_default();
+                    witness.name(current.clone());
+                    witness.observe(accepting);
                 }
             }
         }
@@ -245,14 +250,14 @@
         if is_restart {
             witness.on_restart();
         }
-        let testifies = witness.take_testimony();
+        let testimony = witness.take_testimony();
         let known = peer.departed.get(&at).cloned().unwrap_or_default();
         if let Some(node) = &mut self.nodes[at] {
             known.iter().for_each(|lifetime| {
                 node.ledger.insert(lifetime.clone());
             });
             node.tracker.record_departed(NOW, known.iter().cloned().collect());
-            node.has_witness |= testifies;
+            node.witnessed.extend(testimony);
         }
     }
 
@@ -295,7 +300,7 @@
     fn check_health(&mut self, at: usize) {
         let instance = &self.instances[at];
         if let Some(node) = &mut self.nodes[at]
-            && node.has_witness
+            && node.witnessed.iter().any(|l| l.id == instance.lifetime.id)
         {
             let id = &instance.lifetime.id;
             node.tracker.record_health_check(NOW, id, 8, true);
--- a/crates/walnutmoor/src/mesh/departure.rs
+++ b/crates/walnutmoor/src/mesh/departure.rs
@@ -9,8 +9,9 @@
 are awaited for a limited time, and the write is repeated until it succeeds.
 
 A health check says nothing about departures. A node that starts trusts it only
-if a peer has been linked to an earlier incarnation of the node while the
-instance accepted work, and only after all peers have had the time to report.
+if a peer has been linked to an earlier incarnation of the node while this
+lifetime accepted work, and only after all peers have had the time to report.
+Another instance that answers may belong to another service.
 Without such a witness, as after all nodes were killed, the node waits for a
 heartbeat, which a departed instance does not send. A heartbeat may be late,
 and an instance may say in a response only that it leaves, so the instance is
@@ -47,6 +48,9 @@
 /// interval at which they try to reconnect.
 const REPORT_TIMEOUT: Millis = Millis(1_000);
 
+/// The number of lifetimes of the local instance that peers may testify of.
+const MAX_WITNESSED: usize = 4;
+
 /// Departed instances of all nodes.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
@@ -56,9 +60,9 @@
     /// instance.
     unrecorded: RefCell<Set<NodeId>>,
     recorded: Notify,
-    /// True once a peer has reported that the local instance accepted work
-    /// under an earlier incarnation of this node.
-    has_witness: Cell<bool>,
+    /// The lifetimes of the local instance of which peers have reported that
+    /// they accepted work under an earlier incarnation of this node.
+    witnessed: RefCell<Vec<Lifetime>>,
     /// The departures of the local instance.
     ledger: RefCell<Ledger>,
     /// True while an announcement waits for the store.
@@ -77,10 +81,24 @@
         self.record_peer(node);
     }
 
-    /// Records that a peer knows the instance from an earlier incarnation of
+    /// Records that a peer knows this lifetime from an earlier incarnation of
     /// this node.
-    pub(super) fn record_witness(&self) {
-        self.has_witness.set(true);
+    pub(super) fn record_witness(&self, lifetime: Lifetime) {
+        let mut witnessed = self.witnessed.borrow_mut();
+        if !witnessed.contains(&lifetime) && witnessed.len() < MAX_WITNESSED {
+            witnessed.push(lifetime);
+        }
+    }
+
+    /// True if a peer knows an instance with this id. Ends the trust in health
+    /// checks otherwise: the address belongs to another one.
+    pub(super) fn check_witnessed(&self, id: &str) -> bool {
+        let mut witnessed = self.witnessed.borrow_mut();
+        let is_witnessed = witnessed.iter().any(|known| known.id == id);
+        if !is_witnessed {
+            witnessed.clear();
+        }
+        is_witnessed
     }
 
     /// Records that a peer knows of the departure, or can't be told now.
@@ -105,9 +123,11 @@
 }
 
 impl State {
-    /// True if a successful health check proves that the instance takes work.
+    /// True if a successful health check can prove that the instance takes
+    /// work.
     pub(super) fn trusts_health_check(&self) -> bool {
-        self.departures.has_witness.get() && self.peers_have_reported()
+        let has_witness = !self.departures.witnessed.borrow().is_empty();
+        has_witness && self.peers_have_reported()
     }
 
     /// True once all reachable peers have linked to this node, and have thus
--- a/crates/walnutmoor/src/mesh/frame.rs
+++ b/crates/walnutmoor/src/mesh/frame.rs
@@ -116,10 +116,13 @@
     /// The demand of client accounts for the sender's instance, which is short
     /// of capacity.
     Shares(Report),
+    /// The current lifetime of the sender's instance, if any. Precedes the
+    /// loads that it reports.
+    Serving(Option<Lifetime>),
     /// The sender was linked to an earlier incarnation of the receiver, and
-    /// the receiver's instance accepted work then. Follows
+    /// this lifetime of the receiver's instance accepted work then. Follows
     /// [`Frame::KnownDepartures`].
-    KnownServing,
+    KnownServing(Lifetime),
     /// The number of replies that the sender has read on this connection. The
     /// receiver need not retain them any longer.
     Read(u64),
@@ -127,7 +130,7 @@
 
 /// The protocol version. Incremented with each incompatible change of the
 /// frames; nodes of different versions do not link to each other.
-pub const PROTOCOL_VERSION: u32 = 10;
+pub const PROTOCOL_VERSION: u32 = 11;
 
 /// The handshake: introduces the sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -194,6 +194,7 @@
             state.announce_departure(&lifetime);
         }
         self.log_instance(state, source);
+        state.broadcast_lifetime();
         state.broadcast_load();
         self.advance(state);
     }
@@ -230,6 +231,12 @@
         state.journal.log_event(state.now(), Event::Instance, &fields);
     }
 
+    /// The current lifetime of the instance, if any.
+    pub(super) fn current(&self) -> Option<Lifetime> {
+        let tracker = self.tracker.borrow();
+        tracker.current().map(|current| current.lifetime.clone())
+    }
+
     /// What a request that is sent now expects at the address; its id is empty
     /// if no lifetime is known.
     pub(super) fn expectation(&self) -> Expectation {
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -191,8 +191,9 @@
     if let Some(rate) = link.former_limit.take() {
         let _ = outgoing.send(Frame::KnownLimit(rate));
     }
-    if link.witness.borrow_mut().take_testimony() {
-        let _ = outgoing.send(Frame::KnownServing);
+    let testimony = link.witness.borrow_mut().take_testimony();
+    if let Some(lifetime) = testimony {
+        let _ = outgoing.send(Frame::KnownServing(lifetime));
     }
     if let Some(instance) = state.serve.departed() {
         let _ = outgoing.send(Frame::Departed(instance));
@@ -323,6 +324,7 @@
             record_load(state, link, load);
             state.record_peer_edition(edition, link.node);
         }
+        Frame::Serving(lifetime) => link.witness.borrow_mut().name(lifetime),
         Frame::DepartureRecorded => state.departures.record_peer(link.node),
         Frame::Desired(stamp, raw) => {
             state.adopt(stamp, raw, Source::Peer);
--- a/crates/walnutmoor/src/mesh/node.rs
+++ b/crates/walnutmoor/src/mesh/node.rs
@@ -312,6 +312,9 @@
     if let (Some(id), Some(load)) =
         (header::instance(&headers), header::load(&headers))
     {
+        if !state.departures.check_witnessed(id) {
+            return;
+        }
         let leaving = state.serve.observe_health_check(state, &headers);
         let ready = status.is_success() && !leaving;
         state.serve.record_health_check(state, id, load.slots, ready);
--- a/crates/walnutmoor/src/mesh/peer.rs
+++ b/crates/walnutmoor/src/mesh/peer.rs
@@ -301,6 +301,7 @@
     session.unwritten.set(0);
     session.writing.borrow_mut().clear();
     session.send(Frame::Hello(state.hello_reply()));
+    session.send(Frame::Serving(state.serve.current()));
     if let Some(evidence) = state.evidence_frame() {
         session.send(evidence);
     }
@@ -480,7 +481,9 @@
         Frame::KnownDepartures(instances) => {
             state.on_known_departures(instances)
         }
-        Frame::KnownServing => state.departures.record_witness(),
+        Frame::KnownServing(lifetime) => {
+            state.departures.record_witness(lifetime)
+        }
         Frame::KnownLimit(rate) => {
             let source = "a former life of this node";
             state.serve.adopt_limit(state, rate, source);
--- a/crates/walnutmoor/src/mesh/state.rs
+++ b/crates/walnutmoor/src/mesh/state.rs
@@ -247,6 +247,13 @@
         }
     }
 
+    /// Sends the current lifetime of the local instance to every linked node.
+    pub(super) fn broadcast_lifetime(&self) {
+        for session in self.sessions.borrow().values() {
+            session.send(Frame::Serving(self.serve.current()));
+        }
+    }
+
     /// Sends the shares of client accounts at the local instance to every
     /// linked node, if it is short and a report is due.
     pub(super) fn publish_shares(&self) {
--- a/crates/walnutmoor/tests/mesh/lifetimes.rs
+++ b/crates/walnutmoor/tests/mesh/lifetimes.rs
@@ -233,3 +233,37 @@
         caller.await.unwrap();
     }
 }
+
+// Guards against a health check by which a node adopts an instance of another
+// service, after it was restarted once beside its own.
+#[test]
+fn an_instance_of_another_service_at_the_address_gets_no_requests() {
+    run(async {
+        let mut world = start(ANONYMOUS).await;
+        world.pairs[0].node.restart();
+        until_each_is_used(&world, "restarted").await;
+
+        world.pairs[0].instance.stop();
+        let at = world.pairs[0].node.addresses();
+        let other =
+            Instance::start("i-other", "parts", at.server, at.control).await;
+        send_for(&world, Duration::from_secs(6), "reused").await;
+
+        assert_eq!(other.total_runs(), 0);
+    });
+}
+
+// Guards against testimony that a node does not get, so that it waits for a
+// heartbeat beside an instance that serves.
+#[test]
+fn a_node_restarted_beside_a_serving_instance_does_not_wait_for_a_heartbeat() {
+    run(async {
+        let mut world = start(ANONYMOUS).await;
+        until_each_is_used(&world, "before").await;
+
+        world.pairs[0].instance.stop_heartbeats();
+        world.pairs[0].node.restart();
+
+        until_each_is_used(&world, "after").await;
+    });
+}
