walnutmoor node: a response without a final status is no answer

Callers got status 101 and 600 from an instance in trouble as the answer to their request. The users saw 000 elsewhere; that one, 099, 199 and 1000 were refused by the HTTP library already.

Cause: an answer was told by its id and signature alone, whatever its status. 101 without an upgrade that anybody asked for is interim, and 600 and above are no statuses of HTTP: bytes that belong to no request. Interim responses before the real answer are skipped as before.

A health check with such a status names nobody either.

--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -50,9 +50,11 @@
     Sheds,
     /// Runs requests and responds with 500.
     Fails,
-    /// Runs requests and responds with this status, which would mean that they
-    /// have not run, but is not marked so.
+    /// Runs requests and responds with this status, written with three digits
+    /// at least.
     FailsWith(u16),
+    /// Sends an interim response with this status before the real one.
+    SendsInterim(u16),
     /// Sends a second, unsolicited response shortly after the first.
     RespondsTwice,
     /// Sends half of the announced body and closes the connection.
@@ -725,9 +727,14 @@
                 .await
         }
         Behavior::FailsWith(status) => {
-            let status = format!("{status} Status");
+            let status = format!("{status:03} Status");
             write_response(stream, &status, &signed, "no").await
         }
+        Behavior::SendsInterim(status) => {
+            let interim = format!("HTTP/1.1 {status} Interim\r\n\r\n");
+            stream.write_all(interim.as_bytes()).await.is_ok()
+                && write_response(stream, "200 OK", &signed, &body).await
+        }
         Behavior::OmitsSignature => {
             write_response(stream, "200 OK", &headers, &body).await
         }
--- a/crates/walnutmoor/src/mesh/identity.rs
+++ b/crates/walnutmoor/src/mesh/identity.rs
@@ -78,7 +78,7 @@
 }
 
 /// Sends a health check to the instance. Returns `None` if there is no complete
-/// response in time, or no desired state yet.
+/// answer in time, or no desired state yet.
 pub(super) async fn check_health(state: &State) -> Option<Response> {
     let table = state.table()?;
     let service = table.service(&state.settings.service);
@@ -88,5 +88,6 @@
     let host = state.settings.server.to_string();
     request.headers_mut().insert(http::header::HOST, host.parse().ok()?);
     let sent = state.serve.pool.check_health(state.now(), request);
-    timeout(TIMEOUT, sent).await.ok()?
+    let response = timeout(TIMEOUT, sent).await.ok()??;
+    header::is_final(response.status.as_u16()).then_some(response)
 }
--- a/crates/walnutmoor/tests/mesh/faults.rs
+++ b/crates/walnutmoor/tests/mesh/faults.rs
@@ -275,3 +275,63 @@
         .await;
     });
 }
+
+// Guards against a status that is no final one of HTTP and is passed on as an
+// answer.
+#[test]
+fn a_response_without_a_final_status_is_not_passed_on() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        let desk = world.pairs[1].instance.clone();
+        for status in [0, 99, 101, 199, 600, 999, 1_000] {
+            desk.set_behavior(Behavior::FailsWith(status));
+            for route in ["order", "browse"] {
+                let id = format!("final-{status}-{route}");
+                let answer = world.send(0, route, &id).await.unwrap();
+                assert_eq!(answer.status, 502, "{status}");
+            }
+            assert_eq!(desk.runs(&format!("final-{status}-order")), 1);
+
+            desk.set_behavior(Behavior::Healthy);
+            world.send_until_ok(0, "order", &format!("next-{status}")).await;
+        }
+    });
+}
+
+// Guards against a sibling that is passed over for an instance that fails all
+// requests at once.
+#[test]
+fn requests_go_to_the_sibling_of_an_instance_without_final_statuses() {
+    run(async {
+        let world = World::start(&["front", "desk", "desk"]).await;
+        for faulty in [1, 2] {
+            let faulty = &world.pairs[faulty].instance;
+            faulty.set_behavior(Behavior::FailsWith(101));
+
+            for number in 0..20 {
+                let id = format!("sibling-{}-{number}", faulty.lifetime().id);
+                let answer = world.send(0, "browse", &id).await.unwrap();
+                assert_eq!(answer.status, 200, "{id}");
+            }
+
+            faulty.set_behavior(Behavior::Healthy);
+        }
+    });
+}
+
+#[test]
+fn the_answer_behind_an_interim_response_is_passed_on() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        let desk = &world.pairs[1].instance;
+        for status in [100, 102, 103] {
+            desk.set_behavior(Behavior::SendsInterim(status));
+
+            let id = format!("interim-{status}");
+            let answer = world.send(0, "order", &id).await.unwrap();
+
+            assert_eq!(answer.status, 200, "{status}");
+            assert_eq!(desk.runs(&id), 1);
+        }
+    });
+}
