--- a/crates/walnutmoor-standin/src/mesh/instance.rs
+++ b/crates/walnutmoor-standin/src/mesh/instance.rs
@@ -32,9 +32,11 @@
 };
 use walnutmoor_platform::{header, standin};
 
+pub use self::endless::Part;
 use self::{fault::Fault, machine::Machine, quirk::Quirks};
 use super::caller;
 
+mod endless;
 mod fault;
 mod machine;
 mod quirk;
@@ -53,6 +55,9 @@
     /// Runs requests and responds with this status, written with three digits
     /// at least.
     FailsWith(u16),
+    /// Runs requests and sends bytes without end in this part of a response,
+    /// until the connection is closed.
+    SendsWithoutEnd(Part),
     /// Sends an interim response with this status before the real one.
     SendsInterim(u16),
     /// Sends a second, unsolicited response shortly after the first.
@@ -730,6 +735,10 @@
             let status = format!("{status:03} Status");
             write_response(stream, &status, &signed, "no").await
         }
+        Behavior::SendsWithoutEnd(part) => {
+            endless::send(stream, &signed, part).await;
+            false
+        }
         Behavior::SendsInterim(status) => {
             let interim = format!("HTTP/1.1 {status} Interim\r\n\r\n");
             stream.write_all(interim.as_bytes()).await.is_ok()
--- a/crates/walnutmoor/tests/mesh/main.rs
+++ b/crates/walnutmoor/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod crash_log;
 mod departures;
 mod desired;
+mod endless;
 mod faults;
 mod fixture;
 mod gone;
