--- a/crates/walnutmoor-core/src/departure.rs
+++ b/crates/walnutmoor-core/src/departure.rs
@@ -4,9 +4,10 @@
 
 A node that restarts knows nothing of its instance. A peer is a [`Witness`] if
 it knows the instance from an earlier incarnation of the node, by its lifetime:
-the address may belong to another instance by now. The departures of an instance are kept in the directory record of the node
-beside it, so that they outlive all nodes. A [`Ledger`] says what is still to
-be written, also after the store was restored from an older copy.
+the address may belong to another instance by now. The departures of an instance
+are kept in the directory record of the node beside it, so that they outlive all
+nodes. A [`Ledger`] says what is still to be written, also after the store was
+restored from an older copy.
 
 # Example
 
--- a/crates/walnutmoor-core/src/lifetime.rs
+++ b/crates/walnutmoor-core/src/lifetime.rs
@@ -16,9 +16,9 @@
 the address decides between the two, by its answers to requests that expect a
 certain lifetime and to health checks. Without answers, the candidate becomes
 the current one after [`MAX_UNANSWERED_REPORTS`] reports, unless it is known to
-have started earlier. Each request expects
-one lifetime and is rejected by all others, so a wrong belief costs rejections
-and never runs a request at the wrong instance.
+have started earlier. Each request expects one lifetime and is rejected by all
+others, so a wrong belief costs rejections and never runs a request at the wrong
+instance.
 
 # Example
 
--- a/crates/walnutmoor/src/mesh/connection.rs
+++ b/crates/walnutmoor/src/mesh/connection.rs
@@ -423,8 +423,13 @@
     }
 
     /// Decodes and starts as many requests as possible.
-    fn advance(&mut self) {
+    fn start_whole(&mut self) {
         while !self.pipeline.is_draining() && self.step() {}
+    }
+
+    /// The same, and asks for the body that a caller holds back.
+    fn advance(&mut self) {
+        self.start_whole();
         let has_pending = !self.pending.is_empty();
         if let ReadState::Body(arrival) = &mut self.reading
             && !has_pending
@@ -640,7 +645,7 @@
     /// If the connection has broken.
     fn start_received(&mut self, reader: &mut ReadHalf<'_>) -> io::Result<()> {
         loop {
-            self.advance();
+            self.start_whole();
             let is_full = self.intake() != Intake::Read;
             if self.pipeline.is_draining() || is_full {
                 return Ok(());
--- a/crates/walnutmoor/tests/mesh/pipeline.rs
+++ b/crates/walnutmoor/tests/mesh/pipeline.rs
@@ -259,6 +259,27 @@
     });
 }
 
+#[test]
+fn continue_is_not_sent_before_an_earlier_response_of_a_terminating_node() {
+    run(async {
+        let world = World::start(&["front", "desk"]).await;
+        let desk = &world.pairs[1].instance;
+        desk.hold("a");
+        let order = request(Method::POST, "order", "b", "body");
+        let (head, _) = order.split_at(order.len() - 4);
+        let head =
+            head.replace("\r\n\r\n", "\r\nexpect: 100-continue\r\n\r\n");
+
+        let mut caller = connect(&world, &[browse("a"), head]).await;
+        until("the first runs", || async { desk.runs("a") == 1 }).await;
+        world.pairs[0].node.signal("TERM");
+        until("the node leaves", || async { !world.is_ready(0).await }).await;
+        desk.release("a");
+
+        assert!(is_for(&caller.read().await.unwrap(), "a"));
+    });
+}
+
 #[test]
 fn a_chunked_body_may_be_pipelined() {
     run(async {
