Balancer: try an instance that failed again with requests that may run once

Found by asking of each belief about an instance what takes it back. An instance whose failure rate is believed to be 0.2 or more is chosen only if all siblings fail as often, and probed only with idempotent requests. At a node that gets none for its service, as of road calls at a node of another service, the belief could not change: no request, no response.

After 30 s without a request from this node it is probed with any request now. The bound is that a node spends at most one such request in 30 s on an instance that fails on.

--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -53,9 +53,14 @@
 const REQUESTS_PER_PROBE: usize = 32;
 
 /// The failure rate from which an instance is probed only with idempotent
-/// requests.
+/// requests, unless it got no request for [`MAX_UNTRIED`].
 const MAX_PROBE_FAILURE_RATE: f64 = 0.2;
 
+/// How long an instance that failed may be without a request. All requests of a
+/// service may be ones that may run only once, and without a response it would
+/// never be seen to recover.
+const MAX_UNTRIED: Millis = Millis(30_000);
+
 /// The failure rate below which a sibling is worth a retry.
 const RETRY_FAILURE_RATE: f64 = 0.15;
 
@@ -261,7 +266,9 @@
             }
             let rejected = scope.rejected_by.contains(&id);
             let failing = server.failures.rate_with_prior(typical_failing);
-            let safe = pick.idempotent || failing < MAX_PROBE_FAILURE_RATE;
+            let safe = pick.idempotent
+                || failing < MAX_PROBE_FAILURE_RATE
+                || now.since(server.tried_at) >= MAX_UNTRIED;
             let idle = server.load.waits[rank] == 0;
             let is_limited = server.load.limited.is_some();
             if probes && safe && idle && !rejected && probe.is_none() {
@@ -298,7 +305,7 @@
         let is_spilled = *best_zone != self.zone
             && preferences.over(best_zone) < Preference::FULL;
         if let Some(probe) = probe
-            && self.takes_share(probe)
+            && self.takes_share(now, probe)
         {
             return Choice::Send(probe);
         }
@@ -306,17 +313,23 @@
         let Some((_, unlimited)) = best_unlimited else {
             return Choice::Send(best);
         };
-        match self.takes_share(best) {
+        match self.takes_share(now, best) {
             true => Choice::Send(best),
             false => Choice::Instead { to: unlimited, best },
         }
     }
 
     /// True if the next request placed on an instance is within the share that
-    /// its rate limit leaves room for.
-    fn takes_share(&mut self, id: NodeId) -> bool {
-        let server = self.servers.get_mut(&id);
-        server.is_some_and(|(_, server)| server.takes_share())
+    /// its rate limit leaves room for. It is placed there then.
+    fn takes_share(&mut self, now: Millis, id: NodeId) -> bool {
+        let Some((_, server)) = self.servers.get_mut(&id) else {
+            return false;
+        };
+        let takes_share = server.takes_share();
+        if takes_share {
+            server.tried_at = now;
+        }
+        takes_share
     }
 
     /// True if a sibling of this instance that names no rate limit may take
--- a/crates/walnutmoor-core/src/balance/server.rs
+++ b/crates/walnutmoor-core/src/balance/server.rs
@@ -93,6 +93,8 @@
     /// flight now.
     in_flight_at_report: usize,
     pub(super) failures: Failures,
+    /// When a request was last placed on it.
+    pub(super) tried_at: Millis,
     pub(super) down_until: Millis,
     /// The requests that the instance may still get within its share, in
     /// thousandths.
@@ -109,6 +111,7 @@
             in_flight: 0,
             in_flight_at_report: 0,
             failures: Failures::default(),
+            tried_at: Millis(0),
             down_until: Millis(0),
             credit: 0,
         }
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -304,3 +304,19 @@
         assert!(chosen <= probes + 1, "share {share}: {chosen}");
     }
 }
+
+// Guards against an instance that failed, has recovered, and gets no work for
+// good, as all requests may run only once.
+#[test]
+fn an_instance_that_failed_is_tried_again_by_requests_that_may_run_once() {
+    let mut balance = balance();
+    for _ in 0..40 {
+        balance.done(id(3), Some(true));
+    }
+
+    let soon = times_chosen(&mut balance, Millis(0), 2_000);
+    let later = times_chosen(&mut balance, Millis(20_000), 10_000);
+
+    assert_eq!(soon, 0);
+    assert!((1..=4).contains(&later), "{later}");
+}
