Balancer: the failures of a former lifetime don't count for the next one

A node kept what it knew of the failures of an instance when another lifetime began at its address: one that crashed left its successor with the failures of its last requests. Directed test: core a_new_lifetime_of_an_instance_has_not_failed; the method that it calls is new.

--- a/crates/walnutmoor-core/src/balance.rs
+++ b/crates/walnutmoor-core/src/balance.rs
@@ -207,6 +207,13 @@
         }
     }
 
+    /// Forgets the failures of an instance, as another lifetime has begun.
+    pub fn start_lifetime(&mut self, id: NodeId) {
+        if let Some((_, server)) = self.servers.get_mut(&id) {
+            server.failures = Failures::default();
+        }
+    }
+
     /// Records that a request was sent.
     pub fn sent(&mut self, id: NodeId) {
         if let Some((_, server)) = self.servers.get_mut(&id) {
--- a/crates/walnutmoor-core/src/departure.rs
+++ b/crates/walnutmoor-core/src/departure.rs
@@ -90,13 +90,16 @@
 }
 
 impl Witness {
-    /// Records the current lifetime of the instance, if any.
-    pub fn name(&mut self, lifetime: Option<Lifetime>) {
+    /// Records the current lifetime of the instance, if any. Returns true if
+    /// another one was named before.
+    pub fn name(&mut self, lifetime: Option<Lifetime>) -> bool {
         // The first load of a link comes before the lifetime that it is of.
-        if self.named.is_some() && self.named != lifetime {
+        let has_changed = self.named.is_some() && self.named != lifetime;
+        if has_changed {
             self.has_served = false;
         }
         self.named = lifetime;
+        has_changed
     }
 
     /// Records a report of the instance's load.
--- a/crates/walnutmoor-core/tests/balance.rs
+++ b/crates/walnutmoor-core/tests/balance.rs
@@ -320,3 +320,16 @@
     assert_eq!(soon, 0);
     assert!((1..=4).contains(&later), "{later}");
 }
+
+#[test]
+fn a_new_lifetime_of_an_instance_has_not_failed() {
+    let mut balance = balance();
+    for _ in 0..40 {
+        balance.done(id(1), Some(true));
+    }
+    assert_ne!(choose(&mut balance, &[]), Choice::Send(id(1)));
+
+    balance.start_lifetime(id(1));
+
+    assert_eq!(choose(&mut balance, &[]), Choice::Send(id(1)));
+}
--- a/crates/walnutmoor/src/mesh/lifetime.rs
+++ b/crates/walnutmoor/src/mesh/lifetime.rs
@@ -184,6 +184,7 @@
         }
         if change.is_lifetime() {
             self.pool.clear();
+            state.balancer.borrow_mut().start_lifetime(state.me);
             self.named_limit.borrow_mut().start_lifetime();
             self.malformed_logged.set(false);
             let rate = self.named_limit();
--- a/crates/walnutmoor/src/mesh/link/carrier.rs
+++ b/crates/walnutmoor/src/mesh/link/carrier.rs
@@ -16,8 +16,8 @@
     time::{sleep, timeout},
 };
 use walnutmoor_core::{
-    bulkhead::Load, edition::Edition, error::Kind, id::CallId, table::Effect,
-    time::Millis,
+    bulkhead::Load, edition::Edition, error::Kind, id::CallId,
+    lifetime::Lifetime, table::Effect, time::Millis,
 };
 
 use super::{Link, Read};
@@ -309,6 +309,14 @@
     state.record_load(link.node, load);
 }
 
+/// Records the current lifetime of the peer's instance.
+fn name_lifetime(state: &State, link: &Link, lifetime: Option<Lifetime>) {
+    let is_another = link.witness.borrow_mut().name(lifetime);
+    if is_another {
+        state.balancer.borrow_mut().start_lifetime(link.node);
+    }
+}
+
 fn handle_frame(state: &Rc<State>, link: &Rc<Link>, frame: Frame) {
     match frame {
         Frame::Answer(id, reply, load) => {
@@ -324,7 +332,7 @@
             record_load(state, link, load);
             state.record_peer_edition(edition, link.node);
         }
-        Frame::Serving(lifetime) => link.witness.borrow_mut().name(lifetime),
+        Frame::Serving(lifetime) => name_lifetime(state, link, lifetime),
         Frame::DepartureRecorded => state.departures.record_peer(link.node),
         Frame::Desired(stamp, raw) => {
             state.adopt(stamp, raw, Source::Peer);
