--- a/crates/walnutmoor/tests/mesh/departures.rs
+++ b/crates/walnutmoor/tests/mesh/departures.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use walnutmoor_core::lifetime::{Lifetime, Report};
-use walnutmoor_standin::{mesh::store::PendingWatches, soak::proxy::Mode};
+use walnutmoor_core::lifetime::{Lifetime, Report, StartTime};
+use walnutmoor_standin::{
+    mesh::{instance::Instance, store::PendingWatches},
+    soak::proxy::Mode,
+};
 
 use crate::fixture::{World, run, until};
 
@@ -276,22 +279,49 @@
         let mut world = start().await;
         let leaving = world.pairs[LEAVING].instance.clone();
         leaving.stop_heartbeats();
-        let next = Report {
-            lifetime: Lifetime::new("i-next", None),
-            slots: 8,
-            sequence: 1,
-            ready: true,
-        };
-        assert_eq!(leaving.send_report(&next).await, 200);
+        assert_eq!(leaving.send_report(&next_report()).await, 200);
         assert_eq!(leaving.send_goodbye().await, 200);
 
         // Its peers know the node and testify that its instance served.
         world.pairs[LEAVING].node.restart();
+        deliver_late(&leaving).await;
 
         assert_not_used(&world, "not-current").await;
     });
 }
 
+#[test]
+fn a_draining_lifetime_that_is_not_current_is_not_forgotten() {
+    run(async {
+        let mut world = start().await;
+        let leaving = world.pairs[LEAVING].instance.clone();
+        leaving.stop_heartbeats();
+        assert_eq!(leaving.send_report(&next_report()).await, 200);
+        assert_eq!(leaving.drain().await, 200);
+
+        world.pairs[LEAVING].node.restart();
+        deliver_late(&leaving).await;
+
+        assert_not_used(&world, "draining-not-current").await;
+    });
+}
+
+/// A report of a lifetime that started later, and so becomes the current one.
+fn next_report() -> Report {
+    let lifetime = Lifetime::new("i-next", Some(StartTime(u64::MAX / 2)));
+    Report { lifetime, slots: 8, sequence: 1, ready: true }
+}
+
+/// Delivers a late report of an instance, from before its departure.
+async fn deliver_late(instance: &Instance) {
+    let lifetime = instance.lifetime();
+    let late = Report { lifetime, slots: 8, sequence: 1_000_000, ready: true };
+    until("the node takes heartbeats", || async {
+        instance.send_report(&late).await == 200
+    })
+    .await;
+}
+
 // Guards against an acknowledgement that comes before anybody but the node
 // itself knows of the departure.
 #[test]
